--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+.PHONY: build test demo bench lint generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+demo: build
+	bin/samphirestile-emulator demo --daemon bin/samphirestiled
+
+bench: build
+	bin/samphirestile-emulator bench --daemon bin/samphirestiled
+
+lint:
+	test -z "$$(gofmt -l api cmd internal test 2>/dev/null)"
+	go vet ./...
+	go tool staticcheck ./...
+
+generate:
+	go generate ./...
--- /dev/null
+++ b/cmd/samphirestiled/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,62 @@
+// Package dispatch queues requests at the owner of endpoints and decides which
+// request starts next on which endpoint.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+)
+
+// Request describes a request that waits for an endpoint.
+type Request struct {
+	ID      string
+	Service fleet.ServiceID
+	Team    fleet.TeamID
+	Urgent  bool
+	// Deadline bounds the time in the queue.
+	Deadline time.Time
+	// Signature groups requests that are expected to fail or succeed alike: team, method and path.
+	Signature string
+	// Avoid lists endpoints on which this request already failed.
+	Avoid []fleet.EndpointID
+}
+
+// Result is how an exchange with an endpoint ended.
+type Result struct {
+	// Failed is set for connection errors, broken answers and status 500, 502, 503 and 504.
+	Failed bool
+	// FirstByte is the time from dispatch to the response header.
+	FirstByte time.Duration
+}
+
+// Grant is the permission to start one request on one endpoint. Exactly one of
+// its methods Done and Cancel must be called, once.
+type Grant interface {
+	Endpoint() fleet.Endpoint
+	// StillValid is asked right after the request header was written.
+	StillValid() bool
+	// Done frees the slot and the team's unit after the exchange has ended.
+	Done(Result)
+	// Cancel frees them when nothing was sent to the endpoint.
+	Cancel()
+}
+
+// Load is the state of one service at one owner, told to entry daemons.
+type Load struct {
+	// Slots is the learned number of requests that the owned endpoints serve at once.
+	Slots int
+	// Running and Queued count requests of the service at this owner.
+	Running int
+	Queued  int
+}
+
+// Dispatcher grants endpoints to requests.
+type Dispatcher interface {
+	// Acquire waits until the request may start. It returns a *problem.Error with
+	// outcome not-run when the request is refused, its deadline passes, or ctx ends.
+	Acquire(ctx context.Context, r Request) (Grant, error)
+	// Load returns the load of a service; ok is false when no endpoint of it is owned here.
+	Load(service fleet.ServiceID) (load Load, ok bool)
+}
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,2 @@
+// Package endpoint learns the concurrency and health of one endpoint.
+package endpoint
