--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,48 @@
+// Package metrics reports the state of a daemon through tally in the text
+// format of Prometheus.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally hands changed values to the reporter.
+const reportInterval = time.Second
+
+// Registry holds the root scope of a daemon.
+type Registry struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+}
+
+// New returns a registry whose metric names start with "samphirestile_".
+func New() *Registry {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "samphirestile",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return &Registry{scope: scope, closer: closer, reporter: reporter}
+}
+
+// Scope returns the root scope.
+func (r *Registry) Scope() tally.Scope { return r.scope }
+
+// Handler serves the metrics.
+func (r *Registry) Handler() http.Handler { return r.reporter.HTTPHandler() }
+
+// Close reports the last values.
+func (r *Registry) Close() error {
+	if err := r.closer.Close(); err != nil {
+		return fmt.Errorf("close metrics: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,254 @@
+// Package settings reads the settings of a daemon from strict JSON and checks
+// them as a whole.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Settings configures one daemon. Fields that end in _ms are milliseconds.
+type Settings struct {
+	DaemonID         string `json:"daemon_id"`
+	AvailabilityZone string `json:"availability_zone"`
+	// ServiceAddress, PeerAddress and OperatorAddress are listen addresses, IP number and port.
+	ServiceAddress  string `json:"service_address"`
+	PeerAddress     string `json:"peer_address"`
+	OperatorAddress string `json:"operator_address"`
+	// AdvertisePeerAddress is the address that peers use; the default is PeerAddress.
+	AdvertisePeerAddress string `json:"advertise_peer_address,omitempty"`
+	// CellSecret authenticates daemons of the cell to one another.
+	CellSecret string `json:"cell_secret"`
+	// OperatorTokens are the bearer tokens of the operator interface.
+	OperatorTokens []string `json:"operator_tokens"`
+	// PlatformAddress is the IP number and port of the platform's service.
+	PlatformAddress string `json:"platform_address"`
+	// Peers are peer addresses to ask for the configuration while the store is down.
+	Peers    []string `json:"peers,omitempty"`
+	LogLevel string   `json:"log_level,omitempty"`
+
+	// GraceMS is the time between SIGTERM and the handover, in which the load
+	// balancer notices that the daemon is not ready.
+	GraceMS int64 `json:"grace_ms,omitempty"`
+	// StopMS bounds the whole planned stop.
+	StopMS      int64 `json:"stop_ms,omitempty"`
+	LeaseMS     int64 `json:"lease_ms,omitempty"`
+	VouchMS     int64 `json:"vouch_ms,omitempty"`
+	MarginMS    int64 `json:"margin_ms,omitempty"`
+	HeartbeatMS int64 `json:"heartbeat_ms,omitempty"`
+	FailureMS   int64 `json:"failure_ms,omitempty"`
+}
+
+// Defaults for durations, in milliseconds. The grace time covers two checks of
+// a load balancer that probes every 2 s; the stop time covers the grace time
+// and the longest default run time of a service.
+const (
+	defaultGraceMS     = 5_000
+	defaultStopMS      = 60_000
+	defaultLeaseMS     = 10_000
+	defaultVouchMS     = 10_000
+	defaultMarginMS    = 2_000
+	defaultHeartbeatMS = 1_000
+	defaultFailureMS   = 3_000
+	maxDurationMS      = 3_600_000
+	minSecretLength    = 16
+)
+
+// Finding is one fault in a settings file.
+type Finding struct {
+	Path    string
+	Value   string
+	Allowed string
+}
+
+// Error reports all faults of a settings file.
+type Error struct {
+	File     string
+	Findings []Finding
+	Cause    error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("settings %s: %v", e.File, e.Cause)
+	}
+	lines := make([]string, 0, len(e.Findings))
+	for _, f := range e.Findings {
+		lines = append(lines, fmt.Sprintf("%s: %s is %s; allowed: %s", e.File, f.Path, f.Value, f.Allowed))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Error{File: file, Cause: err}
+	}
+	return Parse(file, data)
+}
+
+// Parse checks settings; file is used in errors only.
+func Parse(file string, data []byte) (*Settings, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var s Settings
+	if err := dec.Decode(&s); err != nil {
+		return nil, &Error{File: file, Cause: decodeError(data, err)}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, &Error{File: file, Cause: &TrailingDataError{Offset: dec.InputOffset()}}
+	}
+	s.setDefaults()
+	if findings := s.check(); len(findings) > 0 {
+		return nil, &Error{File: file, Findings: findings}
+	}
+	return &s, nil
+}
+
+// TrailingDataError reports data after the settings object.
+type TrailingDataError struct{ Offset int64 }
+
+func (e *TrailingDataError) Error() string {
+	return fmt.Sprintf("data after the settings object at byte %d", e.Offset)
+}
+
+// SyntaxError reports a JSON fault with its line.
+type SyntaxError struct {
+	Line  int
+	Cause error
+}
+
+func (e *SyntaxError) Error() string { return fmt.Sprintf("line %d: %v", e.Line, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *SyntaxError) Unwrap() error { return e.Cause }
+
+func decodeError(data []byte, err error) error {
+	var offset int64
+	var syntax *json.SyntaxError
+	var typed *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		offset = syntax.Offset
+	case errors.As(err, &typed):
+		offset = typed.Offset
+	default:
+		return err
+	}
+	line := 1 + bytes.Count(data[:min(offset, int64(len(data)))], []byte("\n"))
+	return &SyntaxError{Line: line, Cause: err}
+}
+
+func (s *Settings) setDefaults() {
+	for _, d := range s.durations() {
+		if *d.value == 0 {
+			*d.value = d.fallback
+		}
+	}
+	if s.AdvertisePeerAddress == "" {
+		s.AdvertisePeerAddress = s.PeerAddress
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = logrus.InfoLevel.String()
+	}
+}
+
+type durationField struct {
+	path     string
+	value    *int64
+	fallback int64
+}
+
+func (s *Settings) durations() []durationField {
+	return []durationField{
+		{"grace_ms", &s.GraceMS, defaultGraceMS},
+		{"stop_ms", &s.StopMS, defaultStopMS},
+		{"lease_ms", &s.LeaseMS, defaultLeaseMS},
+		{"vouch_ms", &s.VouchMS, defaultVouchMS},
+		{"margin_ms", &s.MarginMS, defaultMarginMS},
+		{"heartbeat_ms", &s.HeartbeatMS, defaultHeartbeatMS},
+		{"failure_ms", &s.FailureMS, defaultFailureMS},
+	}
+}
+
+func (s *Settings) check() []Finding {
+	var out []Finding
+	add := func(path, value, allowed string) {
+		out = append(out, Finding{Path: path, Value: value, Allowed: allowed})
+	}
+	if s.DaemonID == "" {
+		add("daemon_id", `""`, "a name that is unique in the cell")
+	}
+	if s.AvailabilityZone == "" {
+		add("availability_zone", `""`, "the name of the availability zone")
+	}
+	out = append(out, s.checkAddresses()...)
+	if len(s.CellSecret) < minSecretLength {
+		add("cell_secret", fmt.Sprintf("%d bytes long", len(s.CellSecret)), fmt.Sprintf("at least %d bytes", minSecretLength))
+	}
+	if len(s.OperatorTokens) == 0 {
+		add("operator_tokens", "[]", "at least one token")
+	}
+	for i, t := range s.OperatorTokens {
+		if len(t) < minSecretLength {
+			add(fmt.Sprintf("operator_tokens[%d]", i), fmt.Sprintf("%d bytes long", len(t)), fmt.Sprintf("at least %d bytes", minSecretLength))
+		}
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		add("log_level", fmt.Sprintf("%q", s.LogLevel), "debug, info, warning or error")
+	}
+	for _, d := range s.durations() {
+		if *d.value < 0 || *d.value > maxDurationMS {
+			add(d.path, fmt.Sprint(*d.value), fmt.Sprintf("1 to %d ms", maxDurationMS))
+		}
+	}
+	if s.HeartbeatMS >= s.VouchMS {
+		add("heartbeat_ms", fmt.Sprint(s.HeartbeatMS), "less than vouch_ms, or no vouch lasts until the next heartbeat")
+	}
+	return out
+}
+
+func (s *Settings) checkAddresses() []Finding {
+	var out []Finding
+	used := map[string]string{}
+	one := func(path, address string, listens bool) {
+		a, err := netip.ParseAddrPort(address)
+		if err != nil || a.Port() == 0 {
+			out = append(out, Finding{Path: path, Value: fmt.Sprintf("%q", address), Allowed: "an IP number and a port other than 0"})
+			return
+		}
+		if !listens {
+			return
+		}
+		if other, ok := used[a.String()]; ok {
+			out = append(out, Finding{Path: path, Value: fmt.Sprintf("%q", address), Allowed: "an address other than " + other})
+		}
+		used[a.String()] = path
+	}
+	one("service_address", s.ServiceAddress, true)
+	one("peer_address", s.PeerAddress, true)
+	one("operator_address", s.OperatorAddress, true)
+	one("advertise_peer_address", s.AdvertisePeerAddress, false)
+	one("platform_address", s.PlatformAddress, false)
+	for i, p := range s.Peers {
+		one(fmt.Sprintf("peers[%d]", i), p, false)
+	}
+	return out
+}
+
+// Duration converts milliseconds.
+func Duration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
