Add the queue, admission and slots of owned endpoints

Each service has start-time fair queueing by team. The cost of a request is the slot time it uses while other requests wait, so that teams with long requests get the same part of the slots as teams with short ones.

dispatch.Request gains NoReroute; Config.FreeElsewhere makes queued requests move to another owner.

--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 60 * time.Second
+)
+
+// admit returns the refusal of a request that was just queued and cannot be
+// started before its deadline, or nil.
+func (s *serviceQueue) admit(w *waiter, now time.Time) *problem.Error {
+	wait, limited := s.expectedWait(w)
+	remaining := w.deadline.Sub(now)
+	if wait <= remaining {
+		return nil
+	}
+	return s.refusal(w, limited).After(retryAfter(wait - remaining))
+}
+
+func retryAfter(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// refusal says who causes the shortage: the team's limit, the team or everybody.
+func (s *serviceQueue) refusal(w *waiter, limited bool) *problem.Error {
+	switch {
+	case limited:
+		return problem.New(problem.CodeOverLimit, http.StatusTooManyRequests,
+			"team %s has reached its upper limit and the request cannot start before its deadline", w.Team)
+	case s.aboveShare(w.team):
+		return problem.New(problem.CodeOverShare, http.StatusTooManyRequests,
+			"team %s is above its share of service %s and the request cannot start before its deadline", w.Team, w.Service)
+	default:
+		return problem.New(problem.CodeOverloaded, http.StatusServiceUnavailable,
+			"service %s is overloaded and the request cannot start before its deadline", w.Service)
+	}
+}
+
+// aboveShare reports whether the team's part of the demand is larger than its
+// part of the weights of all teams that have demand.
+func (s *serviceQueue) aboveShare(t *teamQueue) bool {
+	var weights, demand float64
+	for _, o := range s.teams {
+		if o.queued+o.running > 0 {
+			weights += o.weight
+			demand += s.demand(o)
+		}
+	}
+	return s.demand(t)*weights > demand*t.weight*(1+1e-9)
+}
+
+// demand returns the slot time of the team's queued and running requests, in seconds.
+func (s *serviceQueue) demand(t *teamQueue) float64 {
+	return float64(t.queued+t.running) * math.Max(s.cost(t), 1e-6)
+}
+
+// expectedWait estimates the time until a queued request starts if no further
+// request arrives: until then every team is served up to the virtual time at
+// which the request's turn comes. limited is set when the team's upper limit and
+// not the slots determines the wait.
+func (s *serviceQueue) expectedWait(w *waiter) (wait time.Duration, limited bool) {
+	total, _ := s.capacity()
+	if total == 0 {
+		return 0, false
+	}
+	t, cost := w.team, s.cost(w.team)
+	ahead := float64(s.ahead(w)) * cost
+	turn := t.vtime + ahead/t.weight
+	work := ahead
+	for _, o := range s.teams {
+		if o != t && o.queued > 0 && !o.blocked {
+			work += math.Min(float64(o.queued)*s.cost(o), o.weight*math.Max(0, turn-o.vtime))
+		}
+	}
+	bySlots := work / float64(total)
+	byUnits := 0.0
+	if running, units := s.limiter.Usage(t.id); units > 0 && running >= units {
+		byUnits = ahead / float64(units)
+	}
+	return seconds(math.Max(bySlots, byUnits)), byUnits > bySlots
+}
+
+// ahead returns how many requests of the team start before the newest one of its class.
+func (s *serviceQueue) ahead(w *waiter) int {
+	if w.class.urgent() {
+		return w.team.urgentQueued() - 1
+	}
+	return w.team.queued - 1
+}
+
+// expired returns the refusal of a request whose deadline passed in the queue.
+func (s *serviceQueue) expired(w *waiter) *problem.Error {
+	wait, _ := s.expectedWait(w)
+	return problem.New(problem.CodeDeadlineExceeded, http.StatusServiceUnavailable,
+		"the deadline of the request passed in the queue of service %s", w.Service).After(retryAfter(wait))
+}
+
+// makeRoom keeps the queue within its bound. It refuses the newest request of
+// the team that is furthest above its share, which may be the new request itself.
+func (s *serviceQueue) makeRoom() {
+	if s.queued <= s.maxQueued {
+		return
+	}
+	var worst *teamQueue
+	for _, t := range s.teams {
+		if t.queued > 0 && (worst == nil || s.demand(t)/t.weight > s.demand(worst)/worst.weight) {
+			worst = t
+		}
+	}
+	w := worst.newest()
+	wait, _ := s.expectedWait(w)
+	s.refuse(w, s.refusal(w, false).After(retryAfter(wait)))
+}
--- /dev/null
+++ b/internal/dispatch/config.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"time"
+
+	"samphirestile.example/samphirestile/internal/allotment"
+	"samphirestile.example/samphirestile/internal/fleet"
+)
+
+const (
+	// defaultMaxWait bounds the queueing time when neither the request nor its service does.
+	defaultMaxWait = 30 * time.Second
+	// defaultMaxQueued bounds the memory of a service's queue, at about 1 KB a request.
+	defaultMaxQueued = 20_000
+	// housekeepingInterval is the period of the tasks that no request triggers:
+	// demand reports, slow start, probing and rerouting.
+	housekeepingInterval = 50 * time.Millisecond
+	// rerouteAfter is the shortest wait before a request is sent to another
+	// owner; a reroute costs about 2 ms, so it must promise more than that.
+	rerouteAfter = 50 * time.Millisecond
+)
+
+// Config is what a Scheduler needs from its surroundings.
+type Config struct {
+	// Limiter guards the upper limits of teams. It is called under a lock of the
+	// scheduler and must not call the scheduler.
+	Limiter allotment.Limiter
+	// MaxQueued bounds the queued requests of a service; 0 means 20,000.
+	MaxQueued int
+	// FreeElsewhere returns how many requests of the team other owners of the
+	// service could start now. At most that many queued requests are refused with
+	// Reroute set, twenty times a second. nil disables rerouting.
+	FreeElsewhere func(service fleet.ServiceID, team fleet.TeamID) int
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxQueued <= 0 {
+		c.MaxQueued = defaultMaxQueued
+	}
+	return c
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	Signature string
 	// Avoid lists endpoints on which this request already failed.
 	Avoid []fleet.EndpointID
+	// NoReroute is set when the request was rerouted as often as allowed.
+	NoReroute bool
 }
 
 // Result is how an exchange with an endpoint ended.
--- /dev/null
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -0,0 +1,230 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+var suiteT *testing.T
+
+func TestDispatch(t *testing.T) {
+	suiteT = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatch")
+}
+
+// bubble runs f on virtual time, so that load runs of minutes take milliseconds
+// and their verdict does not depend on the machine.
+func bubble(f func()) func() {
+	return func() {
+		synctest.Test(suiteT, func(*testing.T) {
+			defer GinkgoRecover()
+			f()
+		})
+	}
+}
+
+// fakeLimiter grants each team the units of limits; a team that is not named is unlimited.
+type fakeLimiter struct {
+	mu      sync.Mutex
+	limits  map[fleet.TeamID]int
+	running map[fleet.TeamID]int
+	demand  map[fleet.TeamID]int
+	invalid bool
+	changed chan struct{}
+}
+
+func newLimiter(limits map[fleet.TeamID]int) *fakeLimiter {
+	return &fakeLimiter{
+		limits: limits, running: map[fleet.TeamID]int{}, demand: map[fleet.TeamID]int{}, changed: make(chan struct{}, 1),
+	}
+}
+
+func (l *fakeLimiter) units(t fleet.TeamID) int {
+	if n, ok := l.limits[t]; ok {
+		return n
+	}
+	return 1 << 30
+}
+
+func (l *fakeLimiter) TryAcquire(t fleet.TeamID) (func(), bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running[t] >= l.units(t) {
+		return nil, false
+	}
+	l.running[t]++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.running[t]--
+		l.notify()
+	}, true
+}
+
+func (l *fakeLimiter) notify() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (l *fakeLimiter) StillValid(fleet.TeamID) bool { return !l.invalid }
+
+func (l *fakeLimiter) SetDemand(t fleet.TeamID, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.demand[t] = n
+}
+
+func (l *fakeLimiter) Usage(t fleet.TeamID) (int, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running[t], l.units(t)
+}
+
+func (l *fakeLimiter) Subscribe() (<-chan struct{}, func()) { return l.changed, func() {} }
+
+const service = fleet.ServiceID("quotes")
+
+func endpoints(n, slots int) []fleet.Endpoint {
+	var all []fleet.Endpoint
+	for i := range n {
+		all = append(all, fleet.Endpoint{
+			ID: fleet.EndpointID(fmt.Sprintf("e%d", i)), Service: service, Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
+			Slots: slots, Connections: 64,
+		})
+	}
+	return all
+}
+
+func weights(w map[fleet.TeamID]float64) map[fleet.TeamID]fleet.Team {
+	all := map[fleet.TeamID]fleet.Team{}
+	for id, x := range w {
+		all[id] = fleet.Team{ID: id, Weight: x}
+	}
+	return all
+}
+
+// bench is a scheduler under test with what happened to its requests.
+type bench struct {
+	*dispatch.Scheduler
+	limiter *fakeLimiter
+	wait    sync.WaitGroup
+	mu      sync.Mutex
+	events  []event
+}
+
+// event is one request from submission to grant or refusal.
+type event struct {
+	team      fleet.TeamID
+	urgent    bool
+	submitted time.Time
+	decided   time.Time
+	endpoint  fleet.EndpointID
+	busy      time.Duration
+	refusal   *problem.Error
+}
+
+func newBench(limits map[fleet.TeamID]int, c dispatch.Config, owned []fleet.Endpoint) *bench {
+	b := &bench{limiter: newLimiter(limits)}
+	c.Limiter = b.limiter
+	b.Scheduler = dispatch.New(c)
+	b.SetEndpoints(fleet.Service{ID: service, MaxWait: time.Minute}, owned)
+	return b
+}
+
+// acquire asks for a grant for at most the given time.
+func (b *bench) acquire(team fleet.TeamID, patience time.Duration) (dispatch.Grant, *problem.Error) {
+	return b.do(context.Background(), dispatch.Request{Team: team, Deadline: time.Now().Add(patience)})
+}
+
+func (b *bench) do(ctx context.Context, r dispatch.Request) (dispatch.Grant, *problem.Error) {
+	r.Service = service
+	g, err := b.Acquire(ctx, r)
+	if err != nil {
+		var p *problem.Error
+		Expect(errors.As(err, &p)).To(BeTrue(), "refusals are problems")
+		Expect(p.Outcome).To(Equal(problem.NotRun))
+		return nil, p
+	}
+	return g, nil
+}
+
+// traffic describes the requests of one team.
+type traffic struct {
+	team     fleet.TeamID
+	every    time.Duration // mean time between two requests, exponentially distributed
+	duration func(*rand.Rand) time.Duration
+	deadline time.Duration
+	urgent   bool
+	start    time.Duration
+	stop     time.Duration
+}
+
+func fixed(d time.Duration) func(*rand.Rand) time.Duration {
+	return func(*rand.Rand) time.Duration { return d }
+}
+
+// send starts the traffic in the background.
+func (b *bench) send(t traffic) {
+	r := rand.New(rand.NewPCG(1, uint64(len(t.team))+uint64(t.every)))
+	b.wait.Go(func() {
+		time.Sleep(t.start)
+		for end := time.Now().Add(t.stop - t.start); time.Now().Before(end); {
+			time.Sleep(time.Duration(r.ExpFloat64() * float64(t.every)))
+			d := t.duration(r)
+			b.wait.Go(func() { b.one(t, d) })
+		}
+	})
+}
+
+func (b *bench) one(t traffic, d time.Duration) {
+	defer GinkgoRecover()
+	e := event{team: t.team, urgent: t.urgent, submitted: time.Now()}
+	r := dispatch.Request{Team: t.team, Urgent: t.urgent, Deadline: e.submitted.Add(t.deadline), Signature: string(t.team)}
+	g, p := b.do(context.Background(), r)
+	e.decided, e.refusal = time.Now(), p
+	if p == nil {
+		e.endpoint, e.busy = g.Endpoint().ID, d
+		time.Sleep(d)
+		g.Done(dispatch.Result{FirstByte: d})
+	}
+	b.mu.Lock()
+	b.events = append(b.events, e)
+	b.mu.Unlock()
+}
+
+// slotTime sums up each team's slot time between two moments of the run.
+func (b *bench) slotTime(from, to time.Time) map[fleet.TeamID]float64 {
+	sum := map[fleet.TeamID]float64{}
+	for _, e := range b.events {
+		if e.refusal != nil {
+			continue
+		}
+		start, end := e.decided, e.decided.Add(e.busy)
+		if start.Before(from) {
+			start = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		if end.After(start) {
+			sum[e.team] += end.Sub(start).Seconds()
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/dispatch/grant.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/endpoint"
+	"samphirestile.example/samphirestile/internal/fleet"
+)
+
+// maxHold bounds how long a fast failure keeps its slot occupied, so that a few
+// failures do not block a service with very long requests.
+const maxHold = 5 * time.Second
+
+// grant implements Grant.
+type grant struct {
+	service *serviceQueue
+	team    *teamQueue
+	slots   *slots
+	// endpoint is a copy, because the configuration may change during the exchange.
+	endpoint  fleet.Endpoint
+	signature string
+	attempt   endpoint.Attempt
+	release   func()
+	started   time.Time
+	// startClock is the service's contended time at the start, in seconds.
+	startClock float64
+	// charged is the slot time charged so far, in seconds.
+	charged float64
+	// index is the position in serviceQueue.running.
+	index int
+	ended atomic.Bool
+}
+
+// Endpoint implements Grant.
+func (g *grant) Endpoint() fleet.Endpoint { return g.endpoint }
+
+// StillValid implements Grant.
+func (g *grant) StillValid() bool { return g.service.limiter.StillValid(g.team.id) }
+
+// Done implements Grant.
+func (g *grant) Done(r Result) {
+	if g.ended.Swap(true) {
+		return
+	}
+	g.release()
+	s, now := g.service, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	s.end(g)
+	elapsed := now.Sub(g.started)
+	g.slots.tracker.Finish(g.attempt, endpoint.Outcome{
+		Failed: r.Failed, Latency: r.FirstByte, Elapsed: elapsed, Signature: g.signature,
+	})
+	held := time.Duration(0)
+	if r.Failed {
+		held = s.hold(g.slots, elapsed)
+	} else {
+		s.slotTime.Add(elapsed.Seconds())
+		g.team.slotTime.Add(elapsed.Seconds())
+	}
+	g.team.charge(s.clock - g.startClock - g.charged + held.Seconds())
+	s.dispatch(now)
+}
+
+// Cancel implements Grant.
+func (g *grant) Cancel() {
+	if g.ended.Swap(true) {
+		return
+	}
+	g.release()
+	s, now := g.service, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	s.end(g)
+	g.team.charge(-g.charged)
+	s.dispatch(now)
+}
+
+// hold keeps a slot occupied until a typical service time has passed since the
+// start of a request that failed early. Otherwise an endpoint that fails fast
+// would always have free slots and attract most requests.
+func (s *serviceQueue) hold(e *slots, elapsed time.Duration) time.Duration {
+	typical := e.tracker.Typical()
+	if typical == 0 {
+		typical = seconds(s.slotTime.Value())
+	}
+	d := min(typical-elapsed, maxHold)
+	if d <= 0 {
+		return 0
+	}
+	e.held++
+	time.AfterFunc(d, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		e.held--
+		s.dispatch(time.Now())
+	})
+	return d
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/dispatch/housekeeping.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/allotment"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+// run serves notices of the limiter and the periodic tasks until the scheduler closes.
+func (s *Scheduler) run(changed <-chan struct{}) {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-changed:
+			for _, q := range s.queues() {
+				q.unitsChanged()
+			}
+		case <-ticker.C:
+			for id, q := range s.queuesByID() {
+				q.unitsChanged()
+				if s.config.FreeElsewhere != nil {
+					s.reroute(id, q)
+				}
+			}
+			s.demand.report(s.config.Limiter)
+		}
+	}
+}
+
+func (s *Scheduler) queuesByID() map[fleet.ServiceID]*serviceQueue {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := make(map[fleet.ServiceID]*serviceQueue, len(s.services))
+	for id, q := range s.services {
+		all[id] = q
+	}
+	return all
+}
+
+// unitsChanged starts requests of teams that the limiter held back.
+func (s *serviceQueue) unitsChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queued > 0 {
+		for _, t := range s.teams {
+			s.unblock(t)
+		}
+		s.dispatch(time.Now())
+	}
+}
+
+// reroute refuses queued requests that another owner could start now.
+func (s *Scheduler) reroute(id fleet.ServiceID, q *serviceQueue) {
+	for _, team := range q.waitingTeams() {
+		if n := s.config.FreeElsewhere(id, team); n > 0 {
+			q.reroute(team, n, time.Now())
+		}
+	}
+}
+
+func (s *serviceQueue) waitingTeams() []fleet.TeamID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []fleet.TeamID
+	for id, t := range s.teams {
+		if t.queued > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// reroute refuses at most n requests of the team that have waited for a while,
+// urgent ones first and then the oldest.
+func (s *serviceQueue) reroute(team fleet.TeamID, n int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.teams[team]
+	for c := range classes {
+		for w := t.lists[c].head; w != nil && n > 0; {
+			next := w.next
+			if !w.NoReroute && now.Sub(w.enqueued) >= rerouteAfter {
+				e := problem.New(problem.CodeOverloaded, http.StatusServiceUnavailable,
+					"another owner of service %s has a free slot", w.Service).After(minRetryAfter)
+				e.Reroute = true
+				s.refuse(w, e)
+				n--
+			}
+			w = next
+		}
+	}
+}
+
+// demand counts the queued requests of each team over all services and reports
+// changes to the limiter. The first queued request is reported at once, further
+// changes with the periodic tasks, so that a burst of cancellations is cheap.
+type demand struct {
+	mu               sync.Mutex
+	queued, reported map[fleet.TeamID]int
+}
+
+func (d *demand) add(l allotment.Limiter, team fleet.TeamID, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queued[team] += n
+	if d.reported[team] == 0 && d.queued[team] > 0 {
+		d.reported[team] = d.queued[team]
+		l.SetDemand(team, d.queued[team])
+	}
+}
+
+func (d *demand) report(l allotment.Limiter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for team, n := range d.queued {
+		if d.reported[team] != n {
+			d.reported[team] = n
+			l.SetDemand(team, n)
+		}
+		if n == 0 {
+			delete(d.queued, team)
+			delete(d.reported, team)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/service.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/allotment"
+	"samphirestile.example/samphirestile/internal/endpoint"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+const (
+	// urgentPatience is how long an urgent request waits for its team's turn
+	// before it may use the team's future share. The target for its start is
+	// 1.2 s; the rest is left for a slot to become free.
+	urgentPatience = 300 * time.Millisecond
+	// urgentCredit is how many requests' worth of future share a team may use for
+	// urgent requests. It bounds what a team gains by marking every request urgent.
+	urgentCredit = 4
+	// chargeInterval bounds how often the overtime of running requests is charged.
+	chargeInterval = 10 * time.Millisecond
+)
+
+// serviceQueue is the queue and the slots of one service. Teams are served by
+// start-time fair queueing. The cost of a request is the slot time it uses while
+// other requests wait: the team's mean is charged at the start and corrected
+// while the request runs and when it ends. Charging slot time and not requests
+// gives teams with long requests the same share of the slots as teams with short
+// ones. Time without contention is free, so that lent share is not paid back.
+type serviceQueue struct {
+	limiter   allotment.Limiter
+	maxQueued int
+
+	mu        sync.Mutex
+	config    fleet.Service
+	endpoints []*slots
+	teams     map[fleet.TeamID]*teamQueue
+	queued    int
+	running   []*grant
+	// vtime is the virtual time of the service: the largest start tag served.
+	vtime float64
+	// clock is the time during which requests waited for a slot, in seconds.
+	clock     float64
+	contended bool
+	advanced  time.Time
+	charged   time.Time
+	round     uint64
+	slotTime  endpoint.Mean
+	closed    bool
+}
+
+func newServiceQueue(l allotment.Limiter, maxQueued int) *serviceQueue {
+	now := time.Now()
+	return &serviceQueue{
+		limiter: l, maxQueued: maxQueued, teams: map[fleet.TeamID]*teamQueue{}, advanced: now, charged: now,
+	}
+}
+
+// advance moves the contended clock to now and charges the overtime of running requests.
+func (s *serviceQueue) advance(now time.Time) {
+	if s.contended {
+		s.clock += now.Sub(s.advanced).Seconds()
+	}
+	s.advanced = now
+	if now.Sub(s.charged) < chargeInterval {
+		return
+	}
+	s.charged = now
+	for _, g := range s.running {
+		if over := s.clock - g.startClock - g.charged; over > 0 {
+			g.charged += over
+			g.team.charge(over)
+		}
+	}
+}
+
+// enqueue adds a request to its team's queue.
+func (s *serviceQueue) enqueue(w *waiter) {
+	if w.team.queued == 0 {
+		s.limitCredit(w.team)
+	}
+	w.team.push(w)
+	s.queued++
+}
+
+// limitCredit raises the virtual time of a team that did not use its share, so
+// that it does not save up more than one request's worth.
+func (s *serviceQueue) limitCredit(t *teamQueue) {
+	t.vtime = math.Max(t.vtime, s.vtime-s.cost(t)/t.weight)
+}
+
+// cost returns the expected slot time of a request of the team, in seconds.
+func (s *serviceQueue) cost(t *teamQueue) float64 {
+	if t.slotTime.Known() {
+		return t.slotTime.Value()
+	}
+	return s.slotTime.Value()
+}
+
+func (s *serviceQueue) dequeue(w *waiter) {
+	w.team.remove(w)
+	s.queued--
+}
+
+// refuse removes a queued request and tells its caller why.
+func (s *serviceQueue) refuse(w *waiter, e *problem.Error) {
+	s.dequeue(w)
+	w.team.refused++
+	w.decided <- decision{refusal: e}
+}
+
+// dispatch starts requests until no free slot is left that a waiting request may use.
+func (s *serviceQueue) dispatch(now time.Time) {
+	s.advance(now)
+	s.round++
+	for s.queued > 0 && s.hasFreeSlot() && s.dispatchOne(now) {
+	}
+	s.contended = false
+	for _, t := range s.teams {
+		if t.queued > 0 && !t.blocked {
+			s.contended = true
+			return
+		}
+	}
+}
+
+// dispatchOne starts the request that is next and reports whether there was one.
+func (s *serviceQueue) dispatchOne(now time.Time) bool {
+	for {
+		t := s.overdueUrgent(now)
+		if t == nil {
+			t = s.nextTeam()
+		}
+		if t == nil {
+			return false
+		}
+		if s.startFrom(t, now) {
+			return true
+		}
+	}
+}
+
+func (s *serviceQueue) eligible(t *teamQueue) bool {
+	return t.queued > 0 && !t.blocked && t.passedOver != s.round
+}
+
+// nextTeam returns the team with the smallest virtual time that may start a request.
+func (s *serviceQueue) nextTeam() *teamQueue {
+	var best *teamQueue
+	for _, t := range s.teams {
+		if s.eligible(t) && (best == nil || t.vtime < best.vtime) {
+			best = t
+		}
+	}
+	if best != nil {
+		s.vtime = math.Max(s.vtime, best.vtime)
+	}
+	return best
+}
+
+// overdueUrgent returns the team with the longest waiting urgent request, if that
+// request has waited too long for its team's turn and the team has credit left.
+func (s *serviceQueue) overdueUrgent(now time.Time) *teamQueue {
+	var best *teamQueue
+	oldest := now.Add(-urgentPatience)
+	for _, t := range s.teams {
+		if t.urgentQueued() == 0 || !s.eligible(t) || t.vtime-s.vtime > urgentCredit*s.cost(t)/t.weight {
+			continue
+		}
+		if w := t.oldestUrgent(); w.enqueued.Before(oldest) {
+			best, oldest = t, w.enqueued
+		}
+	}
+	return best
+}
+
+// startFrom starts the first request of the team that can use a free slot. When
+// there is none, the team is excluded for this round or until it may have a unit.
+func (s *serviceQueue) startFrom(t *teamQueue, now time.Time) bool {
+	w, e := s.firstStartable(t, now)
+	if w == nil {
+		t.passedOver = s.round
+		return false
+	}
+	release, ok := s.limiter.TryAcquire(t.id)
+	if !ok {
+		t.blocked = true
+		return false
+	}
+	s.dequeue(w)
+	s.start(w, e, release, now)
+	return true
+}
+
+func (s *serviceQueue) firstStartable(t *teamQueue, now time.Time) (*waiter, *slots) {
+	for c := range classes {
+		for w := t.lists[c].head; w != nil; {
+			next := w.next
+			if !now.Before(w.deadline) {
+				s.refuse(w, s.expired(w))
+				w = next
+				continue
+			}
+			if e := s.slotFor(w); e != nil {
+				return w, e
+			}
+			if !c.avoiding() {
+				break
+			}
+			w = next
+		}
+	}
+	return nil, nil
+}
+
+func (s *serviceQueue) start(w *waiter, e *slots, release func(), now time.Time) {
+	e.inFlight++
+	t := w.team
+	t.running++
+	t.granted++
+	g := &grant{
+		service: s, team: t, slots: e, endpoint: e.Endpoint, signature: w.Signature,
+		attempt: e.tracker.Start(e.inFlight), release: release,
+		started: now, startClock: s.clock, charged: s.cost(t), index: len(s.running),
+	}
+	t.charge(g.charged)
+	s.running = append(s.running, g)
+	w.decided <- decision{grant: g}
+}
+
+// end takes a grant off the running requests.
+func (s *serviceQueue) end(g *grant) {
+	last := len(s.running) - 1
+	s.running[g.index] = s.running[last]
+	s.running[g.index].index = g.index
+	s.running[last] = nil
+	s.running = s.running[:last]
+	g.team.running--
+	s.unblock(g.team)
+	g.slots.inFlight--
+	if !g.slots.owned {
+		s.dropIdle()
+	}
+}
+
+// unblock lets the team ask the limiter again.
+func (s *serviceQueue) unblock(t *teamQueue) {
+	if t.blocked {
+		t.blocked = false
+		s.limitCredit(t)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/mean.go
@@ -0,0 +1,26 @@
+package endpoint
+
+// meanMemory is the number of samples that a Mean remembers. Bimodal service
+// times need about this many for a stable mean.
+const meanMemory = 64
+
+// Mean is a moving average: the plain mean of the first samples, then an
+// exponentially weighted one. The zero value is ready for use.
+type Mean struct {
+	value   float64
+	samples int
+}
+
+// Add takes a sample in.
+func (m *Mean) Add(x float64) {
+	if m.samples < meanMemory {
+		m.samples++
+	}
+	m.value += (x - m.value) / float64(m.samples)
+}
+
+// Value returns the average; 0 before the first sample.
+func (m *Mean) Value() float64 { return m.value }
+
+// Known reports whether there was a sample.
+func (m *Mean) Known() bool { return m.samples > 0 }
