--- /dev/null
+++ b/internal/forward/body.go
@@ -0,0 +1,249 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/problem"
+	"samphirestile.example/samphirestile/internal/upstream"
+)
+
+// BufferBytes is the size up to which a request body is read before the request is queued.
+const BufferBytes = 16 << 10
+
+// Body is the body of a call. It can be offered to several owners in turn until
+// a byte of its unbuffered part was read.
+type Body struct {
+	prefix []byte
+	rest   io.Reader
+	length int64
+
+	mu sync.Mutex
+	// turn is the number of the latest attempt; readers of earlier attempts fail.
+	turn int
+	used bool
+}
+
+// staleBodyError reports a read by an attempt that was already given up.
+type staleBodyError struct{}
+
+func (*staleBodyError) Error() string { return "request body belongs to a later attempt" }
+
+// NewBody returns a body of prefix followed by rest, which is nil when prefix is
+// the whole body. length is -1 when it is not known.
+func NewBody(prefix []byte, rest io.Reader, length int64) *Body {
+	if rest == nil {
+		length = int64(len(prefix))
+	}
+	return &Body{prefix: prefix, rest: rest, length: length}
+}
+
+// ReadBody reads a small body from r; a larger one stays unread, or is read in
+// part when its length is not known. A body above limit is refused; limit 0
+// means no bound.
+func ReadBody(r *http.Request, source io.Reader, limit int64) (*Body, error) {
+	if limit > 0 && r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return NewBody(nil, nil, 0), nil
+	}
+	if r.ContentLength > BufferBytes {
+		return NewBody(nil, source, r.ContentLength), nil
+	}
+	want := r.ContentLength
+	if want < 0 {
+		want = BufferBytes + 1
+	}
+	prefix := make([]byte, want)
+	n, err := io.ReadFull(source, prefix)
+	prefix = prefix[:n]
+	switch {
+	case limit > 0 && int64(n) > limit:
+		return nil, tooLarge(limit)
+	case r.ContentLength < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF):
+		return NewBody(prefix, nil, 0), nil
+	case err != nil:
+		return nil, unreadable(err)
+	case r.ContentLength < 0:
+		if limit > 0 {
+			source = &limitedReader{source: source, limit: limit, left: limit - int64(n)}
+		}
+		return NewBody(prefix, source, -1), nil
+	}
+	return NewBody(prefix, nil, 0), nil
+}
+
+func tooLarge(limit int64) *problem.Error {
+	return problem.New(problem.CodeBodyTooLarge, http.StatusRequestEntityTooLarge, "the request body is larger than %d bytes", limit)
+}
+
+// unreadable describes a body that failed before anything ran.
+func unreadable(err error) *problem.Error {
+	var p *problem.Error
+	if errors.As(err, &p) {
+		return p
+	}
+	return problem.New(problem.CodeBadRequest, http.StatusBadRequest, "the request body is malformed or incomplete")
+}
+
+// reusable reports whether the body can be offered to another owner.
+func (b *Body) reusable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.used
+}
+
+// open returns a reader for the next attempt, nil for an empty body.
+func (b *Body) open() upstream.Body {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	if b.rest == nil && len(b.prefix) == 0 {
+		return nil
+	}
+	return &attemptBody{body: b, turn: b.turn}
+}
+
+type attemptBody struct {
+	body   *Body
+	turn   int
+	offset int
+}
+
+// Read implements io.Reader.
+func (a *attemptBody) Read(p []byte) (int, error) {
+	if a.offset < len(a.body.prefix) {
+		n := copy(p, a.body.prefix[a.offset:])
+		a.offset += n
+		return n, nil
+	}
+	if a.body.rest == nil {
+		return 0, io.EOF
+	}
+	a.body.mu.Lock()
+	if a.turn != a.body.turn {
+		a.body.mu.Unlock()
+		return 0, &staleBodyError{}
+	}
+	a.body.used = true
+	a.body.mu.Unlock()
+	return a.body.rest.Read(p)
+}
+
+// limitedReader fails when the body is larger than the bound of the service.
+type limitedReader struct {
+	source io.Reader
+	limit  int64
+	left   int64
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	n, err := l.source.Read(p)
+	if l.left -= int64(n); l.left < 0 {
+		return 0, tooLarge(l.limit)
+	}
+	return n, err
+}
+
+// lingerTime is how long the rest of a body is read and dropped after the
+// response, because closing a connection with unread bytes may destroy the response.
+const lingerTime = 200 * time.Millisecond
+
+// IdleReader reads the body of an incoming request and fails when no byte
+// arrives for the idle time. Close must be called before the handler returns.
+type IdleReader struct {
+	source     io.Reader
+	controller *http.ResponseController
+	idle       time.Duration
+
+	mu     sync.Mutex
+	ended  bool
+	closed bool
+}
+
+// NewIdleReader returns a reader of the body of r. It also lets the response
+// begin before the body was read; without that net/http reads the rest of the
+// body first, which delays refusals and breaks streaming in both directions.
+func NewIdleReader(w http.ResponseWriter, r *http.Request, idle time.Duration) (*IdleReader, error) {
+	i := &IdleReader{source: r.Body, controller: http.NewResponseController(w), idle: idle, ended: r.ContentLength == 0}
+	if i.ended {
+		return i, nil
+	}
+	if err := i.controller.EnableFullDuplex(); err != nil {
+		return nil, problem.New(problem.CodeInternal, http.StatusInternalServerError, "full duplex: %v", err)
+	}
+	return i, nil
+}
+
+// BeforeHeader must be called before a response header is sent. A connection
+// whose request body was not read to its end is not used again: the rest of the
+// body could be taken for a request, and a late read would race with the next one.
+func (r *IdleReader) BeforeHeader(h http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ended {
+		h.Set("Connection", "close")
+	}
+}
+
+// Close stops reading.
+func (r *IdleReader) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	if !r.ended {
+		// An error means that the connection is gone already.
+		_ = r.controller.SetReadDeadline(time.Now().Add(lingerTime))
+	}
+}
+
+func (r *IdleReader) arm() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return http.ErrBodyReadAfterClose
+	}
+	return r.controller.SetReadDeadline(time.Now().Add(r.idle))
+}
+
+func (r *IdleReader) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	if !r.closed {
+		// The server goes on to watch the connection for the end of the caller.
+		_ = r.controller.SetReadDeadline(time.Time{})
+	}
+}
+
+// malformed reports whether err comes from the framing of the body and not from the connection.
+func malformed(err error) bool {
+	var n net.Error
+	return err != io.EOF && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, http.ErrBodyReadAfterClose) &&
+		!errors.Is(err, net.ErrClosed) && !errors.As(err, &n)
+}
+
+// Read implements io.Reader.
+func (r *IdleReader) Read(p []byte) (int, error) {
+	if err := r.arm(); err != nil {
+		return 0, err
+	}
+	n, err := r.source.Read(p)
+	switch {
+	case err == nil:
+	case err == io.EOF:
+		r.end()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return n, problem.New(problem.CodeSlowSender, http.StatusRequestTimeout, "no byte of the request body for %v", r.idle)
+	case malformed(err):
+		return n, problem.New(problem.CodeBadRequest, http.StatusBadRequest, "the request body is malformed")
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/forward/copy.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/upstream"
+)
+
+const copyBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBytes); return &b }}
+
+// Copy sends the response to w. An error after the header means that the
+// receiver must see a broken connection. idle bounds the time of one write.
+func Copy(w http.ResponseWriter, a *upstream.Answer, idle time.Duration) (int64, error) {
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing a type.
+		h["Content-Type"] = nil
+	}
+	for _, name := range a.TrailerNames {
+		h.Add("Trailer", name)
+	}
+	rc := http.NewResponseController(w)
+	w.WriteHeader(a.Status)
+	if a.Length < 0 {
+		if err := rc.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := copyBody(w, rc, a, idle)
+	if err != nil {
+		return n, err
+	}
+	for name, values := range a.Trailer() {
+		h[name] = values
+	}
+	return n, nil
+}
+
+func copyBody(w io.Writer, rc *http.ResponseController, a *upstream.Answer, idle time.Duration) (int64, error) {
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	var total int64
+	for {
+		n, rerr := a.Read(*buf)
+		if n > 0 {
+			if err := rc.SetWriteDeadline(time.Now().Add(idle)); err != nil {
+				return total, err
+			}
+			m, err := w.Write((*buf)[:n])
+			total += int64(m)
+			if err != nil {
+				return total, err
+			}
+			// The last bytes leave when the handler returns.
+			if a.Length < 0 || total < a.Length {
+				if err := rc.Flush(); err != nil {
+					return total, err
+				}
+			}
+		}
+		if rerr == io.EOF {
+			return total, nil
+		}
+		if rerr != nil {
+			return total, rerr
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,276 @@
+// Package forward carries a request from the daemon that accepted it to an
+// owner of an endpoint, over at most one network hop.
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/peerapi"
+	"samphirestile.example/samphirestile/internal/problem"
+	"samphirestile.example/samphirestile/internal/upstream"
+)
+
+const (
+	// maxReroutes bounds how often a request that did not run is offered to another owner.
+	maxReroutes = 3
+	// maxAttempts bounds how often an idempotent request is run.
+	maxAttempts = 3
+)
+
+// Options are the parts that Forwarder and Server work with.
+type Options struct {
+	Config     config.Source
+	Members    membership.Source
+	Dispatcher dispatch.Dispatcher
+	Upstream   *upstream.Client
+	Secret     peerapi.Secret
+	// Unreachable is told of peers that could not be connected to; it may be nil.
+	Unreachable func(membership.Member)
+}
+
+// Call is one request of a caller.
+type Call struct {
+	ID      string
+	Service fleet.Service
+	Team    fleet.TeamID
+	Method  string
+	// URL holds the path without the service, and the query.
+	URL  *url.URL
+	Host string
+	// Header holds neither hop-by-hop headers nor the caller's key.
+	Header     http.Header
+	Body       *Body
+	Urgent     bool
+	Idempotent bool
+	// Deadline bounds the time in the queue.
+	Deadline  time.Time
+	Signature string
+	// Informational receives 1xx responses; it may be nil.
+	Informational func(status int, h http.Header)
+}
+
+// Trace tells how a call was carried.
+type Trace struct {
+	// Owner is the daemon that was asked last, Endpoint the last endpoint that failed.
+	Owner    string
+	Endpoint fleet.EndpointID
+	Attempts int
+	Reroutes int
+}
+
+// Forwarder is the client side of the peer hop.
+type Forwarder struct {
+	options Options
+	owners  *owners
+	budget  *retryBudget
+}
+
+// New returns a Forwarder.
+func New(o Options) *Forwarder {
+	return &Forwarder{
+		options: o,
+		owners:  &owners{config: o.Config, members: o.Members, local: o.Dispatcher, figures: make(map[figureKey]*figure)},
+		budget:  &retryBudget{credit: make(map[fleet.TeamID]float64)},
+	}
+}
+
+// Response is the response of an endpoint. Close must be called.
+type Response struct {
+	*upstream.Answer
+	end func()
+}
+
+// Close ends the exchange.
+func (r *Response) Close() {
+	r.Answer.Close()
+	r.end()
+}
+
+// refusal is a failed attempt together with the endpoint it used, if any.
+type refusal struct {
+	*problem.Error
+	endpoint fleet.EndpointID
+	// ownerLost is set when the owner itself did not answer.
+	ownerLost bool
+}
+
+// Do carries the call to an owner and returns the response of an endpoint, or a *problem.Error.
+func (f *Forwarder) Do(ctx context.Context, c *Call) (*Response, Trace, error) {
+	f.budget.request(c.Team)
+	var trace Trace
+	var avoid []fleet.EndpointID
+	var last *problem.Error
+	excluded := make(map[string]bool)
+	skip := func(w *owner) bool {
+		return excluded[w.member.PeerAddress] ||
+			!slices.ContainsFunc(w.endpoints, func(id fleet.EndpointID) bool { return !slices.Contains(avoid, id) })
+	}
+	for {
+		w := f.owners.choose(c.Service.ID, skip)
+		if w == nil {
+			return nil, trace, noOwner(last)
+		}
+		trace.Owner = w.member.Daemon
+		resp, r := f.attempt(ctx, w, c, avoid)
+		if r == nil {
+			trace.Attempts++
+			return resp, trace, nil
+		}
+		if r.Outcome == problem.Unknown {
+			trace.Attempts++
+		}
+		if ctx.Err() != nil || !f.again(c, r, &trace) {
+			return nil, trace, final(r.Error)
+		}
+		last = r.Error
+		if r.endpoint != "" {
+			trace.Endpoint = r.endpoint
+			avoid = append(avoid, r.endpoint)
+		}
+		if r.endpoint == "" || r.ownerLost {
+			excluded[w.member.PeerAddress] = true
+		}
+	}
+}
+
+// again decides whether the call may be offered to an owner once more.
+func (f *Forwarder) again(c *Call, r *refusal, t *Trace) bool {
+	if !c.Body.reusable() {
+		return false
+	}
+	if r.Outcome == problem.NotRun {
+		if (r.Reroute || r.Code == problem.CodeConnectFailed) && t.Reroutes < maxReroutes {
+			t.Reroutes++
+			return true
+		}
+		return false
+	}
+	switch r.Code {
+	case problem.CodeAnswerLost, problem.CodeAnswerMismatched, problem.CodeRightLapsed:
+		return c.Idempotent && t.Attempts < maxAttempts && f.budget.take(c.Team)
+	}
+	return false
+}
+
+func noOwner(last *problem.Error) *problem.Error {
+	if last != nil {
+		return final(last)
+	}
+	return problem.New(problem.CodeNoEndpoint, http.StatusServiceUnavailable, "no endpoint of the service is available").After(time.Second)
+}
+
+// final removes what is meant for daemons only.
+func final(p *problem.Error) *problem.Error {
+	c := *p
+	c.Reroute = false
+	return &c
+}
+
+func (f *Forwarder) attempt(ctx context.Context, w *owner, c *Call, avoid []fleet.EndpointID) (*Response, *refusal) {
+	end := f.owners.begin(w, c.Service.ID)
+	var a *upstream.Answer
+	var r *refusal
+	if w.member.Self {
+		a, r = f.attemptLocal(ctx, c, avoid)
+	} else {
+		a, r = f.attemptPeer(ctx, w, c, avoid)
+	}
+	if r != nil {
+		end()
+		return nil, r
+	}
+	return &Response{Answer: a, end: end}, nil
+}
+
+func (f *Forwarder) attemptLocal(ctx context.Context, c *Call, avoid []fleet.EndpointID) (*upstream.Answer, *refusal) {
+	request := dispatch.Request{
+		ID: c.ID, Service: c.Service.ID, Team: c.Team, Urgent: c.Urgent,
+		Deadline: c.Deadline, Signature: c.Signature, Avoid: avoid,
+	}
+	header := c.Header.Clone()
+	header.Set(problem.HeaderRequestID, c.ID)
+	return run(ctx, f.options, c.Service, request, upstream.Request{
+		ID: c.ID, Method: c.Method, URL: c.URL, Host: c.Host, Header: header,
+		Body: c.Body.open(), Length: c.Body.length, Streamed: c.Body.rest != nil, Informational: c.Informational,
+	})
+}
+
+// run waits for a grant and performs the exchange with the endpoint. Both the
+// local path and the server side of the peer hop use it.
+func run(ctx context.Context, o Options, s fleet.Service, request dispatch.Request, r upstream.Request) (*upstream.Answer, *refusal) {
+	if o.Dispatcher == nil {
+		return nil, &refusal{Error: notOwner("this daemon owns no endpoints")}
+	}
+	g, err := o.Dispatcher.Acquire(ctx, request)
+	if err != nil {
+		return nil, &refusal{Error: problem.From(err)}
+	}
+	endpoint := g.Endpoint().ID
+	a, err := o.Upstream.ToEndpoint(ctx, g, r, s.MaxRunTime)
+	if err != nil {
+		return nil, &refusal{Error: problem.From(err), endpoint: endpoint}
+	}
+	return a, nil
+}
+
+func notOwner(detail string) *problem.Error {
+	return &problem.Error{
+		Code: problem.CodeNotOwner, Status: http.StatusServiceUnavailable, Outcome: problem.NotRun,
+		Detail: detail, RetryAfter: time.Second, Reroute: true,
+	}
+}
+
+func (f *Forwarder) attemptPeer(ctx context.Context, w *owner, c *Call, avoid []fleet.EndpointID) (*upstream.Answer, *refusal) {
+	header := c.Header.Clone()
+	writeHop(header, c, string(f.options.Secret), avoid, time.Now())
+	if c.Body.rest != nil {
+		header.Set("Expect", "100-continue")
+	}
+	a, err := f.options.Upstream.ToPeer(ctx, w.member.PeerAddress, upstream.Request{
+		ID: c.ID, Method: c.Method, URL: peerURL(c), Host: c.Host, Header: header,
+		Body: c.Body.open(), Length: c.Body.length, Streamed: c.Body.rest != nil, Informational: c.Informational,
+	})
+	if err != nil {
+		p := problem.From(err)
+		if p.Code == problem.CodeConnectFailed && f.options.Unreachable != nil && !errors.Is(err, context.Canceled) {
+			f.options.Unreachable(w.member)
+		}
+		return nil, &refusal{Error: p, ownerLost: true}
+	}
+	if l, err := ParseLoad(a.Header.Get(problem.HeaderLoad)); err == nil {
+		f.owners.report(w, c.Service.ID, l)
+	}
+	switch a.Header.Get(headerAnsweredBy) {
+	case answeredByEndpoint:
+		upstream.StripOwn(a.Header)
+		return a, nil
+	case answeredByDaemon:
+		r := &refusal{Error: readRefusal(a), endpoint: fleet.EndpointID(a.Header.Get(headerEndpoint))}
+		a.Close()
+		return nil, r
+	}
+	a.Close()
+	return nil, &refusal{
+		Error:     problem.NewUnknown(problem.CodeAnswerLost, http.StatusBadGateway, nil, "the owner's address answered without being a daemon"),
+		ownerLost: true,
+	}
+}
+
+func peerURL(c *Call) *url.URL {
+	u := *c.URL
+	prefix := PathPrefix + string(c.Service.ID)
+	if u.RawPath != "" {
+		u.RawPath = PathPrefix + url.PathEscape(string(c.Service.ID)) + u.RawPath
+	}
+	u.Path = prefix + u.Path
+	return &u
+}
--- /dev/null
+++ b/internal/forward/owners.go
@@ -0,0 +1,222 @@
+package forward
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/ownership"
+)
+
+const (
+	// loadHalfLife is the time in which a reported load loses half of its weight.
+	loadHalfLife = 250 * time.Millisecond
+	// localBonus is the part of an owner's slots by which this daemon prefers
+	// itself; a local dispatch saves the network hop.
+	localBonus = 0.25
+)
+
+// owner is a daemon that owns endpoints of a service.
+type owner struct {
+	member    membership.Member
+	endpoints []fleet.EndpointID
+	// slots is the declared number of slots of the endpoints.
+	slots int
+}
+
+type figureKey struct {
+	address string
+	service fleet.ServiceID
+}
+
+// figure is the load of a service at an owner as seen by this daemon.
+type figure struct {
+	// inFlight counts the requests of this daemon at the owner.
+	inFlight int
+	load     dispatch.Load
+	// others is the reported load without the requests of this daemon.
+	others int
+	at     time.Time
+}
+
+// owners knows the owners of each service and their load.
+type owners struct {
+	config  config.Source
+	members membership.Source
+	local   dispatch.Dispatcher
+
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+	epoch    uint64
+	table    map[fleet.ServiceID][]*owner
+	figures  map[figureKey]*figure
+}
+
+// of returns the owners of a service under the configuration and view in force.
+func (o *owners) of(service fleet.ServiceID) []*owner {
+	snapshot, view := o.config.Current(), o.members.View()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if snapshot == nil {
+		return nil
+	}
+	if o.table == nil || o.snapshot != snapshot || o.epoch != view.Epoch {
+		o.table = buildTable(snapshot, view)
+		o.snapshot, o.epoch = snapshot, view.Epoch
+		o.dropFigures()
+	}
+	return o.table[service]
+}
+
+func buildTable(snapshot *config.Snapshot, view membership.View) map[fleet.ServiceID][]*owner {
+	bySeat := make(map[fleet.SeatID]membership.Member, len(view.Members))
+	for _, m := range view.Members {
+		bySeat[m.Seat] = m
+	}
+	table := make(map[fleet.ServiceID][]*owner)
+	for id, seat := range ownership.Assign(snapshot.Endpoints, view.Members) {
+		e := snapshot.Endpoints[id]
+		if e.Leaving {
+			continue
+		}
+		m := bySeat[seat]
+		list := table[e.Service]
+		i := slices.IndexFunc(list, func(w *owner) bool { return w.member.PeerAddress == m.PeerAddress && w.member.Self == m.Self })
+		if i < 0 {
+			i = len(list)
+			table[e.Service] = append(list, &owner{member: m})
+		}
+		w := table[e.Service][i]
+		w.endpoints = append(w.endpoints, id)
+		w.slots += max(e.Slots, 1)
+	}
+	return table
+}
+
+// dropFigures forgets owners that are not in the table; callers in flight keep theirs.
+func (o *owners) dropFigures() {
+	known := make(map[figureKey]bool)
+	for service, list := range o.table {
+		for _, w := range list {
+			known[figureKey{w.member.PeerAddress, service}] = true
+		}
+	}
+	for k, f := range o.figures {
+		if !known[k] && f.inFlight == 0 {
+			delete(o.figures, k)
+		}
+	}
+}
+
+func (o *owners) figure(address string, service fleet.ServiceID) *figure {
+	k := figureKey{address, service}
+	f, ok := o.figures[k]
+	if !ok {
+		f = &figure{}
+		o.figures[k] = f
+	}
+	return f
+}
+
+// begin counts a request at an owner until the returned function is called.
+func (o *owners) begin(w *owner, service fleet.ServiceID) (end func()) {
+	o.mu.Lock()
+	f := o.figure(w.member.PeerAddress, service)
+	f.inFlight++
+	o.mu.Unlock()
+	return sync.OnceFunc(func() {
+		o.mu.Lock()
+		f.inFlight--
+		o.mu.Unlock()
+	})
+}
+
+// report takes the load that an owner told.
+func (o *owners) report(w *owner, service fleet.ServiceID, l dispatch.Load) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.figure(w.member.PeerAddress, service)
+	f.load, f.at = l, time.Now()
+	f.others = max(l.Running+l.Queued-f.inFlight, 0)
+}
+
+// use is the estimated part of an owner's slots in use; 1 or more means that a request would wait.
+func (o *owners) use(w *owner, service fleet.ServiceID, now time.Time) float64 {
+	if w.member.Self && o.local != nil {
+		if l, ok := o.local.Load(service); ok {
+			return float64(l.Running+l.Queued) / float64(max(l.Slots, 1))
+		}
+	}
+	f := o.figure(w.member.PeerAddress, service)
+	slots, others := w.slots, 0.0
+	if !f.at.IsZero() {
+		slots = max(f.load.Slots, 1)
+		age := float64(now.Sub(f.at)) / float64(loadHalfLife)
+		others = float64(f.others) * math.Exp2(-age)
+	}
+	return (float64(f.inFlight) + others) / float64(max(slots, 1))
+}
+
+// choose picks an owner by two random choices weighted by slots. It looks at all
+// owners when both are full, so that free slots elsewhere are used.
+func (o *owners) choose(service fleet.ServiceID, skip func(*owner) bool) *owner {
+	list := slices.DeleteFunc(slices.Clone(o.of(service)), skip)
+	if len(list) <= 1 {
+		return first(list)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	var best *owner
+	bestUse := math.Inf(1)
+	consider := func(w *owner) {
+		u := o.use(w, service, now)
+		if w.member.Self && u < 1 {
+			u -= localBonus
+		}
+		if u < bestUse || best == nil {
+			best, bestUse = w, u
+		}
+	}
+	consider(pick(list))
+	consider(pick(list))
+	for _, w := range list {
+		if w.member.Self {
+			consider(w)
+		}
+	}
+	if bestUse >= 1 {
+		for _, w := range list {
+			consider(w)
+		}
+	}
+	return best
+}
+
+func first(list []*owner) *owner {
+	if len(list) == 0 {
+		return nil
+	}
+	return list[0]
+}
+
+// pick draws an owner with a probability in proportion to its slots.
+func pick(list []*owner) *owner {
+	total := 0
+	for _, w := range list {
+		total += w.slots
+	}
+	n := rand.IntN(total)
+	for _, w := range list {
+		if n -= w.slots; n < 0 {
+			return w
+		}
+	}
+	return list[len(list)-1]
+}
--- /dev/null
+++ b/internal/forward/protocol.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/problem"
+	"samphirestile.example/samphirestile/internal/upstream"
+)
+
+// PathPrefix begins the paths of forwarded requests on the peer listener.
+const PathPrefix = "/forward/"
+
+// Headers of the peer hop. The entry daemon removes them from callers' requests
+// and the owner from endpoints' responses, so that only daemons can set them.
+const (
+	headerTeam      = "Samphirestile-Team"
+	headerHops      = "Samphirestile-Hops"
+	headerSignature = "Samphirestile-Signature"
+	headerAvoid     = "Samphirestile-Avoid"
+	headerEndpoint  = "Samphirestile-Endpoint"
+	// headerAnsweredBy is on every response of an owner. A response without it
+	// does not come from a daemon's handler and has an unknown outcome.
+	headerAnsweredBy = "Samphirestile-Answered-By"
+)
+
+const (
+	answeredByEndpoint = "endpoint"
+	answeredByDaemon   = "daemon"
+
+	priorityUrgent = "urgent"
+	// maxHops bounds forwarding; an owner never forwards further.
+	maxHops = 1
+	// maxProblemBytes bounds the problem body that is read from an owner.
+	maxProblemBytes = 64 << 10
+	// maxFigure bounds a number in a load header.
+	maxFigure = 1 << 20
+)
+
+// LoadFormatError reports a malformed load header.
+type LoadFormatError struct{ Value string }
+
+func (e *LoadFormatError) Error() string { return fmt.Sprintf("malformed load header %q", e.Value) }
+
+// FormatLoad returns the value of the load header.
+func FormatLoad(l dispatch.Load) string {
+	return fmt.Sprintf("slots=%d, running=%d, queued=%d", l.Slots, l.Running, l.Queued)
+}
+
+// ParseLoad reads a load header. Unknown names are ignored for later versions.
+func ParseLoad(value string) (dispatch.Load, error) {
+	var l dispatch.Load
+	seen := 0
+	for part := range strings.SplitSeq(value, ",") {
+		name, number, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			return dispatch.Load{}, &LoadFormatError{value}
+		}
+		var field *int
+		switch name {
+		case "slots":
+			field = &l.Slots
+		case "running":
+			field = &l.Running
+		case "queued":
+			field = &l.Queued
+		default:
+			continue
+		}
+		n, err := strconv.ParseUint(number, 10, 32)
+		if err != nil || n > maxFigure {
+			return dispatch.Load{}, &LoadFormatError{value}
+		}
+		*field = int(n)
+		seen++
+	}
+	if seen != 3 {
+		return dispatch.Load{}, &LoadFormatError{value}
+	}
+	return l, nil
+}
+
+// writeHop puts the facts of a call on the header of a forwarded request.
+func writeHop(h http.Header, c *Call, secret string, avoid []fleet.EndpointID, now time.Time) {
+	h.Set("Authorization", "Bearer "+secret)
+	h.Set(headerTeam, string(c.Team))
+	h.Set(problem.HeaderRequestID, c.ID)
+	h.Set(problem.HeaderDeadline, strconv.FormatInt(max(c.Deadline.Sub(now).Milliseconds(), 0), 10))
+	h.Set(headerHops, "1")
+	h.Set(headerSignature, c.Signature)
+	if c.Urgent {
+		h.Set(problem.HeaderPriority, priorityUrgent)
+	}
+	if len(avoid) > 0 {
+		ids := make([]string, len(avoid))
+		for i, id := range avoid {
+			ids[i] = string(id)
+		}
+		h.Set(headerAvoid, strings.Join(ids, ","))
+	}
+}
+
+// readHop reads what writeHop wrote.
+func readHop(h http.Header, service fleet.ServiceID, now time.Time) (dispatch.Request, *problem.Error) {
+	hops, err := strconv.ParseUint(h.Get(headerHops), 10, 8)
+	if err != nil || hops > maxHops {
+		return dispatch.Request{}, problem.New(problem.CodeBadRequest, http.StatusLoopDetected, "forwarded request with hop count %q", h.Get(headerHops))
+	}
+	left, err := strconv.ParseUint(h.Get(problem.HeaderDeadline), 10, 31)
+	if err != nil {
+		return dispatch.Request{}, problem.New(problem.CodeBadRequest, http.StatusBadRequest, "forwarded request without a deadline")
+	}
+	r := dispatch.Request{
+		ID: h.Get(problem.HeaderRequestID), Service: service, Team: fleet.TeamID(h.Get(headerTeam)),
+		Urgent:    h.Get(problem.HeaderPriority) == priorityUrgent,
+		Deadline:  now.Add(time.Duration(left) * time.Millisecond),
+		Signature: h.Get(headerSignature),
+	}
+	if r.ID == "" || r.Team == "" {
+		return dispatch.Request{}, problem.New(problem.CodeBadRequest, http.StatusBadRequest, "forwarded request without team or request ID")
+	}
+	if v := h.Get(headerAvoid); v != "" {
+		for id := range strings.SplitSeq(v, ",") {
+			r.Avoid = append(r.Avoid, fleet.EndpointID(id))
+		}
+	}
+	return r, nil
+}
+
+// readRefusal turns a daemon's own response on the peer hop into its failure.
+func readRefusal(a *upstream.Answer) *problem.Error {
+	p := &problem.Error{Status: a.Status, Outcome: problem.Unknown, Code: problem.CodeInternal, Detail: "the owner failed"}
+	if a.Header.Get(problem.HeaderOutcome) == string(problem.NotRun) {
+		p.Outcome = problem.NotRun
+	}
+	if s, err := strconv.ParseUint(a.Header.Get("Retry-After"), 10, 20); err == nil {
+		p.RetryAfter = time.Duration(s) * time.Second
+	}
+	p.Reroute = a.Header.Get(problem.HeaderReroute) != ""
+	data, err := io.ReadAll(io.LimitReader(a, maxProblemBytes))
+	if err != nil {
+		return p
+	}
+	var b problem.Body
+	if json.Unmarshal(data, &b) == nil && b.Code != "" {
+		p.Code, p.Detail = b.Code, b.Detail
+	}
+	return p
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/problem"
+	"samphirestile.example/samphirestile/internal/upstream"
+)
+
+// Server is the owner's side of the peer hop.
+type Server struct {
+	options Options
+	idle    time.Duration
+	leaving atomic.Bool
+}
+
+// NewServer returns the handler of forwarded requests. idle bounds the time
+// between two reads or writes of a body; 0 means upstream.DefaultBodyIdle.
+func NewServer(o Options, idle time.Duration) *Server {
+	if idle <= 0 {
+		idle = upstream.DefaultBodyIdle
+	}
+	return &Server{options: o, idle: idle}
+}
+
+// SetLeaving makes the server end its connections after each response, so that
+// peers do not send on a connection that is about to close.
+func (s *Server) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
+
+// Wrap serves forwarded requests itself and all others by next. http.ServeMux
+// is not suitable here, because it redirects paths that it would clean.
+func (s *Server) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, PathPrefix) {
+			s.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, err := NewIdleReader(w, r, s.idle)
+	if err != nil {
+		s.refuse(w, r, &refusal{Error: problem.From(err)})
+		return
+	}
+	defer body.Close()
+	a, refused := s.serve(w, r, body)
+	body.BeforeHeader(w.Header())
+	if refused != nil {
+		s.refuse(w, r, refused)
+		return
+	}
+	defer a.Close()
+	s.loadHeader(w, r)
+	w.Header().Set(headerAnsweredBy, answeredByEndpoint)
+	if _, err := Copy(w, a, s.idle); err != nil {
+		a.Close()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, body *IdleReader) (*upstream.Answer, *refusal) {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !s.options.Secret.Matches(token) {
+		return nil, &refusal{Error: problem.New(problem.CodeKeyRejected, http.StatusUnauthorized, "forwarded request without the cell secret")}
+	}
+	id, target, ok := SplitPath(r.URL, PathPrefix)
+	if !ok {
+		return nil, &refusal{Error: problem.New(problem.CodeBadRequest, http.StatusBadRequest, "forwarded request without a service")}
+	}
+	snapshot := s.options.Config.Current()
+	if snapshot == nil {
+		return nil, &refusal{Error: notOwner("the owner has no configuration yet")}
+	}
+	service, ok := snapshot.Services[id]
+	if !ok {
+		return nil, &refusal{Error: notOwner("the owner does not know the service yet")}
+	}
+	request, p := readHop(r.Header, id, time.Now())
+	if p != nil {
+		return nil, &refusal{Error: p}
+	}
+	header := r.Header.Clone()
+	header.Del("Authorization")
+	header.Del("Expect")
+	upstream.StripHopByHop(header)
+	upstream.StripOwn(header)
+	out := upstream.Request{
+		ID: request.ID, Method: r.Method, URL: target, Host: r.Host, Header: header, Length: r.ContentLength,
+		Informational: InformationalWriter(w),
+	}
+	if r.ContentLength != 0 {
+		out.Body = body
+		out.Streamed = r.ContentLength < 0 || r.ContentLength > BufferBytes
+	}
+	return run(r.Context(), s.options, service, request, out)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
+	h := w.Header()
+	s.loadHeader(w, r)
+	h.Set(headerAnsweredBy, answeredByDaemon)
+	if f.endpoint != "" {
+		h.Set(headerEndpoint, string(f.endpoint))
+	}
+	problem.Write(w, f.Error, r.Header.Get(problem.HeaderRequestID))
+}
+
+func (s *Server) loadHeader(w http.ResponseWriter, r *http.Request) {
+	id, _, ok := SplitPath(r.URL, PathPrefix)
+	if !ok || s.options.Dispatcher == nil {
+		return
+	}
+	if l, ok := s.options.Dispatcher.Load(id); ok {
+		w.Header().Set(problem.HeaderLoad, FormatLoad(l))
+	}
+}
+
+// InformationalWriter returns a function that sends 1xx responses to w.
+func InformationalWriter(w http.ResponseWriter) func(int, http.Header) {
+	return func(status int, header http.Header) {
+		h := w.Header()
+		for name, values := range header {
+			h[name] = values
+		}
+		w.WriteHeader(status)
+		for name := range header {
+			h.Del(name)
+		}
+	}
+}
+
+// SplitPath takes the service off the path after prefix and returns the URL for
+// the endpoint. The escaped form of the path is kept.
+func SplitPath(u *url.URL, prefix string) (fleet.ServiceID, *url.URL, bool) {
+	raw, ok := strings.CutPrefix(u.EscapedPath(), prefix)
+	if !ok {
+		return "", nil, false
+	}
+	name, rest, _ := strings.Cut(raw, "/")
+	service, err := url.PathUnescape(name)
+	if err != nil || service == "" {
+		return "", nil, false
+	}
+	rest = "/" + rest
+	path, err := url.PathUnescape(rest)
+	if err != nil {
+		return "", nil, false
+	}
+	return fleet.ServiceID(service), &url.URL{Path: path, RawPath: rest, RawQuery: u.RawQuery, ForceQuery: u.ForceQuery}, true
+}
--- /dev/null
+++ b/internal/gateway/conn.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+const (
+	// lingerTime is how long the rest of a refused request is read and dropped,
+	// because closing a connection with unread bytes may destroy the response.
+	lingerTime = 200 * time.Millisecond
+	// refusalWrite bounds the time to send a refusal.
+	refusalWrite = time.Second
+)
+
+// serviceConn replaces the responses that net/http writes by itself while no
+// handler runs, such as 400 for a malformed header and 431 for an oversized one.
+type serviceConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// handling is set from the start of a handler until its response was sent.
+	handling bool
+	// received is set when a part of a request arrived while no handler ran.
+	received bool
+	timedOut bool
+	refused  bool
+}
+
+func (c *serviceConn) setHandling(handling bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = handling
+	c.received, c.timedOut = false, false
+}
+
+// Read implements net.Conn.
+func (c *serviceConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.handling {
+		c.received = c.received || n > 0
+		c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *serviceConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	handling, refused := c.handling, c.refused
+	c.refused = c.refused || !handling
+	c.mu.Unlock()
+	if handling {
+		return c.Conn.Write(p)
+	}
+	if !refused {
+		if err := c.refuse(refusalFor(statusOf(p))); err != nil {
+			return 0, err
+		}
+	}
+	return len(p), nil
+}
+
+// Close implements net.Conn. A caller that was too slow to send a header is told
+// so; net/http closes such a connection silently.
+func (c *serviceConn) Close() error {
+	c.mu.Lock()
+	slow := !c.handling && c.received && c.timedOut && !c.refused
+	c.refused = c.refused || slow
+	refused := c.refused
+	c.mu.Unlock()
+	if slow {
+		// The caller may be gone; there is nobody left to tell.
+		_ = c.refuse(refusalFor(http.StatusRequestTimeout))
+	}
+	if refused {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite is used by net/http to end a connection after a refusal.
+func (c *serviceConn) CloseWrite() error {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
+func (c *serviceConn) linger() {
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
+func (c *serviceConn) refuse(p *problem.Error) error {
+	w := &rawResponse{header: make(http.Header)}
+	problem.Write(w, p, "")
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(refusalWrite)); err != nil {
+		return err
+	}
+	_, err := c.Conn.Write(w.bytes())
+	return err
+}
+
+// statusOf reads the status of a response that begins with p; 400 if it has none.
+func statusOf(p []byte) int {
+	fields := bytes.Fields(p[:min(len(p), len("HTTP/1.1 200 "))])
+	if len(fields) >= 2 {
+		if n, err := strconv.Atoi(string(fields[1])); err == nil && n >= http.StatusBadRequest && n <= 599 {
+			return n
+		}
+	}
+	return http.StatusBadRequest
+}
+
+func refusalFor(status int) *problem.Error {
+	switch status {
+	case http.StatusRequestTimeout:
+		return problem.New(problem.CodeSlowSender, status, "the request header did not arrive in time")
+	case http.StatusRequestHeaderFieldsTooLarge:
+		return problem.New(problem.CodeBadRequest, status, "the request header is too large")
+	case http.StatusExpectationFailed:
+		return problem.New(problem.CodeBadRequest, status, "the expectation is not supported")
+	}
+	return problem.New(problem.CodeBadRequest, status, "the request is malformed")
+}
+
+// rawResponse collects a response that is written to a connection without net/http.
+type rawResponse struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (w *rawResponse) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *rawResponse) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *rawResponse) Write(p []byte) (int, error) { return w.body.Write(p) }
+
+func (w *rawResponse) bytes() []byte {
+	w.header.Set("Connection", "close")
+	w.header.Set("Content-Length", strconv.Itoa(w.body.Len()))
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n", w.status, http.StatusText(w.status))
+	// Writes to a bytes.Buffer never fail.
+	_ = w.header.Write(&out)
+	out.WriteString("\r\n")
+	out.Write(w.body.Bytes())
+	return out.Bytes()
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Bounds of the service listener.
+const (
+	// MaxHeaderBytes bounds a request header; net/http allows 4 KB more.
+	MaxHeaderBytes = 32 << 10
+	// DefaultReadHeader bounds the time in which a header must arrive.
+	DefaultReadHeader = 10 * time.Second
+	// DefaultIdle is above the usual 60 s of load balancers, so that the load
+	// balancer and not the daemon closes idle connections.
+	DefaultIdle = 75 * time.Second
+)
+
+// ServerOptions are the time limits of the service listener; 0 means the default.
+type ServerOptions struct {
+	ReadHeader time.Duration
+	Idle       time.Duration
+}
+
+type connKey struct{}
+
+// NewServer returns the server of the service listener. Its Serve must be
+// called with a listener made by WrapListener.
+func NewServer(h http.Handler, o ServerOptions) *http.Server {
+	if o.ReadHeader <= 0 {
+		o.ReadHeader = DefaultReadHeader
+	}
+	if o.Idle <= 0 {
+		o.Idle = DefaultIdle
+	}
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if c, ok := r.Context().Value(connKey{}).(*serviceConn); ok {
+				c.setHandling(true)
+			}
+			h.ServeHTTP(w, r)
+		}),
+		MaxHeaderBytes:    MaxHeaderBytes,
+		ReadHeaderTimeout: o.ReadHeader,
+		IdleTimeout:       o.Idle,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if sc, ok := c.(*serviceConn); ok && s == http.StateIdle {
+				sc.setHandling(false)
+			}
+		},
+		DisableGeneralOptionsHandler: true,
+		// net/http logs faults of callers here, which are not faults of the daemon.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+// WrapListener makes a listener whose connections answer with a problem body
+// where net/http answers with plain text, or not at all, before a handler runs.
+func WrapListener(l net.Listener) net.Listener { return &serviceListener{l} }
+
+type serviceListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l *serviceListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &serviceConn{Conn: c}, nil
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -1,9 +1,86 @@
-// Package ownership assigns endpoints to seats.
+// Package ownership assigns endpoints to seats by rendezvous hashing with
+// bounded load.
 package ownership
 
 import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
 	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
 )
 
 // Assignment maps each endpoint to the seat that owns it.
 type Assignment map[fleet.EndpointID]fleet.SeatID
+
+// Score is the rendezvous weight of a seat for a name. It is the same on every daemon.
+func Score(name string, seat fleet.SeatID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to a Digest never fail. The zero byte separates the two names.
+	_, _ = d.WriteString(name)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(seat))
+	return d.Sum64()
+}
+
+// Assign gives each endpoint to one active seat. No seat owns more than
+// ceil(endpoints of the service / active seats) endpoints of one service. The
+// result depends only on the sets of endpoints and active seats, not on their order.
+func Assign(endpoints map[fleet.EndpointID]fleet.Endpoint, members []membership.Member) Assignment {
+	seats := activeSeats(members)
+	result := make(Assignment, len(endpoints))
+	if len(seats) == 0 {
+		return result
+	}
+	services := make(map[fleet.ServiceID][]fleet.EndpointID)
+	for id, e := range endpoints {
+		services[e.Service] = append(services[e.Service], id)
+	}
+	for _, ids := range services {
+		assignService(result, ids, seats)
+	}
+	return result
+}
+
+func activeSeats(members []membership.Member) []fleet.SeatID {
+	seats := make([]fleet.SeatID, 0, len(members))
+	for _, m := range members {
+		if m.Active {
+			seats = append(seats, m.Seat)
+		}
+	}
+	slices.Sort(seats)
+	return slices.Compact(seats)
+}
+
+type candidate struct {
+	score    uint64
+	endpoint fleet.EndpointID
+	seat     int
+}
+
+// assignService takes the pairs of endpoint and seat in falling order of score,
+// so that a change of one seat moves only endpoints whose better pairs changed.
+func assignService(result Assignment, ids []fleet.EndpointID, seats []fleet.SeatID) {
+	pairs := make([]candidate, 0, len(ids)*len(seats))
+	for _, id := range ids {
+		for i, s := range seats {
+			pairs = append(pairs, candidate{Score(string(id), s), id, i})
+		}
+	}
+	slices.SortFunc(pairs, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.endpoint, b.endpoint), cmp.Compare(a.seat, b.seat))
+	})
+	bound := (len(ids) + len(seats) - 1) / len(seats)
+	owned := make([]int, len(seats))
+	for _, p := range pairs {
+		if _, taken := result[p.endpoint]; taken || owned[p.seat] == bound {
+			continue
+		}
+		result[p.endpoint] = seats[p.seat]
+		owned[p.seat]++
+	}
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,399 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+// Causes of an abort by this daemon.
+var (
+	errRunTime   = errors.New("maximum run time passed")
+	errLapsed    = errors.New("right to start work lapsed")
+	errBodyIdle  = errors.New("no progress of the response body")
+	errGoneEarly = errors.New("caller left before a byte was sent")
+	errEnded     = errors.New("exchange ended")
+)
+
+// exchange is one attempt. With a grant it outlives its caller.
+type exchange struct {
+	caller   context.Context
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	grant    dispatch.Grant
+	bodyIdle time.Duration
+	started  time.Time
+	deadline time.Time
+	stop     func() bool
+	timer    *time.Timer
+
+	mu   sync.Mutex
+	conn *trackedConn
+	// gone is set when the caller left before a byte was sent.
+	gone bool
+
+	headerWritten atomic.Bool
+	checked       atomic.Bool
+	bodyErr       atomic.Pointer[error]
+	bodyFailed    chan struct{}
+	finished      sync.Once
+	firstByte     time.Duration
+}
+
+func newExchange(caller context.Context, bodyIdle time.Duration, g dispatch.Grant, maxRun time.Duration) *exchange {
+	x := &exchange{caller: caller, grant: g, bodyIdle: bodyIdle, started: time.Now(), bodyFailed: make(chan struct{})}
+	if g == nil {
+		x.ctx, x.cancel = context.WithCancelCause(caller)
+		return x
+	}
+	x.ctx, x.cancel = context.WithCancelCause(context.WithoutCancel(caller))
+	if maxRun > 0 {
+		x.deadline = x.started.Add(maxRun)
+		x.timer = time.AfterFunc(maxRun, func() { x.cancel(errRunTime) })
+	}
+	x.stop = context.AfterFunc(caller, x.callerLeft)
+	return x
+}
+
+// callerLeft ends the exchange if no byte was sent yet.
+func (x *exchange) callerLeft() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn == nil || x.conn.sealUnsent(x) {
+		x.gone = true
+		x.cancel(errGoneEarly)
+	}
+}
+
+func (x *exchange) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c.begin(x)
+	x.conn = c
+	if x.gone {
+		c.seal(x)
+	}
+}
+
+// wrote runs after each write on the connection. The right to start work is
+// asked again as soon as the header has left.
+func (x *exchange) wrote() {
+	if x.headerWritten.Load() {
+		x.checkRight()
+	}
+}
+
+func (x *exchange) checkRight() {
+	if x.grant == nil || !x.checked.CompareAndSwap(false, true) {
+		return
+	}
+	if !x.grant.StillValid() {
+		x.cancel(errLapsed)
+	}
+}
+
+// do sends r and waits for the header of the response. When the source of the
+// body fails it returns at once and reads the response in the background.
+func (x *exchange) do(t *http.Transport, r Request, address string) (*Answer, error) {
+	relay := &informationalRelay{forward: r.Informational}
+	defer relay.end()
+	if x.grant == nil || r.Body == nil || !r.Streamed {
+		return x.roundTrip(t, r, address, relay)
+	}
+	type result struct {
+		a   *Answer
+		err error
+	}
+	results := make(chan result, 1)
+	go func() {
+		a, err := x.roundTrip(t, r, address, relay)
+		results <- result{a, err}
+	}()
+	select {
+	case res := <-results:
+		if res.a == nil || x.bodyError() == nil {
+			return res.a, res.err
+		}
+		go res.a.Close()
+	case <-x.bodyFailed:
+		go func() {
+			if res := <-results; res.a != nil {
+				res.a.Close()
+			}
+		}()
+	}
+	return nil, bodyProblem(x.bodyError())
+}
+
+func (x *exchange) roundTrip(t *http.Transport, r Request, address string, relay *informationalRelay) (*Answer, error) {
+	trace := &httptrace.ClientTrace{
+		GotConn:        x.gotConn,
+		WroteHeaders:   func() { x.headerWritten.Store(true) },
+		WroteRequest:   func(httptrace.WroteRequestInfo) { x.checkRight() },
+		Got1xxResponse: relay.got,
+	}
+	req := x.build(r, address).WithContext(httptrace.WithClientTrace(x.ctx, trace))
+	resp, err := t.RoundTrip(req)
+	x.firstByte = time.Since(x.started)
+	if err != nil {
+		return nil, x.failed(err)
+	}
+	if cause := context.Cause(x.ctx); cause != nil {
+		_ = resp.Body.Close()
+		return nil, x.failed(cause)
+	}
+	if p := x.checkResponse(resp, r.ID); p != nil {
+		x.drop(p)
+		_ = resp.Body.Close()
+		return nil, p
+	}
+	return newAnswer(x, resp), nil
+}
+
+// build makes the request. http.Transport sends a request again by itself when a
+// reused connection fails, unless the request has a body without GetBody.
+func (x *exchange) build(r Request, address string) *http.Request {
+	u := *r.URL
+	u.Scheme, u.Host = "http", address
+	req := &http.Request{
+		Method: r.Method, URL: &u, Host: r.Host, Header: r.Header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if r.Header.Get("User-Agent") == "" {
+		// An empty value keeps net/http from sending its own.
+		req.Header["User-Agent"] = []string{""}
+	}
+	switch {
+	case r.Body != nil && r.Length != 0:
+		req.Body, req.ContentLength = &requestBody{x: x, source: r.Body}, r.Length
+		if r.Length < 0 {
+			// Named here, because net/http reads a byte of the body ahead when it has to guess.
+			req.TransferEncoding = []string{"chunked"}
+		}
+	case r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		// Servers expect Content-Length: 0 here, which net/http writes only without
+		// a body. Then it sends again for a header named exactly Idempotency-Key.
+		req.Body = http.NoBody
+		lowerKey(req.Header, "Idempotency-Key")
+		lowerKey(req.Header, "X-Idempotency-Key")
+	default:
+		req.Body = &emptyBody{}
+		req.TransferEncoding = []string{"identity"}
+	}
+	return req
+}
+
+func lowerKey(h http.Header, name string) {
+	if v, ok := h[name]; ok {
+		delete(h, name)
+		h[string(lowerASCII(name))] = v
+	}
+}
+
+func lowerASCII(s string) []byte {
+	b := []byte(s)
+	for i, c := range b {
+		if 'A' <= c && c <= 'Z' {
+			b[i] = c + ('a' - 'A')
+		}
+	}
+	return b
+}
+
+func (x *exchange) checkResponse(resp *http.Response, id string) *problem.Error {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return problem.NewUnknown(problem.CodeAnswerLost, http.StatusBadGateway, nil, "the endpoint switched protocols without being asked")
+	}
+	if got, ok := resp.Header[problem.HeaderRequestID]; ok && x.grant != nil {
+		for _, v := range got {
+			if v != id {
+				return problem.NewUnknown(problem.CodeAnswerMismatched, http.StatusBadGateway, nil, "the endpoint answered another request")
+			}
+		}
+	}
+	return nil
+}
+
+// sent seals the connection and reports whether a byte of this exchange may have left.
+func (x *exchange) sent() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn == nil {
+		x.gone = true
+		return false
+	}
+	sent := x.conn.seal(x)
+	if !sent {
+		_ = x.conn.Close()
+	}
+	return sent
+}
+
+// failed ends the exchange after an error before the response header.
+func (x *exchange) failed(err error) *problem.Error {
+	if cause := context.Cause(x.ctx); cause != nil {
+		err = cause
+	}
+	sent := x.sent()
+	p := x.explain(err, sent)
+	switch {
+	case !sent && (x.caller.Err() != nil || errors.Is(err, errGoneEarly)):
+		x.end(func(g dispatch.Grant) { g.Cancel() })
+	case errors.Is(err, errLapsed) && sent:
+		x.drop(p)
+	default:
+		x.done(true)
+	}
+	return p
+}
+
+func (x *exchange) explain(err error, sent bool) *problem.Error {
+	switch {
+	case !sent && x.caller.Err() != nil:
+		return &problem.Error{Code: problem.CodeCallerGone, Status: statusCallerGone, Outcome: problem.NotRun, Detail: "the caller left before the request was sent", Cause: err}
+	case !sent:
+		return &problem.Error{Code: problem.CodeConnectFailed, Status: http.StatusServiceUnavailable, Outcome: problem.NotRun, Detail: "no connection, nothing was sent", RetryAfter: time.Second, Cause: err}
+	case errors.Is(err, errRunTime):
+		return problem.NewUnknown(problem.CodeRunTimeExceeded, http.StatusGatewayTimeout, err, "the maximum run time of the service passed")
+	case errors.Is(err, errLapsed):
+		return problem.NewUnknown(problem.CodeRightLapsed, http.StatusServiceUnavailable, err, "the right to start work lapsed while the request was sent")
+	case x.bodyError() != nil:
+		return bodyProblem(x.bodyError())
+	case x.caller.Err() != nil:
+		return problem.NewUnknown(problem.CodeCallerGone, statusCallerGone, err, "the caller left before the response arrived")
+	default:
+		return problem.NewUnknown(problem.CodeAnswerLost, http.StatusBadGateway, err, "the connection failed before the response arrived")
+	}
+}
+
+// statusCallerGone is recorded for requests whose caller left; nobody receives it.
+const statusCallerGone = 499
+
+// bodyProblem describes a request body that ended early. A typed failure of the
+// body keeps its code; the outcome is unknown because the header was sent.
+func bodyProblem(err error) *problem.Error {
+	var p *problem.Error
+	if errors.As(err, &p) {
+		c := *p
+		c.Outcome = problem.Unknown
+		return &c
+	}
+	return problem.NewUnknown(problem.CodeCallerGone, statusCallerGone, err, "the request body ended early")
+}
+
+func (x *exchange) bodyError() error {
+	if e := x.bodyErr.Load(); e != nil {
+		return *e
+	}
+	return nil
+}
+
+// done frees the grant now.
+func (x *exchange) done(failed bool) {
+	x.end(func(g dispatch.Grant) { g.Done(dispatch.Result{Failed: failed, FirstByte: x.firstByte}) })
+}
+
+// drop closes the connection while the endpoint may still work. The grant stays
+// in use until the maximum run time, because the endpoint's work counts against
+// the team's limit.
+func (x *exchange) drop(p *problem.Error) {
+	deadline := x.deadline
+	x.end(func(g dispatch.Grant) {
+		result := dispatch.Result{Failed: p.Code != problem.CodeRightLapsed, FirstByte: x.firstByte}
+		if wait := time.Until(deadline); !deadline.IsZero() && wait > 0 {
+			time.AfterFunc(wait, func() { g.Done(result) })
+			return
+		}
+		g.Done(result)
+	})
+}
+
+func (x *exchange) end(release func(dispatch.Grant)) {
+	x.finished.Do(func() {
+		if x.stop != nil {
+			x.stop()
+		}
+		if x.timer != nil {
+			x.timer.Stop()
+		}
+		x.cancel(errEnded)
+		if x.grant != nil {
+			release(x.grant)
+		}
+	})
+}
+
+// informationalRelay passes 1xx responses on while do runs, and never after.
+type informationalRelay struct {
+	mu      sync.Mutex
+	forward func(int, http.Header)
+	ended   bool
+}
+
+func (r *informationalRelay) got(code int, h textproto.MIMEHeader) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || r.forward == nil || code == http.StatusContinue {
+		return nil
+	}
+	header := http.Header(h).Clone()
+	StripHopByHop(header)
+	StripOwn(header)
+	r.forward(code, header)
+	return nil
+}
+
+func (r *informationalRelay) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
+// emptyBody stands for an absent body.
+type emptyBody struct{}
+
+func (*emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (*emptyBody) Close() error             { return nil }
+
+// requestBody keeps net/http from closing the connection when the source fails:
+// the response must still be read, because the endpoint may be working.
+type requestBody struct {
+	x      *exchange
+	source Body
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if err == nil || err == io.EOF {
+		return n, err
+	}
+	if b.x.bodyErr.CompareAndSwap(nil, &err) {
+		close(b.x.bodyFailed)
+	}
+	if b.x.grant == nil {
+		return n, err
+	}
+	b.x.mu.Lock()
+	conn := b.x.conn
+	b.x.mu.Unlock()
+	conn.closeWrite()
+	<-b.x.ctx.Done()
+	return n, err
+}
+
+// Close implements io.Closer; the source belongs to the caller.
+func (*requestBody) Close() error { return nil }
--- /dev/null
+++ b/internal/upstream/header.go
@@ -0,0 +1,39 @@
+package upstream
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopHeaders belong to one connection and are never forwarded (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// ownPrefix begins the names of headers that only daemons set.
+const ownPrefix = "Samphirestile-"
+
+// StripHopByHop removes the headers of one connection, also those named in Connection.
+func StripHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// StripOwn removes the headers that only daemons set.
+func StripOwn(h http.Header) {
+	for name := range h {
+		if len(name) >= len(ownPrefix) && strings.EqualFold(name[:len(ownPrefix)], ownPrefix) {
+			delete(h, name)
+		}
+	}
+}
