Add the platform adapter and emulator, keys, templates and the configuration manager

Cause: the path from an operator's change to a daemon has interfaces only. The HTTP adapter sends each call once and separates writes that had no effect from writes with an unknown outcome. The emulator speaks the same protocol and has the fault switches of the design. The manager keeps a head record and immutable documents, catches up from the store and from peers, and looks for the change ID after a lost answer.

Ruled out: comparing a change with the whole head. Changes of other documents would then conflict, and each revocation would refuse a pending change; a change conflicts only when one of its documents changed. Reading the revision in force after the head: the watch may move on in between, and a racing change was then refused as a store that lost revisions (seen in the race test).

Revocation and the parsers have no tests yet.

--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,133 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Conflict is a document with the operator's version and the one in force.
+type Conflict struct {
+	Document string
+	// Yours and Theirs are JSON texts; empty means that the document is absent.
+	Yours  string
+	Theirs string
+}
+
+// ConflictError reports a change that was made from an outdated revision. Nothing
+// was written.
+type ConflictError struct {
+	Expected  uint64
+	Current   uint64
+	Conflicts []Conflict
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the change was made from revision %d, but revision %d is in force and changed the same documents", e.Expected, e.Current)
+}
+
+// ChangeIDError reports a change ID that already names another change.
+type ChangeIDError struct {
+	ID       string
+	Revision uint64
+}
+
+func (e *ChangeIDError) Error() string {
+	return fmt.Sprintf("change ID %q already names another change, accepted as revision %d", e.ID, e.Revision)
+}
+
+// InvalidChangeError reports a change that is malformed as a whole.
+type InvalidChangeError struct {
+	Field   string
+	Value   string
+	Allowed string
+}
+
+func (e *InvalidChangeError) Error() string {
+	return fmt.Sprintf("change: %s %.64q: allowed: %s", e.Field, e.Value, e.Allowed)
+}
+
+// OutcomeUnknownError reports a change that may have been accepted. Repeating it
+// with the same ID is safe.
+type OutcomeUnknownError struct {
+	ID    string
+	Cause error
+}
+
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("it is not known whether change %q was accepted: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
+// StoreUnavailableError reports a change that was not written, because the store
+// could not be used.
+type StoreUnavailableError struct{ Cause error }
+
+func (e *StoreUnavailableError) Error() string {
+	return fmt.Sprintf("the store is not available, nothing was written: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *StoreUnavailableError) Unwrap() error { return e.Cause }
+
+// StoreRegressedError reports a store with an older configuration than the one in
+// force, as after a restore from a backup. Nothing is written to such a store.
+type StoreRegressedError struct {
+	Store   uint64
+	InForce uint64
+}
+
+func (e *StoreRegressedError) Error() string {
+	return fmt.Sprintf("the store has revision %d, but revision %d is in force", e.Store, e.InForce)
+}
+
+// TooLargeError reports a configuration whose head exceeds the store's value limit.
+type TooLargeError struct {
+	Bytes int
+	Limit int
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the configuration head has %d bytes, the limit is %d", e.Bytes, e.Limit)
+}
+
+// DocumentError reports a document whose content does not match its hash.
+type DocumentError struct{ Name, Hash string }
+
+func (e *DocumentError) Error() string {
+	return fmt.Sprintf("document %s does not have the hash %s", e.Name, e.Hash)
+}
+
+// NotReadyError reports that no configuration is in force yet.
+type NotReadyError struct{}
+
+func (e *NotReadyError) Error() string { return "no configuration is in force yet" }
+
+// CatchUpError reports that neither the store nor a peer gave a newer configuration.
+type CatchUpError struct {
+	Revision uint64
+	Cause    error
+}
+
+func (e *CatchUpError) Error() string {
+	return fmt.Sprintf("no source gave revision %d: %v", e.Revision, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CatchUpError) Unwrap() error { return e.Cause }
+
+// PeerDataError reports a malformed snapshot of a peer.
+type PeerDataError struct {
+	Peer  string
+	Cause error
+}
+
+func (e *PeerDataError) Error() string {
+	return fmt.Sprintf("snapshot of peer %s: %v", e.Peer, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PeerDataError) Unwrap() error { return e.Cause }
+
+var errNoSource = errors.New("no peer is known")
--- /dev/null
+++ b/internal/config/head.go
@@ -0,0 +1,154 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"time"
+)
+
+// Keys of the store.
+const (
+	headKey   = "config/head"
+	docPrefix = "config/doc/"
+)
+
+const (
+	// changeMemory is the number of changes that the head remembers. A change whose
+	// answer was lost can be recognised until that many later changes.
+	changeMemory = 32
+	// maxTouched bounds the document names that one change record lists.
+	maxTouched = 64
+	// allDocuments stands in a change record for more than maxTouched documents.
+	allDocuments = "*"
+)
+
+var (
+	changeIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+	operatorPattern = regexp.MustCompile(`^[^\x00-\x1f\x7f]{0,64}$`)
+	hashPattern     = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// ChangeRecord is an accepted change as the head remembers it.
+type ChangeRecord struct {
+	ID       string    `json:"id"`
+	Operator string    `json:"operator,omitempty"`
+	Time     time.Time `json:"time"`
+	Revision uint64    `json:"revision"`
+	// Documents names the documents that the change replaced or removed.
+	Documents []string `json:"documents,omitempty"`
+	// Digest identifies the content of the change.
+	Digest string `json:"digest,omitempty"`
+}
+
+// Head is the record that makes a change effective as a whole.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	// Documents maps document names to the SHA-256 of their content.
+	Documents map[string]string `json:"documents"`
+	// Revoked holds the revoked key IDs in order; IDs are never removed.
+	Revoked []string `json:"revoked,omitempty"`
+	// Changes holds the last changes, oldest first.
+	Changes []ChangeRecord `json:"changes"`
+}
+
+// HeadError reports an unusable head record.
+type HeadError struct{ Cause error }
+
+func (e *HeadError) Error() string { return fmt.Sprintf("configuration head: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *HeadError) Unwrap() error { return e.Cause }
+
+var (
+	errTrailing    = errors.New("data after the record")
+	errNoRevision  = errors.New("no revision")
+	errBadHash     = errors.New("malformed document hash")
+	errChangeOrder = errors.New("changes out of order")
+)
+
+// parseHead reads a head record strictly.
+func parseHead(value []byte) (*Head, error) {
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.DisallowUnknownFields()
+	var h Head
+	if err := d.Decode(&h); err != nil {
+		return nil, &HeadError{Cause: err}
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, &HeadError{Cause: errTrailing}
+	}
+	if h.Revision == 0 {
+		return nil, &HeadError{Cause: errNoRevision}
+	}
+	for _, hash := range h.Documents {
+		if !hashPattern.MatchString(hash) {
+			return nil, &HeadError{Cause: errBadHash}
+		}
+	}
+	last := uint64(0)
+	for _, c := range h.Changes {
+		if c.Revision <= last || c.Revision > h.Revision {
+			return nil, &HeadError{Cause: errChangeOrder}
+		}
+		last = c.Revision
+	}
+	return &h, nil
+}
+
+// find returns the remembered change with an ID.
+func (h *Head) find(id string) (ChangeRecord, bool) {
+	i := slices.IndexFunc(h.Changes, func(c ChangeRecord) bool { return c.ID == id })
+	if i < 0 {
+		return ChangeRecord{}, false
+	}
+	return h.Changes[i], true
+}
+
+// remembers reports whether all changes after revision are in memory.
+func (h *Head) remembers(revision uint64) bool {
+	return h.Revision <= revision || (len(h.Changes) > 0 && h.Changes[0].Revision <= revision+1)
+}
+
+// touched reports whether one of the documents may have changed after revision.
+func (h *Head) touched(revision uint64, documents []string) bool {
+	if !h.remembers(revision) {
+		return true
+	}
+	for _, c := range h.Changes {
+		if c.Revision <= revision {
+			continue
+		}
+		for _, name := range c.Documents {
+			if name == allDocuments || slices.Contains(documents, name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// next returns the head after a change. It shares nothing that changes with h.
+func (h *Head) next(documents map[string]string, revoked []string, record ChangeRecord) *Head {
+	record.Revision = h.Revision + 1
+	if len(record.Documents) > maxTouched {
+		record.Documents = []string{allDocuments}
+	}
+	changes := append(slices.Clone(h.Changes), record)
+	if over := len(changes) - changeMemory; over > 0 {
+		changes = changes[over:]
+	}
+	return &Head{Revision: record.Revision, Documents: documents, Revoked: revoked, Changes: changes}
+}
+
+// hashOf returns the hex SHA-256 under which a document is stored.
+func hashOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/config/peers.go
@@ -0,0 +1,455 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+const (
+	// peerTimeout bounds one message to a peer.
+	peerTimeout = time.Second
+	// hedgeDelay is the time after which the next source is asked as well, so that
+	// one silent source does not use up the 2 s in which a change must be in force.
+	hedgeDelay = 150 * time.Millisecond
+	// startGrace gives the store the first chance at start.
+	startGrace = 300 * time.Millisecond
+	// maxFailures is the number of attempts to get a revision before it is given up.
+	maxFailures = 8
+	// maxSources bounds the peers asked in one attempt.
+	maxSources = 4
+	// peerMemory is the time after which a silent peer outside the view is forgotten.
+	peerMemory = time.Minute
+	// hostsStale is the age of the own host list from which a peer's marks are used.
+	hostsStale = 2 * hostsEvery
+)
+
+// peerState is what a peer last reported.
+type peerState struct {
+	seen     time.Time
+	revision uint64
+	visible  bool
+	revoked  int
+	// dirty is set while a revocation made here is not confirmed by the peer.
+	dirty bool
+	// noticing is set while a notice to the peer is under way.
+	noticing bool
+}
+
+// Observe takes what a peer reported in a heartbeat or its reply.
+func (m *Manager) Observe(peerAddress string, revision uint64, storeVisible bool, revokedCount int) {
+	if peerAddress == "" || peerAddress == m.config.Self {
+		return
+	}
+	m.mu.Lock()
+	p := m.peer(peerAddress)
+	p.seen, p.revision, p.visible, p.revoked = time.Now(), revision, storeVisible, revokedCount
+	behind := m.state != nil && revision < m.state.head.Revision && !storeVisible
+	send := behind || p.dirty || (revokedCount < m.config.Revoked.Len() && len(m.unsavedLocked()) > 0)
+	m.mu.Unlock()
+	if send {
+		m.spawn(func(ctx context.Context) { _ = m.notice(ctx, peerAddress) })
+	}
+	m.want(revision)
+}
+
+// peer returns the state of a peer. The caller holds the mutex.
+func (m *Manager) peer(address string) *peerState {
+	p := m.peers[address]
+	if p == nil {
+		p = &peerState{}
+		m.peers[address] = p
+	}
+	return p
+}
+
+// peerAddresses returns all peers: those of the view, or the configured ones while
+// the view names none, and those that reported lately.
+func (m *Manager) peerAddresses() []string {
+	var addresses []string
+	if m.config.Members != nil {
+		addresses = m.config.Members()
+	}
+	if len(addresses) == 0 {
+		addresses = m.config.Peers
+	}
+	known := map[string]bool{}
+	for _, a := range addresses {
+		known[a] = true
+	}
+	m.mu.Lock()
+	for a, p := range m.peers {
+		if time.Since(p.seen) < peerMemory {
+			known[a] = true
+		} else if !known[a] {
+			delete(m.peers, a)
+		}
+	}
+	m.mu.Unlock()
+	delete(known, m.config.Self)
+	return slices.Sorted(maps.Keys(known))
+}
+
+// want asks for a revision that is known to exist.
+func (m *Manager) want(revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision > m.wanted && (m.state == nil || revision > m.state.head.Revision) {
+		m.wanted = revision
+		wake(m.catchUp)
+	}
+}
+
+// noticeBlind tells the revision in force to the peers that did not report the
+// store as visible.
+func (m *Manager) noticeBlind() {
+	addresses := m.peerAddresses()
+	m.mu.Lock()
+	blind := slices.DeleteFunc(addresses, func(a string) bool { return m.peers[a] != nil && m.peers[a].visible })
+	m.mu.Unlock()
+	for _, a := range blind {
+		m.spawn(func(ctx context.Context) { _ = m.notice(ctx, a) })
+	}
+}
+
+// notice sends the revision in force and the revoked keys that the store does not
+// hold yet. A peer that confirms it knows all of them.
+func (m *Manager) notice(ctx context.Context, address string) error {
+	m.mu.Lock()
+	p := m.peer(address)
+	if p.seen.IsZero() {
+		p.seen = time.Now()
+	}
+	p.dirty = false
+	n := &oas.Notice{Revision: int64(m.revisionLocked()), Revoked: m.unsavedLocked()}
+	m.mu.Unlock()
+	err := m.send(ctx, address, n)
+	if err != nil && len(n.Revoked) > 0 {
+		m.mu.Lock()
+		m.peer(address).dirty = true
+		m.mu.Unlock()
+	}
+	return err
+}
+
+func (m *Manager) revisionLocked() uint64 {
+	if m.state == nil {
+		return 0
+	}
+	return m.state.head.Revision
+}
+
+func (m *Manager) send(ctx context.Context, address string, n *oas.Notice) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	peer, err := m.config.Dial(address)
+	if err != nil {
+		return err
+	}
+	return peer.Notice(ctx, n)
+}
+
+// Notice handles a peer's notice. Revocations are in force when it returns.
+func (m *Manager) Notice(_ context.Context, n *oas.Notice) error {
+	m.addRevoked(n.Revoked)
+	m.want(uint64(max(n.Revision, 0)))
+	m.mu.Lock()
+	stale := m.config.Hosts != nil && time.Since(m.hostsAge) > hostsStale
+	m.mu.Unlock()
+	if stale {
+		m.spawn(m.pullMarks)
+	}
+	return nil
+}
+
+// wireSnapshot is the configuration as daemons send it to each other: the documents,
+// which the receiver checks against their hashes and renders itself.
+type wireSnapshot struct {
+	Head      *Head             `json:"head"`
+	Documents map[string]string `json:"documents"`
+	// Leaving lists the hosts that are leaving or gone. It is absent when the
+	// sender cannot read the host list either.
+	Leaving *[]fleet.HostID `json:"leaving,omitempty"`
+}
+
+// Snapshot returns the configuration in force for a peer. The caller adds the seats.
+func (m *Manager) Snapshot(context.Context) (*oas.Snapshot, error) {
+	m.mu.Lock()
+	s := m.state
+	var leaving *[]fleet.HostID
+	if time.Since(m.hostsAge) < hostsStale {
+		hosts := slices.Sorted(maps.Keys(m.leaving))
+		leaving = &hosts
+	}
+	m.mu.Unlock()
+	if s == nil {
+		return nil, &NotReadyError{}
+	}
+	w := wireSnapshot{Head: s.head, Documents: make(map[string]string, len(s.documents)), Leaving: leaving}
+	for name, content := range s.documents {
+		w.Documents[name] = string(content)
+	}
+	data, err := json.Marshal(w)
+	if err != nil {
+		return nil, &HeadError{Cause: err}
+	}
+	return &oas.Snapshot{
+		Revision: int64(s.head.Revision), Configuration: data,
+		Seats: []oas.SeatState{}, Revoked: m.config.Revoked.IDs(),
+	}, nil
+}
+
+// parseWire reads the configuration of a peer and checks each document.
+func parseWire(data []byte) (*wireSnapshot, error) {
+	var raw struct {
+		Head      json.RawMessage   `json:"head"`
+		Documents map[string]string `json:"documents"`
+		Leaving   *[]fleet.HostID   `json:"leaving"`
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	if err := d.Decode(&raw); err != nil {
+		return nil, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errTrailing
+	}
+	w := &wireSnapshot{Documents: raw.Documents, Leaving: raw.Leaving}
+	head, err := parseWireHead(raw.Head)
+	if err != nil {
+		return nil, err
+	}
+	w.Head = head
+	if len(w.Documents) != len(head.Documents) {
+		return nil, errDocumentSet
+	}
+	for name, hash := range head.Documents {
+		content, ok := w.Documents[name]
+		if !ok || hashOf([]byte(content)) != hash {
+			return nil, &DocumentError{Name: name, Hash: hash}
+		}
+	}
+	return w, nil
+}
+
+var errDocumentSet = errors.New("documents do not match the head")
+
+// parseWireHead accepts the empty configuration of revision 0 too.
+func parseWireHead(value []byte) (*Head, error) {
+	var probe struct {
+		Revision  uint64            `json:"revision"`
+		Documents map[string]string `json:"documents"`
+	}
+	if err := json.Unmarshal(value, &probe); err != nil {
+		return nil, &HeadError{Cause: err}
+	}
+	if probe.Revision == 0 && len(probe.Documents) == 0 {
+		return &Head{Documents: map[string]string{}}, nil
+	}
+	return parseHead(value)
+}
+
+// catchUpLoop gets wanted revisions, and the first configuration while the store
+// is down.
+func (m *Manager) catchUpLoop(ctx context.Context) {
+	if !sleep(ctx, startGrace) {
+		return
+	}
+	retry, failures := retryFirst, 0
+	for ctx.Err() == nil {
+		if !m.behind() {
+			retry, failures = retryFirst, 0
+			select {
+			case <-m.catchUp:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := m.catchUpOnce(ctx); err != nil && ctx.Err() == nil {
+			m.log.WithError(err).Debug("not caught up yet")
+			if failures++; failures >= maxFailures {
+				m.giveUpWanted()
+			}
+			sleep(ctx, jitter(retry))
+			retry = min(2*retry, retryLast)
+		}
+	}
+}
+
+// giveUpWanted forgets a revision that no source has, such as one that was lost
+// with the store. A heartbeat that names it starts the search again.
+func (m *Manager) giveUpWanted() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wanted = 0
+}
+
+// behind reports whether a configuration newer than the one in force is known.
+func (m *Manager) behind() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state == nil || m.wanted > m.state.head.Revision
+}
+
+// catchUpOnce asks the store and some peers, one more after each hedgeDelay or
+// failure, until one of them gives the wanted revision.
+func (m *Manager) catchUpOnce(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sources := m.sources()
+	results := make(chan error, len(sources))
+	var failure error = errNoSource
+	running, next := 0, 0
+	for {
+		if next < len(sources) {
+			source := sources[next]
+			next++
+			running++
+			m.spawn(func(context.Context) { results <- source(ctx) })
+		} else if running == 0 {
+			return &CatchUpError{Revision: m.wantedRevision(), Cause: failure}
+		}
+		var hedge <-chan time.Time
+		if next < len(sources) {
+			hedge = time.After(hedgeDelay)
+		}
+		select {
+		case err := <-results:
+			running--
+			if !m.behind() {
+				return nil
+			}
+			if err != nil {
+				failure = err
+			}
+		case <-hedge:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (m *Manager) wantedRevision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wanted
+}
+
+// sources returns the functions that may raise the configuration, best first.
+func (m *Manager) sources() []func(context.Context) error {
+	addresses := m.peerAddresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	m.mu.Lock()
+	slices.SortStableFunc(addresses, func(a, b string) int { return m.rank(b) - m.rank(a) })
+	m.mu.Unlock()
+	store := func(ctx context.Context) error { return m.pullStore(ctx) }
+	var sources []func(context.Context) error
+	if m.StoreVisible() {
+		sources = append(sources, store)
+	}
+	for _, a := range addresses[:min(len(addresses), maxSources)] {
+		sources = append(sources, func(ctx context.Context) error { return m.pull(ctx, a) })
+	}
+	if !m.StoreVisible() {
+		sources = append(sources, store)
+	}
+	return sources
+}
+
+// rank is 1 for a peer that reported the wanted revision. The caller holds the mutex.
+func (m *Manager) rank(address string) int {
+	if p := m.peers[address]; p != nil && p.revision >= m.wanted {
+		return 1
+	}
+	return 0
+}
+
+func (m *Manager) pullStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	head, _, err := m.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	return m.adoptHead(ctx, head)
+}
+
+// pull installs the configuration of a peer if it is newer than the one in force.
+func (m *Manager) pull(ctx context.Context, address string) error {
+	w, err := m.ask(ctx, address)
+	if err != nil {
+		return err
+	}
+	if s := m.inForce(); s != nil && s.head.Revision >= w.Head.Revision {
+		return nil
+	}
+	documents := make(map[string][]byte, len(w.Documents))
+	for name, content := range w.Documents {
+		documents[name] = []byte(content)
+	}
+	s, err := m.render(w.Head, documents)
+	if err != nil {
+		return &PeerDataError{Peer: address, Cause: err}
+	}
+	m.install(s)
+	return nil
+}
+
+// ask gets the snapshot of a peer and takes its revoked keys and leaving marks.
+func (m *Manager) ask(ctx context.Context, address string) (*wireSnapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	peer, err := m.config.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := peer.Snapshot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	w, err := parseWire(reply.Configuration)
+	if err != nil {
+		return nil, &PeerDataError{Peer: address, Cause: err}
+	}
+	m.addRevoked(reply.Revoked)
+	if w.Leaving != nil {
+		m.takeMarks(*w.Leaving)
+	}
+	return w, nil
+}
+
+// takeMarks uses a peer's leaving marks while the own host list cannot be read.
+func (m *Manager) takeMarks(hosts []fleet.HostID) {
+	leaving := map[fleet.HostID]bool{}
+	for _, id := range hosts {
+		leaving[id] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.config.Hosts != nil && time.Since(m.hostsAge) > hostsStale {
+		m.setLeaving(leaving)
+	}
+}
+
+// pullMarks asks a peer that sees the store for the leaving marks.
+func (m *Manager) pullMarks(ctx context.Context) {
+	for _, a := range m.peerAddresses() {
+		m.mu.Lock()
+		visible := m.peers[a] != nil && m.peers[a].visible
+		m.mu.Unlock()
+		if !visible {
+			continue
+		}
+		if w, err := m.ask(ctx, a); err == nil && w.Leaving != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/platform/admin.go
@@ -0,0 +1,156 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	protocol "samphirestile.example/samphirestile/internal/platform"
+)
+
+func (p *Platform) adminRoutes() {
+	p.mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.Faults()) })
+	p.mux.HandleFunc("PUT /admin/faults", admin(p.SetFaults))
+	p.mux.HandleFunc("GET /admin/counters", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.Counters()) })
+	p.mux.HandleFunc("DELETE /admin/counters", func(w http.ResponseWriter, _ *http.Request) {
+		p.ResetCounters()
+		reply(w, http.StatusOK, protocol.Empty{})
+	})
+	p.mux.HandleFunc("GET /admin/hosts", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.TrueHosts()) })
+	p.mux.HandleFunc("PUT /admin/hosts", admin(p.SetHosts))
+	p.mux.HandleFunc("PUT /admin/hosts/state", admin(func(s HostState) { p.SetHostState(s.Host, s.State) }))
+	p.mux.HandleFunc("GET /admin/commands", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.Commands()) })
+	p.mux.HandleFunc("POST /admin/leases/expire", func(w http.ResponseWriter, _ *http.Request) {
+		p.ExpireLeases()
+		reply(w, http.StatusOK, protocol.Empty{})
+	})
+}
+
+func admin[Q any](set func(Q)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var q Q
+		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&q); err != nil {
+			reply(w, http.StatusBadRequest, protocol.Fault{Code: protocol.FaultBadRequest, Detail: err.Error()})
+			return
+		}
+		set(q)
+		reply(w, http.StatusOK, protocol.Empty{})
+	}
+}
+
+// Faults returns the fault switches.
+func (p *Platform) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// SetFaults replaces the fault switches.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	// Watches that were stalled look again.
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+// Counters returns the number of calls by kind, such as kv/put.
+func (p *Platform) Counters() map[string]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.counters)
+}
+
+// ResetCounters sets all counters to 0.
+func (p *Platform) ResetCounters() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counters = map[string]int64{}
+}
+
+// Commands returns the host commands received so far.
+func (p *Platform) Commands() []Command {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Command{}, p.commands...)
+}
+
+// TrueHosts returns the host list without lag.
+func (p *Platform) TrueHosts() []fleet.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]fleet.Host{}, p.hosts[len(p.hosts)-1].hosts...)
+}
+
+// SetHosts replaces the host list; callers see it after the lag.
+func (p *Platform) SetHosts(hosts []fleet.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setHosts(hosts)
+}
+
+// SetHostState changes the state of one host; callers see it after the lag.
+func (p *Platform) SetHostState(id fleet.HostID, state fleet.HostState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts := slices.Clone(p.hosts[len(p.hosts)-1].hosts)
+	for i := range hosts {
+		if hosts[i].ID == id {
+			hosts[i].State = state
+		}
+	}
+	p.setHosts(hosts)
+}
+
+func (p *Platform) setHosts(hosts []fleet.Host) {
+	p.hosts = append(p.hosts, hostList{since: time.Now(), hosts: slices.Clone(hosts)})
+}
+
+// visibleHosts returns the newest list that is at least as old as the lag.
+func (p *Platform) visibleHosts() []fleet.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.hosts) > 1 && time.Since(p.hosts[1].since) >= p.config.HostLag {
+		p.hosts = p.hosts[1:]
+	}
+	return append([]fleet.Host{}, p.hosts[0].hosts...)
+}
+
+func (p *Platform) serveHosts(w http.ResponseWriter, r *http.Request) {
+	if !p.admit(w, r, "hosts/list") {
+		return
+	}
+	body, err := json.Marshal(protocol.HostsReply{Hosts: p.visibleHosts()})
+	if err != nil {
+		reply(w, http.StatusInternalServerError, protocol.Fault{Detail: err.Error()})
+		return
+	}
+	sum := fnv.New64a()
+	sum.Write(body)
+	tag := fmt.Sprintf("%q", fmt.Sprintf("%x", sum.Sum64()))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The caller may be gone; there is nobody left to tell.
+	_, _ = w.Write(body)
+}
+
+func (p *Platform) command(kind string) func(*http.Request, protocol.HostRequest) (protocol.Empty, *fault) {
+	return func(_ *http.Request, q protocol.HostRequest) (protocol.Empty, *fault) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.commands = append(p.commands, Command{Kind: kind, Host: q.Host, Time: time.Now()})
+		return protocol.Empty{}, nil
+	}
+}
--- /dev/null
+++ b/internal/keys/revoked.go
@@ -0,0 +1,54 @@
+package keys
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Revoked is the set of revoked key IDs known to this daemon. IDs are added as
+// soon as the revocation is known, before any configuration with it arrives, and
+// are never removed.
+type Revoked struct {
+	mu  sync.RWMutex
+	ids map[string]struct{}
+}
+
+// NewRevoked returns an empty set.
+func NewRevoked() *Revoked { return &Revoked{ids: map[string]struct{}{}} }
+
+// Add adds IDs and returns those that were not in the set. Malformed IDs are ignored.
+func (r *Revoked) Add(ids ...string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var added []string
+	for _, id := range ids {
+		if _, ok := r.ids[id]; !ok && ValidID(id) {
+			r.ids[id] = struct{}{}
+			added = append(added, id)
+		}
+	}
+	return added
+}
+
+// Has reports whether a key is revoked.
+func (r *Revoked) Has(id string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	_, ok := r.ids[id]
+	return ok
+}
+
+// IDs returns the set in order.
+func (r *Revoked) IDs() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return slices.Sorted(maps.Keys(r.ids))
+}
+
+// Len returns the size of the set.
+func (r *Revoked) Len() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return len(r.ids)
+}
--- /dev/null
+++ b/internal/platform/protocol.go
@@ -0,0 +1,186 @@
+package platform
+
+import (
+	"fmt"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+)
+
+// The platform protocol. Every call is a POST with a JSON body; keys and values
+// are base64, so that any byte may occur in them.
+//
+//	path             request       answer
+//	/v1/kv/get       GetRequest    KVRecord
+//	/v1/kv/list      ListRequest   ListReply
+//	/v1/kv/put       PutRequest    VersionReply
+//	/v1/kv/delete    DeleteRequest VersionReply
+//	/v1/kv/watch     WatchRequest  WatchReply
+//	/v1/lease/grant  GrantRequest  GrantReply
+//	/v1/lease/renew  RenewRequest  Empty
+//	/v1/hosts/list   Empty         HostsReply, with an ETag; If-None-Match gives 304
+//	/v1/hosts/drain  HostRequest   Empty
+//	/v1/hosts/reboot HostRequest   Empty
+//
+// A failed call answers with a Fault: 404 not_found, 409 conflict, 410 compacted,
+// 400 bad_request and 413 too_large were not applied, and neither was 503
+// unavailable. The outcome of a write with any other status is unknown.
+const (
+	PathGet    = "/v1/kv/get"
+	PathList   = "/v1/kv/list"
+	PathPut    = "/v1/kv/put"
+	PathDelete = "/v1/kv/delete"
+	PathWatch  = "/v1/kv/watch"
+	PathGrant  = "/v1/lease/grant"
+	PathRenew  = "/v1/lease/renew"
+	PathHosts  = "/v1/hosts/list"
+	PathDrain  = "/v1/hosts/drain"
+	PathReboot = "/v1/hosts/reboot"
+)
+
+// Limits of the platform, in bytes.
+const (
+	MaxValueBytes = 1 << 20
+	MaxKeyBytes   = 8 << 10
+)
+
+// Codes of a Fault.
+const (
+	FaultNotFound    = "not_found"
+	FaultConflict    = "conflict"
+	FaultCompacted   = "compacted"
+	FaultBadRequest  = "bad_request"
+	FaultTooLarge    = "too_large"
+	FaultUnavailable = "unavailable"
+)
+
+// Empty is a message without content.
+type Empty struct{}
+
+// KVRecord is one record with the revision of its last write.
+type KVRecord struct {
+	Key     []byte `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// GetRequest asks for one record.
+type GetRequest struct {
+	Key []byte `json:"key"`
+}
+
+// ListRequest asks for all records with a prefix.
+type ListRequest struct {
+	Prefix []byte `json:"prefix"`
+}
+
+// ListReply holds the records in key order and the revision at which they were read.
+type ListReply struct {
+	Records  []KVRecord `json:"records"`
+	Revision uint64     `json:"revision"`
+}
+
+// PutRequest writes a value if the key's version is Expect; 0 means absent.
+type PutRequest struct {
+	Key    []byte `json:"key"`
+	Value  []byte `json:"value"`
+	Expect uint64 `json:"expect"`
+	Lease  uint64 `json:"lease,omitempty"`
+}
+
+// DeleteRequest removes a key if its version is Expect.
+type DeleteRequest struct {
+	Key    []byte `json:"key"`
+	Expect uint64 `json:"expect"`
+}
+
+// VersionReply holds the revision of an applied write.
+type VersionReply struct {
+	Version uint64 `json:"version"`
+}
+
+// WatchRequest waits up to WaitMS milliseconds for changes after a revision.
+type WatchRequest struct {
+	Prefix []byte `json:"prefix"`
+	After  uint64 `json:"after"`
+	WaitMS int64  `json:"wait_ms"`
+}
+
+// WatchReply holds the changes in order and the revision to continue from.
+type WatchReply struct {
+	Events   []KVRecord `json:"events"`
+	Revision uint64     `json:"revision"`
+}
+
+// GrantRequest creates a lease of TTLMS milliseconds.
+type GrantRequest struct {
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+// GrantReply holds the ID of a new lease.
+type GrantReply struct {
+	Lease uint64 `json:"lease"`
+}
+
+// RenewRequest renews a lease.
+type RenewRequest struct {
+	Lease uint64 `json:"lease"`
+}
+
+// HostsReply is the platform's list of hosts.
+type HostsReply struct {
+	Hosts []fleet.Host `json:"hosts"`
+}
+
+// HostRequest names a host for a command.
+type HostRequest struct {
+	Host fleet.HostID `json:"host"`
+}
+
+// Fault is the body of a failed call.
+type Fault struct {
+	Code    string `json:"code"`
+	Detail  string `json:"detail,omitempty"`
+	Current uint64 `json:"current,omitempty"`
+}
+
+// TooLargeError reports a key or value above the platform's limit; nothing was sent.
+type TooLargeError struct {
+	Key   string
+	What  string
+	Bytes int
+	Limit int
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("store: %s of %.64q has %d bytes, the limit is %d", e.What, e.Key, e.Bytes, e.Limit)
+}
+
+// RejectedError reports a call that the platform refused as malformed; it had no effect.
+type RejectedError struct {
+	Status int
+	Code   string
+	Detail string
+}
+
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("store: call refused with status %d %s: %s", e.Status, e.Code, e.Detail)
+}
+
+// AnswerError reports an answer that does not follow the protocol.
+type AnswerError struct {
+	Status int
+	Cause  error
+}
+
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("store: malformed answer with status %d: %v", e.Status, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *AnswerError) Unwrap() error { return e.Cause }
+
+// StatusError reports an answer with a status that the protocol does not define.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("store: unexpected status %d", e.Status) }
--- /dev/null
+++ b/internal/template/parameters.go
@@ -0,0 +1,207 @@
+package template
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// paramField marks a value that is replaced by a parameter: {"$param": "name"}.
+const paramField = "$param"
+
+const (
+	typeInteger = "integer"
+	typeNumber  = "number"
+	typeString  = "string"
+	typeBoolean = "boolean"
+)
+
+var parameterTypes = []string{typeInteger, typeNumber, typeString, typeBoolean}
+
+// parameter is a typed parameter of a template.
+type parameter struct {
+	kind     string
+	low      *float64
+	high     *float64
+	fallback *node
+}
+
+func (p parameter) allowed() string {
+	s := map[string]string{
+		typeInteger: "a whole number", typeNumber: "a number",
+		typeString: "a string", typeBoolean: "true or false",
+	}[p.kind]
+	if p.low != nil {
+		s += fmt.Sprintf(" of at least %g", *p.low)
+	}
+	if p.high != nil {
+		s += fmt.Sprintf(" up to %g", *p.high)
+	}
+	return s
+}
+
+// accepts reports whether a value has the parameter's type and range.
+func (p parameter) accepts(n *node) bool {
+	switch p.kind {
+	case typeString:
+		return n.kind == kindString
+	case typeBoolean:
+		return n.kind == kindBoolean
+	case typeInteger:
+		if _, ok := n.integer(); !ok {
+			return false
+		}
+	}
+	v, ok := n.number()
+	return ok && (p.low == nil || v >= *p.low) && (p.high == nil || v <= *p.high)
+}
+
+// templateDocument is a parsed document of kind service, pool or fleet.
+type templateDocument struct {
+	name       string
+	parameters map[string]parameter
+	body       *node
+}
+
+// parseTemplate reads {"parameters": {...}, "body": {...}}.
+func (r *report) parseTemplate(name string, root *node) *templateDocument {
+	t := &templateDocument{name: name, parameters: map[string]parameter{}}
+	o, ok := r.object(root, "parameters", "body")
+	if !ok {
+		return t
+	}
+	if p, ok := o.value("parameters", false, ""); ok {
+		if p.kind != kindObject {
+			r.at(p, "an object")
+		}
+		for _, f := range p.fields {
+			t.parameters[f.name] = r.parseParameter(f.value)
+			if !namePattern.MatchString(f.name) {
+				r.at(f.value, "a parameter name of "+nameRule)
+			}
+		}
+	}
+	t.body, _ = o.value("body", true, "an object")
+	if t.body != nil {
+		r.checkReferences(t, t.body)
+	}
+	return t
+}
+
+func (r *report) parseParameter(n *node) parameter {
+	o, ok := r.object(n, "type", "default", "min", "max", "description")
+	if !ok {
+		return parameter{}
+	}
+	rule := "one of " + strings.Join(parameterTypes, ", ")
+	p := parameter{}
+	if v, ok := o.value("type", true, rule); ok {
+		if v.kind != kindString || !slices.Contains(parameterTypes, v.text) {
+			r.at(v, rule)
+			return parameter{}
+		}
+		p.kind = v.text
+	}
+	p.low, p.high = r.bound(o, "min", p), r.bound(o, "max", p)
+	if v, ok := o.value("description", false, ""); ok && v.kind != kindString {
+		r.at(v, "a string")
+	}
+	if v, ok := o.value("default", false, ""); ok {
+		p.fallback = v
+		if p.kind != "" && !p.accepts(v) {
+			r.at(v, p.allowed())
+		}
+	}
+	return p
+}
+
+func (r *report) bound(o reader, name string, p parameter) *float64 {
+	v, ok := o.value(name, false, "")
+	if !ok {
+		return nil
+	}
+	f, ok := v.number()
+	if !ok || (p.kind != typeInteger && p.kind != typeNumber) {
+		r.at(v, "a number, with type integer or number")
+		return nil
+	}
+	return &f
+}
+
+// reference returns the parameter node of {"$param": "name"}.
+func reference(n *node) (*node, bool) {
+	if n.kind != kindObject {
+		return nil, false
+	}
+	v := n.get(paramField)
+	return v, v != nil
+}
+
+func (r *report) checkReferences(t *templateDocument, n *node) {
+	if ref, ok := reference(n); ok {
+		if _, declared := t.parameters[ref.text]; len(n.fields) != 1 || ref.kind != kindString || !declared {
+			r.at(ref, "the name of a parameter of this template, as the only field")
+		}
+		return
+	}
+	for _, item := range n.items {
+		r.checkReferences(t, item)
+	}
+	for _, f := range n.fields {
+		r.checkReferences(t, f.value)
+	}
+}
+
+// substitute returns a copy of n with parameters replaced by their values.
+func substitute(n *node, values map[string]*node) *node {
+	if ref, ok := reference(n); ok {
+		if v, ok := values[ref.text]; ok {
+			return v
+		}
+		return &node{kind: kindHole, doc: n.doc, path: n.path}
+	}
+	c := *n
+	c.items, c.fields = nil, nil
+	for _, item := range n.items {
+		c.items = append(c.items, substitute(item, values))
+	}
+	for _, f := range n.fields {
+		c.fields = append(c.fields, field{name: f.name, value: substitute(f.value, values)})
+	}
+	return &c
+}
+
+// defaults are the values of a template that no account uses.
+func (t *templateDocument) defaults() map[string]*node {
+	values := map[string]*node{}
+	for name, p := range t.parameters {
+		if p.fallback != nil {
+			values[name] = p.fallback
+		}
+	}
+	return values
+}
+
+// bind determines the values of a template's parameters for one use: those of
+// the use, then those of the account, then the defaults.
+func (r *report) bind(t *templateDocument, use, account *node, useNode *node) map[string]*node {
+	values := t.defaults()
+	for name, p := range t.parameters {
+		v := (*node)(nil)
+		if account != nil {
+			v = account.get(name)
+		}
+		if use != nil && use.get(name) != nil {
+			v = use.get(name)
+		}
+		switch {
+		case v == nil && p.fallback == nil:
+			r.missing(useNode, "parameters."+name, p.allowed()+", required by "+t.name)
+		case v != nil && p.kind != "" && !p.accepts(v):
+			r.at(v, p.allowed()+", as declared by "+t.name)
+		case v != nil:
+			values[name] = v
+		}
+	}
+	return values
+}
--- /dev/null
+++ b/internal/template/render.go
@@ -0,0 +1,378 @@
+// Package template renders the documents of operators into a configuration and
+// finds every fault in them before anything is written.
+//
+// A document is one strict JSON object:
+//
+//	service/<name>, pool/<name>, fleet/<name>
+//	    a template: {"parameters": {name: {"type", "default", "min", "max", "description"}}, "body": {...}}.
+//	    In the body, {"$param": "name"} stands for the value of a parameter.
+//	account/<name>
+//	    a client account: {"parameters": {...}, "templates": [{"template", "name", "parameters"}], "teams": [{"id", "weight", "limit"}]}.
+//	endpoints/<service>
+//	    {"endpoints": [{"id", "address", "host", "slots", "connections", "leaving"}]}.
+//	keys/<account>
+//	    {"keys": [{"id", "team", "hash", "revoked"}]}, written by key commands only.
+//
+// A template takes effect through the accounts that use it. Accounts share a
+// service, pool or fleet of the same name when they render it to the same values.
+package template
+
+import (
+	"maps"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/fleet"
+)
+
+// Kinds of documents.
+const (
+	KindService   = "service"
+	KindPool      = "pool"
+	KindFleet     = "fleet"
+	KindAccount   = "account"
+	KindEndpoints = "endpoints"
+	KindKeys      = "keys"
+)
+
+var kinds = []string{KindService, KindPool, KindFleet, KindAccount, KindEndpoints, KindKeys}
+
+// Ranges of values.
+const (
+	maxRunTimeMS     = 3_600_000
+	defaultRunTimeMS = 30_000
+	maxWaitMS        = 600_000
+	defaultWaitMS    = 10_000
+	maxBodyBytes     = 1 << 40
+	maxWeight        = 1_000_000
+	minWeight        = 0.001
+	maxLimit         = 1_000_000
+	maxSlots         = 10_000
+	maxConnections   = 100_000
+	maxHosts         = 100_000
+	maxPercent       = 100
+	maxDays          = 3650
+)
+
+// SplitName splits a document name into kind and name; ok is false when it is malformed.
+func SplitName(document string) (kind, name string, ok bool) {
+	kind, name, found := strings.Cut(document, "/")
+	return kind, name, found && slices.Contains(kinds, kind) && namePattern.MatchString(name)
+}
+
+// rendering is the state of one run of Render.
+type rendering struct {
+	report
+	snapshot  *config.Snapshot
+	roots     map[string]*node
+	templates map[string]*templateDocument
+	used      map[string]bool
+	services  map[string]serviceBody
+	pools     map[string]poolBody
+	fleets    map[string]fleetBody
+	// places holds where each object refers to another one, by kind/name.
+	places    map[string]place
+	teamNodes map[fleet.TeamID]*node
+	addresses map[netip.AddrPort]*node
+	openTeams []*node
+}
+
+// Render checks all documents and renders them. It returns a *FindingsError with
+// all faults. The revision of the result is 0.
+func Render(documents map[string][]byte) (*config.Snapshot, error) {
+	r := &rendering{
+		snapshot: &config.Snapshot{
+			Services:  map[fleet.ServiceID]fleet.Service{},
+			Teams:     map[fleet.TeamID]fleet.Team{},
+			Keys:      map[string]fleet.Key{},
+			Endpoints: map[fleet.EndpointID]fleet.Endpoint{},
+		},
+		roots:     map[string]*node{},
+		templates: map[string]*templateDocument{},
+		used:      map[string]bool{},
+		services:  map[string]serviceBody{},
+		pools:     map[string]poolBody{},
+		fleets:    map[string]fleetBody{},
+		places:    map[string]place{},
+		teamNodes: map[fleet.TeamID]*node{},
+		addresses: map[netip.AddrPort]*node{},
+	}
+	r.parseAll(documents)
+	r.each(KindAccount, r.account)
+	r.unused()
+	r.checkServices()
+	r.checkPools()
+	r.each(KindEndpoints, r.endpoints)
+	r.each(KindKeys, r.keys)
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return r.snapshot, nil
+}
+
+func (r *rendering) parseAll(documents map[string][]byte) {
+	for _, document := range slices.Sorted(maps.Keys(documents)) {
+		kind, _, ok := SplitName(document)
+		if !ok {
+			r.add(document, "$", document, "kind/name with kind one of "+strings.Join(kinds, ", ")+" and name of "+nameRule)
+			continue
+		}
+		root, err := parse(document, documents[document])
+		if err != nil {
+			path, allowed := "$", err.Error()
+			if s, ok := err.(*syntaxError); ok {
+				path, allowed = s.path, s.detail
+			}
+			r.add(document, path, "not readable", allowed)
+			continue
+		}
+		r.roots[document] = root
+		if kind == KindService || kind == KindPool || kind == KindFleet {
+			r.templates[document] = r.parseTemplate(document, root)
+		}
+	}
+}
+
+// each calls f for the documents of a kind in the order of their names.
+func (r *rendering) each(kind string, f func(name string, root *node)) {
+	for _, document := range slices.Sorted(maps.Keys(r.roots)) {
+		if k, name, _ := SplitName(document); k == kind {
+			f(name, r.roots[document])
+		}
+	}
+}
+
+func (r *rendering) account(account string, root *node) {
+	o, ok := r.object(root, "parameters", "templates", "teams")
+	if !ok {
+		return
+	}
+	shared, _ := o.value("parameters", false, "")
+	if shared != nil && shared.kind != kindObject {
+		r.at(shared, "an object")
+		shared = nil
+	}
+	declared := map[string]bool{}
+	for _, n := range o.array("templates", false) {
+		r.use(n, shared, declared)
+	}
+	if shared != nil {
+		for _, f := range shared.fields {
+			if !declared[f.name] {
+				r.at(f.value, "a parameter of a template that this account uses")
+			}
+		}
+	}
+	for _, n := range o.array("teams", false) {
+		r.team(account, n)
+	}
+}
+
+// use renders one template for an account.
+func (r *rendering) use(n, shared *node, declared map[string]bool) {
+	o, ok := r.object(n, "template", "name", "parameters")
+	if !ok {
+		return
+	}
+	const rule = "the name of a service, pool or fleet document"
+	ref, ok := o.value("template", true, rule)
+	if !ok {
+		return
+	}
+	t := r.templates[ref.text]
+	if ref.kind != kindString || t == nil {
+		r.at(ref, rule)
+		return
+	}
+	own, _ := o.value("parameters", false, "")
+	if own != nil && own.kind != kindObject {
+		r.at(own, "an object")
+		own = nil
+	}
+	if own != nil {
+		for _, f := range own.fields {
+			if _, ok := t.parameters[f.name]; !ok {
+				r.at(f.value, "a parameter of "+t.name)
+			}
+		}
+	}
+	for name := range t.parameters {
+		declared[name] = true
+	}
+	r.used[t.name] = true
+	kind, name, _ := SplitName(t.name)
+	if given, _ := o.name("name", false); given != "" {
+		name = given
+	}
+	if t.body != nil {
+		r.body(kind, name, substitute(t.body, r.bind(t, own, shared, n)), n)
+	}
+}
+
+// unused checks templates that no account uses, as far as their defaults go.
+func (r *rendering) unused() {
+	for _, document := range slices.Sorted(maps.Keys(r.templates)) {
+		t := r.templates[document]
+		if r.used[document] || t.body == nil {
+			continue
+		}
+		kind, _, _ := SplitName(document)
+		r.body(kind, "", substitute(t.body, t.defaults()), nil)
+	}
+}
+
+// body reads a rendered template; an empty name discards the result.
+func (r *rendering) body(kind, name string, n, use *node) {
+	var p place
+	switch kind {
+	case KindService:
+		var b serviceBody
+		b, p = r.serviceBody(name, n)
+		collect(r, r.services, name, b, use)
+	case KindPool:
+		var b poolBody
+		b, p = r.poolBody(n)
+		collect(r, r.pools, name, b, use)
+	case KindFleet:
+		var b fleetBody
+		b, p = r.fleetBody(n)
+		collect(r, r.fleets, name, b, use)
+	}
+	if name != "" {
+		r.places[kind+"/"+name] = p
+	}
+}
+
+// collect stores a rendered object; two different ones of a name are refused.
+func collect[T comparable](r *rendering, all map[string]T, name string, v T, use *node) {
+	if name == "" {
+		return
+	}
+	if other, ok := all[name]; ok && other != v {
+		r.add(use.doc, use.path, name, "a name that no account renders to other values")
+		return
+	}
+	all[name] = v
+}
+
+func (r *rendering) team(account string, n *node) {
+	o, ok := r.object(n, "id", "weight", "limit")
+	if !ok {
+		return
+	}
+	id, _ := o.name("id", true)
+	t := fleet.Team{
+		ID: fleet.TeamID(id), Account: account,
+		Weight: o.number("weight", minWeight, maxWeight),
+		Limit:  int(o.integer("limit", 0, maxLimit, nil)),
+	}
+	if id == "" {
+		return
+	}
+	if other, ok := r.teamNodes[t.ID]; ok {
+		r.at(n.get("id"), "a team ID that is not in use; "+other.doc+" "+other.path+" has it")
+		return
+	}
+	r.teamNodes[t.ID] = n
+	r.snapshot.Teams[t.ID] = t
+}
+
+func (r *rendering) endpoints(service string, root *node) {
+	o, ok := r.object(root, "endpoints")
+	if !ok {
+		return
+	}
+	if _, ok := r.services[service]; !ok {
+		r.add(root.doc, "$", service, "the name of a service that an account uses")
+	}
+	for _, n := range o.array("endpoints", true) {
+		r.endpoint(service, n)
+	}
+}
+
+func (r *rendering) endpoint(service string, n *node) {
+	o, ok := r.object(n, "id", "address", "host", "slots", "connections", "leaving")
+	if !ok {
+		return
+	}
+	id, idNode := o.name("id", true)
+	host, _ := o.name("host", false)
+	e := fleet.Endpoint{
+		ID: fleet.EndpointID(id), Service: fleet.ServiceID(service), Host: fleet.HostID(host),
+		Address:     r.address(o),
+		Slots:       int(o.integer("slots", 1, maxSlots, nil)),
+		Connections: int(o.integer("connections", 1, maxConnections, nil)),
+		Leaving:     o.boolean("leaving"),
+	}
+	if id == "" {
+		return
+	}
+	if other, ok := r.snapshot.Endpoints[e.ID]; ok {
+		r.at(idNode, "an endpoint ID that is not in use; service "+string(other.Service)+" has it")
+		return
+	}
+	r.snapshot.Endpoints[e.ID] = e
+}
+
+func (r *rendering) address(o reader) string {
+	const rule = "an IP number and port, such as 192.0.2.1:8080"
+	v, ok := o.value("address", true, rule)
+	if !ok {
+		return ""
+	}
+	a, err := netip.ParseAddrPort(v.text)
+	if v.kind != kindString || err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		r.at(v, rule)
+		return ""
+	}
+	a = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+	if other, ok := r.addresses[a]; ok {
+		r.at(v, "an address that is not in use; "+other.doc+" "+other.path+" has it")
+	}
+	r.addresses[a] = v
+	return a.String()
+}
+
+var (
+	keyIDPattern = regexp.MustCompile(`^[0-9a-f]{16}$`)
+	hashPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+func (r *rendering) keys(account string, root *node) {
+	o, ok := r.object(root, "keys")
+	if !ok {
+		return
+	}
+	for _, n := range o.array("keys", true) {
+		r.key(account, n)
+	}
+}
+
+// key reads one key record. Keys of a team that the account no longer has are
+// left out, so that a team can be removed and its keys stop working.
+func (r *rendering) key(account string, n *node) {
+	o, ok := r.object(n, "id", "team", "hash", "revoked")
+	if !ok {
+		return
+	}
+	id, idNode := o.text("id", true, keyIDPattern, "16 hexadecimal digits")
+	team, _ := o.name("team", true)
+	hash, _ := o.text("hash", true, hashPattern, "64 hexadecimal digits")
+	k := fleet.Key{ID: id, Team: fleet.TeamID(team), Hash: hash, Revoked: o.boolean("revoked")}
+	if id == "" {
+		return
+	}
+	if _, ok := r.snapshot.Keys[id]; ok {
+		r.at(idNode, "a key ID that is not in use")
+		return
+	}
+	if r.snapshot.Teams[k.Team].Account == account {
+		r.snapshot.Keys[id] = k
+	}
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
