Add the endpoint emulator and the event record

Tests and benchmarks need a back end with a real capacity and failure modes that records the start and end of every request. The end is recorded before the last byte of a response leaves, because the daemon may start the next request of a team as soon as it has the response.

--- /dev/null
+++ b/internal/emulator/endpoint/exchange.go
@@ -0,0 +1,202 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"hash"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/history"
+)
+
+// exchange is one request at the endpoint.
+type exchange struct {
+	endpoint *Endpoint
+	w        http.ResponseWriter
+	r        *http.Request
+	settings Settings
+	faults   Faults
+	size     time.Duration
+	full     bool
+	event    history.Event
+	ended    bool
+	hash     hash.Hash
+	read     int64
+}
+
+// Reply is the body of a normal response.
+type Reply struct {
+	RequestID string `json:"request_id"`
+	Op        string `json:"op"`
+	Endpoint  string `json:"endpoint"`
+	Path      string `json:"path"`
+	BodyBytes int64  `json:"body_bytes"`
+	// BodySHA256 is the hex hash of the request body.
+	BodySHA256 string `json:"body_sha256"`
+	// Padding makes the body long enough to be cut in the middle.
+	Padding string `json:"padding"`
+}
+
+const paddingBytes = 256
+
+// end records the end of the work once.
+func (x *exchange) end() {
+	if x.ended {
+		return
+	}
+	x.ended = true
+	e := x.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	x.event.Kind = history.KindEnd
+	x.event.CallerGone = x.r.Context().Err() != nil
+	e.recorder.Add(x.event)
+}
+
+func (x *exchange) run() {
+	ctx := x.r.Context()
+	if x.faults.KeepWorking {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if status := x.failStatus(); status != 0 {
+		x.respond(status)
+		return
+	}
+	if x.full {
+		x.respond(http.StatusServiceUnavailable)
+		return
+	}
+	if x.r.URL.Query().Has("echo") {
+		x.echo()
+		return
+	}
+	x.hash = sha256.New()
+	n, err := io.Copy(x.hash, x.r.Body)
+	x.read = n
+	if err != nil && !x.faults.KeepWorking {
+		x.abort()
+	}
+	if err := x.work(ctx); err != nil {
+		x.abort()
+	}
+	x.finish()
+}
+
+func (x *exchange) failStatus() int {
+	if x.faults.FailStatus == 0 || len(x.faults.FailPaths) == 0 {
+		return x.faults.FailStatus
+	}
+	matches := func(prefix string) bool { return strings.HasPrefix(x.r.URL.Path, prefix) }
+	if slices.ContainsFunc(x.faults.FailPaths, matches) {
+		return x.faults.FailStatus
+	}
+	return 0
+}
+
+// work spends the service time under the real capacity.
+func (x *exchange) work(ctx context.Context) error {
+	if err := x.endpoint.waitWhileHanging(ctx); err != nil {
+		return err
+	}
+	if err := x.endpoint.queue.enter(ctx); err != nil {
+		return err
+	}
+	defer x.endpoint.queue.leave()
+	if err := x.endpoint.cpu.work(ctx, x.size); err != nil {
+		return err
+	}
+	return sleep(ctx, time.Duration(x.faults.DelayHeaderMS)*time.Millisecond)
+}
+
+// abort closes the connection without completing the response.
+func (x *exchange) abort() {
+	x.end()
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) finish() {
+	if x.faults.CloseBeforeResponse {
+		x.abort()
+	}
+	if n, err := strconv.ParseInt(x.r.URL.Query().Get("size"), 10, 64); err == nil {
+		x.pattern(n)
+		return
+	}
+	x.respond(http.StatusOK)
+}
+
+func (x *exchange) header() {
+	id := x.event.RequestID
+	if x.faults.WrongRequestID {
+		id = "wrong-" + id
+	}
+	x.w.Header().Set("X-Request-Id", id)
+	if x.hash != nil {
+		x.w.Header().Set(HeaderBodyHash, hex.EncodeToString(x.hash.Sum(nil)))
+	}
+}
+
+// respond sends a small JSON body.
+func (x *exchange) respond(status int) {
+	reply := Reply{
+		RequestID: x.event.RequestID,
+		Op:        x.event.Op,
+		Endpoint:  x.settings.Name,
+		Path:      x.event.Path,
+		BodyBytes: x.read,
+		Padding:   strings.Repeat("x", paddingBytes),
+	}
+	if x.hash != nil {
+		reply.BodySHA256 = hex.EncodeToString(x.hash.Sum(nil))
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		x.abort()
+	}
+	x.header()
+	x.w.Header().Set("Content-Type", "application/json")
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.event.Status = status
+	x.w.WriteHeader(status)
+	if x.faults.CloseMidBody {
+		_, _ = x.w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(x.w).Flush()
+		x.abort()
+	}
+	x.end()
+	_, _ = x.w.Write(body)
+}
+
+// pattern sends n bytes that depend on the op of the request. The body has no
+// declared length, so its last chunk leaves only after the end was recorded.
+func (x *exchange) pattern(n int64) {
+	x.header()
+	x.event.Status = http.StatusOK
+	if x.faults.CloseMidBody {
+		n /= 2
+	}
+	_, err := io.Copy(x.w, NewPattern(x.event.Op, n))
+	if err != nil || x.faults.CloseMidBody {
+		_ = http.NewResponseController(x.w).Flush()
+		x.abort()
+	}
+}
+
+// echo streams the request body back without holding it in memory.
+func (x *exchange) echo() {
+	x.header()
+	x.event.Status = http.StatusOK
+	// Without full duplex the server would read the rest of the request body first.
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
+	if _, err := io.Copy(x.w, x.r.Body); err != nil {
+		x.abort()
+	}
+}
--- /dev/null
+++ b/internal/emulator/endpoint/pattern.go
@@ -0,0 +1,45 @@
+package endpoint
+
+import (
+	"crypto/sha256"
+	"io"
+)
+
+// pattern yields bytes that repeat the hash of a seed, each block marked with
+// its number, so that lost, repeated or foreign blocks change the content.
+type pattern struct {
+	seed  [sha256.Size]byte
+	left  int64
+	block uint64
+	rest  []byte
+	buf   [patternBlockBytes]byte
+}
+
+const patternBlockBytes = 4096
+
+// NewPattern returns a reader of n bytes that are determined by seed.
+func NewPattern(seed string, n int64) io.Reader {
+	return &pattern{seed: sha256.Sum256([]byte(seed)), left: n}
+}
+
+// Read implements io.Reader.
+func (p *pattern) Read(b []byte) (int, error) {
+	if p.left == 0 {
+		return 0, io.EOF
+	}
+	if len(p.rest) == 0 {
+		p.fill()
+	}
+	n := copy(b[:min(int64(len(b)), p.left)], p.rest)
+	p.rest = p.rest[n:]
+	p.left -= int64(n)
+	return n, nil
+}
+
+func (p *pattern) fill() {
+	for i := range p.buf {
+		p.buf[i] = p.seed[i%sha256.Size] + byte(p.block>>(8*(i%3)))
+	}
+	p.block++
+	p.rest = p.buf[:]
+}
