Add the load generator and the process harness

The load generator hides the type of its request bodies from net/http, so that the client never repeats a request and each op is sent once; otherwise the at-most-once check would blame the daemon for repeats of the test client. The harness takes its ports from below the range of outgoing connections, so that no connection occupies a port before its server starts.

--- /dev/null
+++ b/internal/emulator/load/request.go
@@ -0,0 +1,250 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+// request is one request of a caller.
+type request struct {
+	op          string
+	target      string
+	urgent      bool
+	cancelAfter time.Duration // 0 means never
+}
+
+func (s *sender) next() request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	s.result.Sent++
+	q := request{
+		op:     fmt.Sprintf("%s-%d-%d", s.caller.Name, s.plan.Seed, s.number),
+		target: s.caller.pick(s.rnd),
+		urgent: s.rnd.Float64() < s.caller.UrgentShare,
+	}
+	if s.rnd.Float64() < s.caller.CancelShare {
+		mean := s.caller.CancelAfterMS * float64(time.Millisecond)
+		q.cancelAfter = max(time.Duration(s.rnd.ExpFloat64()*mean), 1)
+	}
+	return q
+}
+
+// send sends one request, records what came of it, and reports whether it was answered.
+func (s *sender) send(ctx context.Context) bool {
+	q := s.next()
+	limit := time.Duration(s.caller.TimeoutMS) * time.Millisecond
+	if limit == 0 {
+		limit = DefaultTimeout
+	}
+	if q.cancelAfter > 0 {
+		limit = q.cancelAfter
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	event := history.Event{
+		Kind: history.KindSend, RequestID: q.op, Op: q.op, Team: s.caller.Team, KeyID: s.caller.KeyID,
+		Service: s.caller.Service, Target: q.target, NonIdempotent: s.caller.NonIdempotent, Urgent: q.urgent,
+	}
+	begin := s.recorder.Add(event)
+	event.Kind = history.KindResult
+	if err := s.exchange(ctx, q, &event); err != nil {
+		event.Error = err.Error()
+		event.Cancelled = q.cancelAfter > 0 && ctx.Err() != nil
+	}
+	event.LatencyNS = history.Now() - begin.TimeNS
+	s.recorder.Add(event)
+	s.classify(event)
+	return event.Outcome == "" && event.Error == ""
+}
+
+func (s *sender) classify(e history.Event) {
+	s.count(func(r *Result) {
+		switch {
+		case e.Cancelled:
+			r.Cancelled++
+		case e.Error != "":
+			r.Broken++
+		case e.Outcome == string(problem.NotRun):
+			r.Refused++
+		case e.Outcome != "":
+			r.Unknown++
+		case e.Status >= http.StatusBadRequest:
+			r.Failed++
+		default:
+			r.Answered++
+			// A latency beyond the range is clipped by the timeout.
+			_ = r.Latency.RecordValue(e.LatencyNS / int64(time.Microsecond))
+		}
+	})
+}
+
+// body hides its type from net/http. Without a known type there is no GetBody,
+// so the client never repeats a request on its own and each op is sent once.
+type body struct{ io.Reader }
+
+func (s *sender) build(ctx context.Context, q request) (*http.Request, error) {
+	query := url.Values{"op": {q.op}, "team": {s.caller.Team}}
+	if s.caller.ServiceMS > 0 {
+		query.Set("service_ms", strconv.FormatFloat(s.caller.ServiceMS, 'f', -1, 64))
+	}
+	if s.caller.ResponseBytes > 0 {
+		query.Set("size", strconv.FormatInt(s.caller.ResponseBytes, 10))
+	}
+	if s.caller.Echo {
+		query.Set("echo", "1")
+	}
+	method := http.MethodGet
+	if s.caller.NonIdempotent || s.caller.BodyBytes > 0 {
+		method = http.MethodPost
+	}
+	address := q.target + "/" + s.caller.Service + "/" + s.caller.Path + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, method, address, body{endpoint.NewPattern(q.op, s.caller.BodyBytes)})
+	if err != nil {
+		return nil, err
+	}
+	if s.caller.BodyBytes > 0 {
+		req.ContentLength = s.caller.BodyBytes
+	}
+	s.mark(req, q)
+	return req, nil
+}
+
+func (s *sender) mark(req *http.Request, q request) {
+	h := req.Header
+	h.Set(problem.HeaderRequestID, q.op)
+	if s.caller.Key != "" {
+		h.Set("Authorization", "Bearer "+s.caller.Key)
+	}
+	if s.caller.Keyed {
+		h.Set("Idempotency-Key", q.op)
+	}
+	if s.caller.DeadlineMS > 0 {
+		h.Set(problem.HeaderDeadline, strconv.Itoa(s.caller.DeadlineMS))
+	}
+	if q.urgent {
+		h.Set(problem.HeaderPriority, "urgent")
+	}
+	if !s.caller.NonIdempotent {
+		h.Set(problem.HeaderIdempotent, "true")
+	}
+}
+
+// exchange sends the request and fills in what the response says.
+func (s *sender) exchange(ctx context.Context, q request, e *history.Event) error {
+	req, err := s.build(ctx, q)
+	if err != nil {
+		return err
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	e.Status = resp.StatusCode
+	e.Outcome = resp.Header.Get(problem.HeaderOutcome)
+	if sec, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		e.RetryAfterMS = int64(sec) * time.Second.Milliseconds()
+	}
+	if id := resp.Header.Get(problem.HeaderRequestID); id != "" && id != q.op {
+		return &ForeignResponseError{Want: q.op, Got: id}
+	}
+	if e.Outcome != "" {
+		return readProblem(resp.Body, e)
+	}
+	if err := s.verify(resp, q); err != nil {
+		return err
+	}
+	e.Whole = true
+	return nil
+}
+
+func readProblem(r io.Reader, e *history.Event) error {
+	var p problem.Body
+	if err := json.NewDecoder(r).Decode(&p); err != nil {
+		return fmt.Errorf("problem body: %w", err)
+	}
+	e.Code = string(p.Code)
+	return nil
+}
+
+// ForeignResponseError reports a response that belongs to another request.
+type ForeignResponseError struct{ Want, Got string }
+
+func (e *ForeignResponseError) Error() string {
+	return fmt.Sprintf("response of request %q arrived at request %q", e.Got, e.Want)
+}
+
+// AlteredBodyError reports a body that differs from what the endpoint sent.
+type AlteredBodyError struct{ Op, Detail string }
+
+func (e *AlteredBodyError) Error() string {
+	return fmt.Sprintf("body of %q altered: %s", e.Op, e.Detail)
+}
+
+// verify compares the response body with what the endpoint must have sent.
+func (s *sender) verify(resp *http.Response, q request) error {
+	switch {
+	case resp.StatusCode >= http.StatusBadRequest:
+		_, err := io.Copy(io.Discard, resp.Body)
+		return err
+	case s.caller.ResponseBytes > 0:
+		return compare(q.op, resp.Body, s.caller.ResponseBytes)
+	case s.caller.Echo:
+		return compare(q.op, resp.Body, s.caller.BodyBytes)
+	}
+	var reply endpoint.Reply
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+		return fmt.Errorf("response body: %w", err)
+	}
+	if reply.Op != q.op {
+		return &ForeignResponseError{Want: q.op, Got: reply.Op}
+	}
+	sum := sha256.New()
+	if _, err := io.Copy(sum, endpoint.NewPattern(q.op, s.caller.BodyBytes)); err != nil {
+		return err
+	}
+	if reply.BodySHA256 != hex.EncodeToString(sum.Sum(nil)) {
+		return &AlteredBodyError{Op: q.op, Detail: "the endpoint received another request body"}
+	}
+	return nil
+}
+
+const compareBytes = 32 << 10
+
+// compare reads got to its orderly end and compares it with the pattern of op.
+// A body that breaks off after its last byte is an error, too.
+func compare(op string, got io.Reader, n int64) error {
+	want := endpoint.NewPattern(op, n)
+	a, b := make([]byte, compareBytes), make([]byte, compareBytes)
+	for {
+		k, err := got.Read(a)
+		m, _ := io.ReadFull(want, b[:k])
+		if !bytes.Equal(a[:k], b[:m]) {
+			return &AlteredBodyError{Op: op, Detail: "the response body differs"}
+		}
+		n -= int64(k)
+		switch {
+		case errors.Is(err, io.EOF) && n != 0:
+			return &AlteredBodyError{Op: op, Detail: fmt.Sprintf("%d bytes are missing", n)}
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/load/run.go
@@ -0,0 +1,253 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"samphirestile.example/samphirestile/internal/emulator/history"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Recorder *history.Recorder
+	// Callers holds the results by caller name.
+	Callers map[string]*Result
+	Elapsed time.Duration
+}
+
+// Result sums up the requests of one caller.
+type Result struct {
+	Sent int `json:"sent"`
+	// Answered counts responses of endpoints with a status below 400 and a whole body.
+	Answered int `json:"answered"`
+	// Refused counts not-run outcomes, Unknown unknown ones.
+	Refused int `json:"refused"`
+	Unknown int `json:"unknown"`
+	// Failed counts responses of endpoints with a status of 400 and above.
+	Failed int `json:"failed"`
+	// Broken counts requests without a complete response.
+	Broken    int `json:"broken"`
+	Cancelled int `json:"cancelled"`
+	// Skipped counts arrivals dropped because MaxInFlight was reached.
+	Skipped int `json:"skipped"`
+	// Latency holds the latencies of answered requests in microseconds.
+	Latency *hdrhistogram.Histogram `json:"-"`
+}
+
+// Range of the latency histogram in microseconds, and its significant digits.
+const (
+	lowestMicros  = 1
+	highestMicros = 120_000_000
+	digits        = 3
+)
+
+// Total adds the results of all callers.
+func (r *Report) Total() Result {
+	t := Result{Latency: hdrhistogram.New(lowestMicros, highestMicros, digits)}
+	for _, c := range r.Callers {
+		t.Sent += c.Sent
+		t.Answered += c.Answered
+		t.Refused += c.Refused
+		t.Unknown += c.Unknown
+		t.Failed += c.Failed
+		t.Broken += c.Broken
+		t.Cancelled += c.Cancelled
+		t.Skipped += c.Skipped
+		t.Latency.Merge(c.Latency)
+	}
+	return t
+}
+
+// InvalidPlanError reports a plan that cannot run.
+type InvalidPlanError struct{ Caller, Detail string }
+
+func (e *InvalidPlanError) Error() string {
+	return fmt.Sprintf("load plan: caller %q: %s", e.Caller, e.Detail)
+}
+
+func (p Plan) validate() error {
+	names := map[string]bool{}
+	for _, c := range p.Callers {
+		switch {
+		case c.Name == "" || names[c.Name]:
+			return &InvalidPlanError{c.Name, "the name is empty or used twice"}
+		case (c.Rate == nil) == (c.Concurrency == 0):
+			return &InvalidPlanError{c.Name, "exactly one of rate and concurrency is required"}
+		case len(c.Targets) == 0 && c.Balancer == nil:
+			return &InvalidPlanError{c.Name, "no target"}
+		}
+		names[c.Name] = true
+	}
+	if p.DurationMS <= 0 {
+		return &InvalidPlanError{"", "duration_ms must be positive"}
+	}
+	return nil
+}
+
+type runState struct {
+	plan     Plan
+	recorder *history.Recorder
+	client   *http.Client
+	begin    time.Time
+	sent     atomic.Int64
+}
+
+// Run sends the requests of the plan and waits for all responses.
+func Run(ctx context.Context, p Plan) (*Report, error) {
+	if err := p.validate(); err != nil {
+		return nil, err
+	}
+	if p.MaxInFlight == 0 {
+		p.MaxInFlight = DefaultMaxInFlight
+	}
+	transport := &http.Transport{
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: p.MaxInFlight,
+		DisableCompression:  true,
+	}
+	defer transport.CloseIdleConnections()
+	r := &runState{
+		plan:     p,
+		recorder: history.NewRecorder(nil),
+		client:   &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		begin:    time.Now(),
+	}
+	report := &Report{Recorder: r.recorder, Callers: map[string]*Result{}}
+	var wg sync.WaitGroup
+	for i, c := range p.Callers {
+		s := newSender(r, c, int64(i))
+		report.Callers[c.Name] = &s.result
+		wg.Go(func() { s.run(ctx) })
+	}
+	wg.Wait()
+	report.Elapsed = time.Since(r.begin)
+	return report, nil
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// admit reports whether one more request may be sent.
+func (r *runState) admit() bool {
+	return r.plan.MaxRequests == 0 || r.sent.Add(1) <= int64(r.plan.MaxRequests)
+}
+
+func (r *runState) duration() time.Duration {
+	return time.Duration(r.plan.DurationMS) * time.Millisecond
+}
+
+// sender runs one caller.
+type sender struct {
+	*runState
+	caller Caller
+	index  int64
+
+	mu     sync.Mutex
+	rnd    *rand.Rand
+	number int
+	result Result
+}
+
+// seedStride separates the random sequences of the callers of one plan.
+const seedStride = 1_000_003
+
+func newSender(r *runState, c Caller, index int64) *sender {
+	return &sender{
+		runState: r,
+		caller:   c,
+		index:    index,
+		rnd:      rand.New(rand.NewSource(r.plan.Seed + (index+1)*seedStride)),
+		result:   Result{Latency: hdrhistogram.New(lowestMicros, highestMicros, digits)},
+	}
+}
+
+func (s *sender) run(ctx context.Context) {
+	if s.caller.Rate != nil {
+		s.openLoop(ctx)
+		return
+	}
+	var wg sync.WaitGroup
+	for range s.caller.Concurrency {
+		wg.Go(func() { s.closedLoop(ctx) })
+	}
+	wg.Wait()
+}
+
+// openLoop sends Poisson arrivals: candidates at the peak rate, each kept with
+// the probability of the current rate over the peak rate.
+func (s *sender) openLoop(ctx context.Context) {
+	peak := s.caller.Rate.peak()
+	if peak <= 0 {
+		return
+	}
+	// An own sequence keeps the arrival times independent of the other choices.
+	rnd := rand.New(rand.NewSource(s.plan.Seed ^ (s.index+1)*seedStride))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	open := make(chan struct{}, s.plan.MaxInFlight)
+	for at := time.Duration(0); ; {
+		at += time.Duration(rnd.ExpFloat64() / peak * float64(time.Second))
+		keep := rnd.Float64()*peak < s.caller.Rate.At(at)
+		if at >= s.duration() || !pause(ctx, time.Until(s.begin.Add(at))) {
+			return
+		}
+		if !keep {
+			continue
+		}
+		select {
+		case open <- struct{}{}:
+		default:
+			s.count(func(r *Result) { r.Skipped++ })
+			continue
+		}
+		if !s.admit() {
+			return
+		}
+		wg.Go(func() {
+			s.send(ctx)
+			<-open
+		})
+	}
+}
+
+// defaultRefusalPause keeps a refused closed loop from spinning.
+const defaultRefusalPause = 20 * time.Millisecond
+
+func (s *sender) closedLoop(ctx context.Context) {
+	wait := time.Duration(s.caller.RefusalPauseMS) * time.Millisecond
+	if wait == 0 {
+		wait = defaultRefusalPause
+	}
+	for time.Since(s.begin) < s.duration() && ctx.Err() == nil && s.admit() {
+		if ok := s.send(ctx); !ok && !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (s *sender) count(f func(*Result)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.result)
+}
+
+// pause waits for d; false means that ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/emulator/process/cell.go
@@ -0,0 +1,202 @@
+package process
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/relay"
+)
+
+// Options describes a cell of real processes.
+type Options struct {
+	// Daemon and Emulator are the paths of the two programs.
+	Daemon   string
+	Emulator string
+	// Dir receives settings, logs and events; empty means a new temporary directory.
+	Dir      string
+	Daemons  int
+	Timing   Timing
+	LogLevel string
+	Services []Service
+	Teams    []Team
+	// PeerRelays puts a relay in front of each daemon's peer listener, StoreRelays
+	// one between each daemon and the platform.
+	PeerRelays  bool
+	StoreRelays bool
+}
+
+// Cell is a running set of daemons, endpoints and the platform emulator.
+type Cell struct {
+	Options
+	Platform        *Process
+	PlatformAddress string
+	Daemons         []*Daemon
+	Endpoints       []*Endpoint
+	// Record holds the events of the operator's actions.
+	Record *history.Recorder
+
+	changes   int
+	processes []*Process
+	relays    []*relay.Relay
+	ownDir    bool
+}
+
+const (
+	operatorToken = "operator-token-of-the-test-harness"
+	cellSecret    = "cell-secret-of-the-test-harness-0123456789"
+	// startLimit bounds each wait for a started process.
+	startLimit = 15 * time.Second
+	// exitLimit bounds the wait for a planned stop of a daemon in Close.
+	exitLimit = 10 * time.Second
+)
+
+// New starts the platform emulator and the endpoints, but no daemon.
+func New(o Options) (*Cell, error) {
+	c := &Cell{Options: o, Record: history.NewRecorder(nil)}
+	if c.Dir == "" {
+		dir, err := os.MkdirTemp("", "samphirestile-cell-")
+		if err != nil {
+			return nil, &StartError{Name: "directory", Cause: err}
+		}
+		c.Dir, c.ownDir = dir, true
+	}
+	for i := range c.Services {
+		c.Services[i] = c.Services[i].withDefaults()
+	}
+	if err := c.startSurroundings(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Start starts a complete cell: platform, endpoints and daemons; it waits until
+// all daemons are ready and applies the configuration.
+func Start(o Options) (*Cell, error) {
+	c, err := New(o)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.startDaemons(o.Daemons); err != nil {
+		err = fmt.Errorf("%w\n%s", err, c.LogTails())
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cell) startDaemons(n int) error {
+	for range n {
+		if _, err := c.AddDaemon(); err != nil {
+			return err
+		}
+	}
+	if err := c.AwaitReady(startLimit); err != nil {
+		return err
+	}
+	if err := c.ApplyAll(); err != nil {
+		return err
+	}
+	return c.AwaitConfiguration(startLimit)
+}
+
+func (c *Cell) startSurroundings() error {
+	address, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	c.PlatformAddress = address
+	if c.Platform, err = c.spawn("platform", c.Emulator, "platform", "--listen", address); err != nil {
+		return err
+	}
+	for _, s := range c.Services {
+		for range s.Endpoints {
+			if _, err := c.AddEndpoint(s); err != nil {
+				return err
+			}
+		}
+	}
+	return awaitListening(c.Platform, address, startLimit)
+}
+
+func (c *Cell) spawn(name, path string, args ...string) (*Process, error) {
+	p, err := start(c.Dir, name, path, args...)
+	if err != nil {
+		return nil, err
+	}
+	c.processes = append(c.processes, p)
+	return p, nil
+}
+
+// Close ends every process and relay that the cell started.
+func (c *Cell) Close() {
+	for _, p := range c.processes {
+		if p.Running() {
+			p.Kill()
+		}
+	}
+	for _, r := range c.relays {
+		r.Close()
+	}
+	if c.ownDir {
+		// Leftovers in a temporary directory do no harm.
+		_ = os.RemoveAll(c.Dir)
+	}
+}
+
+// tailBytes bounds the log of one process in LogTails.
+const tailBytes = 2000
+
+// LogTails returns the end of the log of each daemon and of the platform.
+func (c *Cell) LogTails() string {
+	text := ""
+	for _, p := range c.processes {
+		log := p.Log()
+		if len(log) > tailBytes {
+			log = log[len(log)-tailBytes:]
+		}
+		if log != "" {
+			text += "--- " + p.Name + "\n" + log + "\n"
+		}
+	}
+	return text
+}
+
+// NotListeningError reports a process that does not accept connections in time.
+type NotListeningError struct{ Name, Address string }
+
+func (e *NotListeningError) Error() string {
+	return fmt.Sprintf("process %s: nothing listens on %s", e.Name, e.Address)
+}
+
+const pollInterval = 10 * time.Millisecond
+
+func awaitListening(p *Process, address string, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) && p.Running() {
+		c, err := net.DialTimeout("tcp", address, limit)
+		if err == nil {
+			return c.Close()
+		}
+		time.Sleep(pollInterval)
+	}
+	return &NotListeningError{Name: p.Name, Address: address}
+}
+
+func (c *Cell) relayTo(target string, classify func(net.Addr) string) (*relay.Relay, error) {
+	r, err := relay.Listen("127.0.0.1:0", target, classify)
+	if err != nil {
+		return nil, err
+	}
+	c.relays = append(c.relays, r)
+	return r, nil
+}
+
+func (c *Cell) path(name string) string { return filepath.Join(c.Dir, name) }
+
+func numbered(name string, n int) string { return name + "-" + strconv.Itoa(n) }
--- /dev/null
+++ b/internal/emulator/process/process.go
@@ -0,0 +1,192 @@
+// Package process starts and stops real processes of this project for tests,
+// benchmarks and the demo. It ends exactly the processes that it started, by
+// their process ID.
+package process
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one started process.
+type Process struct {
+	Name string
+	// LogPath holds standard output and standard error.
+	LogPath string
+
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// StartError reports a process that could not be started.
+type StartError struct {
+	Name  string
+	Cause error
+}
+
+func (e *StartError) Error() string { return fmt.Sprintf("process %s: start: %v", e.Name, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// ExitTimeoutError reports a process that did not end in time.
+type ExitTimeoutError struct {
+	Name  string
+	Limit time.Duration
+}
+
+func (e *ExitTimeoutError) Error() string {
+	return fmt.Sprintf("process %s: still running after %v", e.Name, e.Limit)
+}
+
+// start starts path with args; its output goes to a file in dir.
+func start(dir, name, path string, args ...string) (*Process, error) {
+	logPath := filepath.Join(dir, name+".log")
+	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	defer out.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The kernel ends the process when the test dies without cleaning up.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, &StartError{Name: name, Cause: err}
+	}
+	p := &Process{Name: name, LogPath: logPath, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Pause freezes the process.
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+
+// Resume continues a frozen process.
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+
+// Terminate asks for a planned stop without waiting for it.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// signal is harmless for an ended process: os.Process refuses to signal a
+// process that was already waited for, so a reused process ID is never hit.
+func (p *Process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Wait returns the exit status; -1 means ended by a signal.
+func (p *Process) Wait(limit time.Duration) (int, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+	case <-timer.C:
+		return 0, &ExitTimeoutError{Name: p.Name, Limit: limit}
+	}
+	var exit *exec.ExitError
+	if p.err != nil && !errors.As(p.err, &exit) {
+		return -1, p.err
+	}
+	return p.cmd.ProcessState.ExitCode(), nil
+}
+
+// CPU returns the processor time that the process has used so far.
+func (p *Process) CPU() time.Duration {
+	// Fields 14 and 15 of the stat file are user and system time in ticks; the
+	// command name before them may contain spaces, so counting starts after it.
+	raw, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.PID()), "stat"))
+	if err != nil {
+		return 0
+	}
+	fields := bytes.Fields(raw[bytes.LastIndexByte(raw, ')')+1:])
+	if len(fields) < statSystemTime+1 {
+		return 0
+	}
+	var ticks int64
+	for _, i := range []int{statUserTime, statSystemTime} {
+		n, _ := strconv.ParseInt(string(fields[i]), 10, 64)
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
+
+const (
+	statUserTime   = 11
+	statSystemTime = 12
+	ticksPerSecond = 100
+)
+
+// Log returns what the process has written.
+func (p *Process) Log() string {
+	raw, err := os.ReadFile(p.LogPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// Ports below the range from which the kernel takes ports of outgoing
+// connections, so that no connection occupies a chosen port before its server starts.
+const (
+	firstPort = 18000
+	portCount = 14000
+)
+
+var (
+	portMu   sync.Mutex
+	nextPort = rand.Intn(portCount)
+)
+
+// NoPortError reports that no loopback port is free.
+type NoPortError struct{}
+
+func (e *NoPortError) Error() string { return "process: no free loopback port" }
+
+// FreeAddress returns a loopback address that nobody listens on. An address is
+// not given out again by this process until all others were.
+func FreeAddress() (string, error) {
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range portCount {
+		nextPort = (nextPort + 1) % portCount
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+nextPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address, nil
+	}
+	return "", &NoPortError{}
+}
--- /dev/null
+++ b/internal/emulator/process/spec.go
@@ -0,0 +1,107 @@
+package process
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+)
+
+// Timing is the part of the daemon's settings that sets durations, in milliseconds.
+type Timing struct {
+	GraceMS     int `json:"grace_ms,omitempty"`
+	LeaseMS     int `json:"lease_ms,omitempty"`
+	VouchMS     int `json:"vouch_ms,omitempty"`
+	MarginMS    int `json:"margin_ms,omitempty"`
+	HeartbeatMS int `json:"heartbeat_ms,omitempty"`
+	FailureMS   int `json:"failure_ms,omitempty"`
+}
+
+// ShortTiming is one fifth of the durations of the design page, so that a test
+// that waits for a reclaim takes seconds.
+func ShortTiming() Timing {
+	return Timing{GraceMS: 300, LeaseMS: 2000, VouchMS: 2000, MarginMS: 400, HeartbeatMS: 200, FailureMS: 600}
+}
+
+// settings is the settings file of a daemon.
+type settings struct {
+	DaemonID             string   `json:"daemon_id"`
+	AvailabilityZone     string   `json:"availability_zone"`
+	ServiceAddress       string   `json:"service_address"`
+	PeerAddress          string   `json:"peer_address"`
+	AdvertisePeerAddress string   `json:"advertise_peer_address"`
+	OperatorAddress      string   `json:"operator_address"`
+	CellSecret           string   `json:"cell_secret"`
+	OperatorTokens       []string `json:"operator_tokens"`
+	PlatformAddress      string   `json:"platform_address"`
+	Peers                []string `json:"peers"`
+	LogLevel             string   `json:"log_level"`
+	Timing
+}
+
+// Service describes one service and its endpoints.
+type Service struct {
+	ID string
+	// Endpoints is the number of endpoint processes.
+	Endpoints int
+	// Slots is the declared number of slots of each endpoint.
+	Slots        int
+	Connections  int
+	MaxRunTimeMS int
+	MaxWaitMS    int
+	MaxBodyBytes int64
+	// OpenTeam makes the service open to callers without a key.
+	OpenTeam string
+	// Behaviour is the normal behaviour of the endpoints.
+	Behaviour endpoint.Settings
+}
+
+// Team describes one team.
+type Team struct {
+	ID      string
+	Account string
+	Weight  float64
+	Limit   int
+}
+
+// Defaults of services that name no figures; slots and connections are those of the design page.
+const (
+	defaultSlots        = 8
+	defaultConnections  = 64
+	defaultMaxRunTimeMS = 2000
+	defaultMaxWaitMS    = 1000
+)
+
+func (s Service) withDefaults() Service {
+	s.Slots = orDefault(s.Slots, defaultSlots)
+	s.Connections = orDefault(s.Connections, defaultConnections)
+	s.MaxRunTimeMS = orDefault(s.MaxRunTimeMS, defaultMaxRunTimeMS)
+	s.MaxWaitMS = orDefault(s.MaxWaitMS, defaultMaxWaitMS)
+	return s
+}
+
+func orDefault(n, d int) int {
+	if n == 0 {
+		return d
+	}
+	return n
+}
+
+// EncodingError reports a value that has no JSON form.
+type EncodingError struct {
+	What  string
+	Cause error
+}
+
+func (e *EncodingError) Error() string { return fmt.Sprintf("encode %s: %v", e.What, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *EncodingError) Unwrap() error { return e.Cause }
+
+func encode(what string, v any) ([]byte, error) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return nil, &EncodingError{What: what, Cause: err}
+	}
+	return raw, nil
+}
