--- /dev/null
+++ b/internal/emulator/history/check.go
@@ -0,0 +1,321 @@
+package history
+
+import (
+	"fmt"
+	"time"
+)
+
+// Violation reports an event that breaks a guarantee.
+type Violation struct {
+	Check  string
+	Event  Event
+	Detail string
+}
+
+// Error implements error.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("%s: %s (op %q, request %q, team %q, endpoint %q at %s)", v.Check, v.Detail,
+		v.Event.Op, v.Event.RequestID, v.Event.Team, v.Event.Endpoint, v.Event.Wall.Format(time.RFC3339Nano))
+}
+
+// Checker observes events in time order, once.
+type Checker interface {
+	Observe(Event)
+	// Violations is called after the last event.
+	Violations() []*Violation
+}
+
+// Check feeds events, which must be in time order, to all checkers.
+func Check(events []Event, checkers ...Checker) []*Violation {
+	for _, e := range events {
+		for _, c := range checkers {
+			c.Observe(e)
+		}
+	}
+	var all []*Violation
+	for _, c := range checkers {
+		all = append(all, c.Violations()...)
+	}
+	return all
+}
+
+// found collects violations.
+type found struct {
+	name string
+	list []*Violation
+}
+
+func (f *found) add(e Event, format string, args ...any) {
+	f.list = append(f.list, &Violation{Check: f.name, Event: e, Detail: fmt.Sprintf(format, args...)})
+}
+
+// Violations implements Checker.
+func (f *found) Violations() []*Violation { return f.list }
+
+// identity returns the op, or the request ID of a request without op.
+func identity(e Event) string {
+	if e.Op != "" {
+		return e.Op
+	}
+	return e.RequestID
+}
+
+// runningWork follows which requests run at which endpoint.
+type runningWork struct {
+	teams map[string]int
+	// byEndpoint counts running requests by endpoint and team, because a stopped
+	// endpoint ends all its requests.
+	byEndpoint map[string]map[string]int
+}
+
+func newRunningWork() runningWork {
+	return runningWork{teams: map[string]int{}, byEndpoint: map[string]map[string]int{}}
+}
+
+func (w runningWork) observe(e Event) {
+	switch e.Kind {
+	case KindStart:
+		w.add(e, 1)
+	case KindEnd:
+		w.add(e, -1)
+	case KindStopped:
+		for team, n := range w.byEndpoint[e.Endpoint] {
+			w.teams[team] -= n
+		}
+		delete(w.byEndpoint, e.Endpoint)
+	}
+}
+
+func (w runningWork) add(e Event, n int) {
+	teams := w.byEndpoint[e.Endpoint]
+	if teams == nil {
+		teams = map[string]int{}
+		w.byEndpoint[e.Endpoint] = teams
+	}
+	teams[e.Team] += n
+	w.teams[e.Team] += n
+}
+
+// TeamLimit checks that no request starts while its team already has as many
+// running requests as its upper limit.
+type TeamLimit struct {
+	found
+	// Overshoot is the largest number of running requests above the limit in force.
+	Overshoot int
+	// Peak is the largest number of running requests of each team.
+	Peak map[string]int
+
+	grace   time.Duration
+	work    runningWork
+	limits  map[string]int
+	lowered map[string]loweredLimit
+}
+
+type loweredLimit struct {
+	before int
+	until  int64
+}
+
+// NewTeamLimit returns a check with the first limits; after a limit was lowered
+// the previous one remains allowed for grace, the time in which a change takes effect.
+func NewTeamLimit(limits map[string]int, grace time.Duration) *TeamLimit {
+	c := &TeamLimit{
+		found:   found{name: "team limit"},
+		Peak:    map[string]int{},
+		grace:   grace,
+		work:    newRunningWork(),
+		limits:  map[string]int{},
+		lowered: map[string]loweredLimit{},
+	}
+	for t, n := range limits {
+		c.limits[t] = n
+	}
+	return c
+}
+
+// Observe implements Checker.
+func (c *TeamLimit) Observe(e Event) {
+	c.work.observe(e)
+	switch e.Kind {
+	case KindLimit:
+		c.change(e)
+	case KindStart:
+		running := c.work.teams[e.Team]
+		c.Peak[e.Team] = max(c.Peak[e.Team], running)
+		limit, known := c.limit(e)
+		if known && running > limit {
+			c.Overshoot = max(c.Overshoot, running-limit)
+			c.add(e, "%d running, limit %d", running, limit)
+		}
+	}
+}
+
+func (c *TeamLimit) change(e Event) {
+	before, _ := c.limit(e)
+	if e.Limit < before {
+		c.lowered[e.Team] = loweredLimit{before: before, until: e.TimeNS + int64(c.grace)}
+	}
+	c.limits[e.Team] = e.Limit
+}
+
+// limit returns the highest number allowed at the time of e.
+func (c *TeamLimit) limit(e Event) (int, bool) {
+	n, known := c.limits[e.Team]
+	if l := c.lowered[e.Team]; e.TimeNS < l.until {
+		n = max(n, l.before)
+	}
+	return n, known
+}
+
+// AtMostOnce checks that no op that was sent as non-idempotent starts twice.
+type AtMostOnce struct {
+	found
+	marked map[string]bool
+	starts map[string][]Event
+}
+
+// NewAtMostOnce returns the check.
+func NewAtMostOnce() *AtMostOnce {
+	return &AtMostOnce{found: found{name: "at most once"}, marked: map[string]bool{}, starts: map[string][]Event{}}
+}
+
+// Observe implements Checker.
+func (c *AtMostOnce) Observe(e Event) {
+	switch e.Kind {
+	case KindSend:
+		if e.NonIdempotent {
+			c.marked[identity(e)] = true
+		}
+	case KindStart:
+		c.starts[identity(e)] = append(c.starts[identity(e)], e)
+	}
+}
+
+// Violations implements Checker.
+func (c *AtMostOnce) Violations() []*Violation {
+	for op, starts := range c.starts {
+		if c.marked[op] && len(starts) > 1 {
+			c.add(starts[1], "started %d times", len(starts))
+		}
+	}
+	return c.list
+}
+
+// NotRun checks that a request whose outcome is not-run started nowhere, also
+// when the start was recorded after the response.
+type NotRun struct {
+	found
+	started map[string]Event
+	refused map[string]Event
+}
+
+// NewNotRun returns the check.
+func NewNotRun() *NotRun {
+	return &NotRun{found: found{name: "truth of not-run"}, started: map[string]Event{}, refused: map[string]Event{}}
+}
+
+// Observe implements Checker.
+func (c *NotRun) Observe(e Event) {
+	switch {
+	case e.Kind == KindStart:
+		c.started[identity(e)] = e
+	case e.Kind == KindResult && e.Outcome == "not-run":
+		c.refused[identity(e)] = e
+	}
+}
+
+// Violations implements Checker.
+func (c *NotRun) Violations() []*Violation {
+	for op, result := range c.refused {
+		if start, ok := c.started[op]; ok {
+			c.add(start, "the caller was told not-run with code %q", result.Code)
+		}
+	}
+	return c.list
+}
+
+// WholeResponses checks that every response from an endpoint was complete and
+// belonged to its request, and that every refusal was machine-readable.
+type WholeResponses struct {
+	found
+	// BrokenAllowed accepts aborted connections, as a killed daemon leaves them; an
+	// altered or foreign response is a violation anyway.
+	BrokenAllowed bool
+}
+
+// NewWholeResponses returns the check.
+func NewWholeResponses(brokenAllowed bool) *WholeResponses {
+	return &WholeResponses{found: found{name: "whole responses"}, BrokenAllowed: brokenAllowed}
+}
+
+// Observe implements Checker.
+func (c *WholeResponses) Observe(e Event) {
+	switch {
+	case e.Kind != KindResult || e.Cancelled:
+	case e.Error != "" && (!c.BrokenAllowed || e.Mismatched):
+		c.add(e, "%s", e.Error)
+	case e.Error == "" && e.Outcome == "" && !e.Whole:
+		c.add(e, "status %d without a verified body", e.Status)
+	}
+}
+
+// RevokedKey checks that no request with a revoked key starts later than grace
+// after the revocation.
+type RevokedKey struct {
+	found
+	grace   time.Duration
+	keys    map[string]string
+	revoked map[string]int64
+	// LastStart is the longest time after a revocation at which work of the key started.
+	LastStart time.Duration
+}
+
+// NewRevokedKey returns the check.
+func NewRevokedKey(grace time.Duration) *RevokedKey {
+	return &RevokedKey{found: found{name: "revoked key"}, grace: grace, keys: map[string]string{}, revoked: map[string]int64{}}
+}
+
+// Observe implements Checker.
+func (c *RevokedKey) Observe(e Event) {
+	switch e.Kind {
+	case KindSend:
+		c.keys[identity(e)] = e.KeyID
+	case KindRevoked:
+		c.revoked[e.KeyID] = e.TimeNS
+	case KindStart:
+		at, ok := c.revoked[c.keys[identity(e)]]
+		if !ok {
+			return
+		}
+		late := time.Duration(e.TimeNS - at)
+		c.LastStart = max(c.LastStart, late)
+		if late > c.grace {
+			c.add(e, "started %v after the revocation", late)
+		}
+	}
+}
+
+// Leaving checks that no request starts at a leaving endpoint later than grace after the mark.
+type Leaving struct {
+	found
+	grace time.Duration
+	marks map[string]int64
+}
+
+// NewLeaving returns the check.
+func NewLeaving(grace time.Duration) *Leaving {
+	return &Leaving{found: found{name: "leaving endpoint"}, grace: grace, marks: map[string]int64{}}
+}
+
+// Observe implements Checker.
+func (c *Leaving) Observe(e Event) {
+	switch e.Kind {
+	case KindLeaving:
+		c.marks[e.Endpoint] = e.TimeNS
+	case KindStart:
+		at, ok := c.marks[e.Endpoint]
+		if late := time.Duration(e.TimeNS - at); ok && late > c.grace {
+			c.add(e, "started %v after the mark", late)
+		}
+	}
+}
--- a/internal/emulator/history/event.go
+++ b/internal/emulator/history/event.go
@@ -67,7 +67,9 @@
 	// Cancelled reports that the caller left before the response.
 	Cancelled bool   `json:"cancelled,omitempty"`
 	Error     string `json:"error,omitempty"`
-	Limit     int    `json:"limit,omitempty"`
+	// Mismatched reports that a response arrived that was altered or belongs to another request.
+	Mismatched bool `json:"mismatched,omitempty"`
+	Limit      int  `json:"limit,omitempty"`
 	// CallerGone reports that the endpoint saw its caller leave.
 	CallerGone bool `json:"caller_gone,omitempty"`
 }
--- a/internal/emulator/load/request.go
+++ b/internal/emulator/load/request.go
@@ -65,6 +65,7 @@
 	if err := s.exchange(ctx, q, &event); err != nil {
 		event.Error = err.Error()
 		event.Cancelled = q.cancelAfter > 0 && ctx.Err() != nil
+		event.Mismatched = isMismatch(err)
 	}
 	event.LatencyNS = history.Now() - begin.TimeNS
 	s.recorder.Add(event)
@@ -196,6 +197,12 @@
 	return fmt.Sprintf("body of %q altered: %s", e.Op, e.Detail)
 }
 
+func isMismatch(err error) bool {
+	var foreign *ForeignResponseError
+	var altered *AlteredBodyError
+	return errors.As(err, &foreign) || errors.As(err, &altered)
+}
+
 // verify compares the response body with what the endpoint must have sent.
 func (s *sender) verify(resp *http.Response, q request) error {
 	switch {
