--- a/cmd/samphirestiled/main.go
+++ b/cmd/samphirestiled/main.go
@@ -1,3 +1,80 @@
+// Samphirestiled is the daemon of samphirestile. Every entry host runs one.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/daemon"
+	"samphirestile.example/samphirestile/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type runCommand struct {
+	Settings string `required:"" help:"Settings file (JSON)." placeholder:"FILE"`
+}
+
+// Run serves until SIGTERM or SIGINT and then stops gracefully.
+func (c *runCommand) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(os.Stderr)
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	log.SetLevel(level)
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
+
+type checkCommand struct {
+	Settings string `required:"" help:"Settings file (JSON)." placeholder:"FILE"`
+}
+
+// Run checks a settings file without starting anything.
+func (c *checkCommand) Run() error {
+	if _, err := settings.Load(c.Settings); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+type program struct {
+	Run   runCommand   `cmd:"" help:"Run the daemon."`
+	Check checkCommand `cmd:"" help:"Check a settings file without starting."`
+}
+
+func main() {
+	ctx := kong.Parse(&program{}, kong.Name("samphirestiled"), kong.Description("Daemon of samphirestile."), kong.UsageOnError())
+	err := ctx.Run()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "samphirestiled:", err)
+	if _, ok := err.(*settings.Error); ok {
+		os.Exit(exitSettings)
+	}
+	os.Exit(exitFailed)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,161 @@
+// Package daemon builds the parts of samphirestiled and starts and stops them
+// in order.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/allotment"
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/forward"
+	"samphirestile.example/samphirestile/internal/gateway"
+	"samphirestile.example/samphirestile/internal/keys"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/metrics"
+	"samphirestile.example/samphirestile/internal/peerapi"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/platform"
+	"samphirestile.example/samphirestile/internal/settings"
+	"samphirestile.example/samphirestile/internal/template"
+	"samphirestile.example/samphirestile/internal/upstream"
+)
+
+const (
+	// peerCallTimeout bounds one control message between daemons.
+	peerCallTimeout = time.Second
+	// peerIdleTimeout is longer than a heartbeat round of eight daemons, so that
+	// heartbeats seldom open a connection.
+	peerIdleTimeout = 30 * time.Second
+)
+
+// Daemon is one running samphirestiled.
+type Daemon struct {
+	settings *settings.Settings
+	log      *logrus.Logger
+	secret   peerapi.Secret
+	traffic  *traffic
+
+	metrics    *metrics.Registry
+	store      *platform.HTTPStore
+	revoked    *keys.Revoked
+	config     *config.Manager
+	membership *membership.Membership
+	allotments *allotment.Allotments
+	scheduler  *dispatch.Scheduler
+	upstream   *upstream.Client
+	forwarder  *forward.Forwarder
+	peerSide   *forward.Server
+	gateway    *gateway.Gateway
+	peerHTTP   *http.Client
+	peers      peerClients
+
+	background sync.WaitGroup
+}
+
+// New builds a daemon; nothing runs before Run.
+func New(s *settings.Settings, log *logrus.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		log:      log,
+		secret:   peerapi.Secret(s.CellSecret),
+		traffic:  &traffic{},
+		metrics:  metrics.New(),
+		revoked:  keys.NewRevoked(),
+		upstream: upstream.NewClient(0),
+		peers:    peerClients{m: map[string]*oas.Client{}},
+	}
+	store, err := platform.NewHTTP(platform.HTTPConfig{URL: "http://" + s.PlatformAddress})
+	if err != nil {
+		return nil, fmt.Errorf("platform adapter: %w", err)
+	}
+	d.store = store
+	d.peerHTTP = &http.Client{Timeout: peerCallTimeout, Transport: &http.Transport{
+		DialContext:     d.traffic.dial,
+		IdleConnTimeout: peerIdleTimeout,
+	}}
+	d.buildState()
+	d.buildPath()
+	return d, nil
+}
+
+// buildState builds the parts that agree with other daemons.
+func (d *Daemon) buildState() {
+	s := d.settings
+	d.config = config.New(config.Config{
+		Store:   d.store,
+		Hosts:   d.store,
+		Render:  template.Render,
+		Dial:    func(address string) (config.Peer, error) { return d.dialPeer(address) },
+		Self:    s.AdvertisePeerAddress,
+		Peers:   s.Peers,
+		Members: d.memberAddresses,
+		Revoked: d.revoked,
+		Log:     d.log.WithField("part", "config"),
+	})
+	d.membership = membership.New(membership.Config{
+		Daemon:            s.DaemonID,
+		Incarnation:       newIncarnation(),
+		PeerAddress:       s.AdvertisePeerAddress,
+		Zone:              fleet.AvailabilityZone(s.AvailabilityZone),
+		Store:             d.store,
+		Config:            d.config,
+		Dial:              func(address string) (membership.Peer, error) { return d.dialPeer(address) },
+		Logger:            d.log.WithField("part", "membership"),
+		RevokedCount:      d.config.RevokedCount,
+		OnPeerState:       d.observePeer,
+		Lease:             settings.Duration(s.LeaseMS),
+		VouchLifetime:     settings.Duration(s.VouchMS),
+		Margin:            settings.Duration(s.MarginMS),
+		HeartbeatInterval: settings.Duration(s.HeartbeatMS),
+		FailureTime:       settings.Duration(s.FailureMS),
+	})
+	d.allotments = allotment.New(allotment.Config{
+		Seats:  d.membership,
+		Store:  d.store,
+		Config: d.config,
+		Logger: d.log.WithField("part", "allotment"),
+	})
+	d.membership.Attach(d.allotments, nil)
+}
+
+// buildPath builds the parts that a request passes.
+func (d *Daemon) buildPath() {
+	d.scheduler = dispatch.New(dispatch.Config{Limiter: d.allotments})
+	options := forward.Options{
+		Config:      d.config,
+		Members:     d.membership,
+		Dispatcher:  d.scheduler,
+		Upstream:    d.upstream,
+		Secret:      d.secret,
+		Unreachable: func(m membership.Member) { d.membership.Probe(m.PeerAddress) },
+	}
+	d.forwarder = forward.New(options)
+	d.peerSide = forward.NewServer(options, 0)
+	d.gateway = gateway.New(gateway.Options{
+		Config:    d.config,
+		Verifier:  keys.NewVerifier(d.config, d.revoked),
+		Forwarder: d.forwarder,
+		Observer:  &requestLog{log: d.log, scope: d.metrics.Scope()},
+	})
+}
+
+func newIncarnation() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// goRun runs f until ctx ends; Run waits for it.
+func (d *Daemon) goRun(ctx context.Context, f func(context.Context)) {
+	d.background.Go(func() { f(ctx) })
+}
--- /dev/null
+++ b/internal/daemon/observe.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"samphirestile.example/samphirestile/internal/gateway"
+)
+
+// requestLog writes a log line and metrics for each finished request.
+type requestLog struct {
+	log   *logrus.Logger
+	scope tally.Scope
+}
+
+// latencyBuckets covers service times from 1 ms to about 16 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// Finished implements gateway.Observer.
+func (o *requestLog) Finished(f gateway.Finished) {
+	tags := map[string]string{
+		"service": string(f.Service), "team": string(f.Team), "status": strconv.Itoa(f.Status),
+		"code": string(f.Code), "outcome": string(f.Outcome),
+	}
+	o.scope.Tagged(tags).Counter("requests").Inc(1)
+	o.scope.Tagged(map[string]string{"service": string(f.Service)}).Histogram("request_seconds", latencyBuckets).RecordDuration(f.Total)
+
+	level := logrus.DebugLevel
+	if f.Code != "" {
+		level = logrus.InfoLevel
+	}
+	if !o.log.IsLevelEnabled(level) {
+		return
+	}
+	o.log.WithFields(logrus.Fields{
+		"request_id": f.RequestID, "team": f.Team, "service": f.Service, "method": f.Method, "status": f.Status,
+		"code": f.Code, "outcome": f.Outcome, "reason": f.Reason, "owner": f.Owner, "attempts": f.Attempts,
+		"total_ms": f.Total.Milliseconds(),
+	}).Log(level, "request finished")
+}
+
+// traffic counts the bytes of control messages between daemons, including HTTP headers.
+type traffic struct{ in, out atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	t *traffic
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.t.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.t.out.Add(int64(n))
+	return n, err
+}
+
+func (t *traffic) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, t}, nil
+}
+
+type countedListener struct {
+	net.Listener
+	t *traffic
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, l.t}, nil
+}
+
+// listener counts the connections of the peer listener; forwarded requests are
+// counted with the control messages there.
+func (t *traffic) listener(l net.Listener) net.Listener { return &countedListener{l, t} }
+
+const metricsInterval = time.Second
+
+// reportMetrics sets the gauges once a second.
+func (d *Daemon) reportMetrics(ctx context.Context) {
+	ticker := time.NewTicker(metricsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.setGauges()
+		}
+	}
+}
+
+func (d *Daemon) setGauges() {
+	scope := d.metrics.Scope()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	scope.Gauge("heap_bytes").Update(float64(memory.HeapInuse))
+	scope.Gauge("peer_listener_and_control_bytes_in").Update(float64(d.traffic.in.Load()))
+	scope.Gauge("peer_listener_and_control_bytes_out").Update(float64(d.traffic.out.Load()))
+	scope.Gauge("config_revision").Update(float64(d.config.Revision()))
+	scope.Gauge("requests_in_flight").Update(float64(d.gateway.InFlight()))
+	for service, s := range d.scheduler.Stats() {
+		tagged := scope.Tagged(map[string]string{"service": string(service)})
+		tagged.Gauge("owner_slots").Update(float64(s.Slots))
+		tagged.Gauge("owner_running").Update(float64(s.Running))
+		tagged.Gauge("owner_queued").Update(float64(s.Queued))
+	}
+}
--- /dev/null
+++ b/internal/daemon/peer.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"samphirestile.example/samphirestile/internal/peerapi"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+// peerClients keeps one client per peer address.
+type peerClients struct {
+	mu sync.Mutex
+	m  map[string]*oas.Client
+}
+
+func (d *Daemon) dialPeer(address string) (*oas.Client, error) {
+	d.peers.mu.Lock()
+	defer d.peers.mu.Unlock()
+	if c, ok := d.peers.m[address]; ok {
+		return c, nil
+	}
+	c, err := peerapi.NewClient(address, d.secret, d.peerHTTP)
+	if err != nil {
+		return nil, fmt.Errorf("client of peer %s: %w", address, err)
+	}
+	d.peers.m[address] = c
+	return c, nil
+}
+
+// peerHandler joins the handlers of the packages that own the state.
+type peerHandler struct{ d *Daemon }
+
+var _ oas.Handler = (*peerHandler)(nil)
+
+func (h *peerHandler) Heartbeat(ctx context.Context, r *oas.Heartbeat) (*oas.HeartbeatReply, error) {
+	return h.d.membership.Heartbeat(ctx, r)
+}
+
+func (h *peerHandler) Consent(ctx context.Context, r *oas.ConsentRequest) (*oas.ConsentReply, error) {
+	return h.d.membership.Consent(ctx, r)
+}
+
+func (h *peerHandler) Handover(ctx context.Context, r *oas.Handover) (*oas.HandoverReply, error) {
+	return h.d.membership.Handover(ctx, r)
+}
+
+func (h *peerHandler) Notice(ctx context.Context, r *oas.Notice) error {
+	return h.d.config.Notice(ctx, r)
+}
+
+func (h *peerHandler) Snapshot(ctx context.Context) (*oas.Snapshot, error) {
+	s, err := h.d.config.Snapshot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.Seats = h.d.membership.Seats()
+	return s, nil
+}
+
+func (h *peerHandler) Claim(ctx context.Context, r *oas.ClaimRequest) (*oas.ClaimReply, error) {
+	return nil, &notServedError{"claims"}
+}
+
+func (h *peerHandler) Settle(ctx context.Context, r *oas.SettleRequest) error {
+	return &notServedError{"claims"}
+}
+
+type notServedError struct{ what string }
+
+func (e *notServedError) Error() string { return "this daemon does not serve " + e.what }
+
+// NewError implements oas.Handler.
+func (h *peerHandler) NewError(_ context.Context, err error) *oas.FailureStatusCode {
+	status, code := http.StatusInternalServerError, "internal"
+	var security *ogenerrors.SecurityError
+	if errors.As(err, &security) {
+		status, code = http.StatusUnauthorized, "unauthorized"
+	}
+	return &oas.FailureStatusCode{StatusCode: status, Response: oas.Failure{Code: code, Detail: err.Error()}}
+}
