--- /dev/null
+++ b/internal/allotment/adjust.go
@@ -0,0 +1,556 @@
+package allotment
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+const (
+	// maxBackoff bounds the time between attempts that gain nothing. A team at its limit
+	// has queued requests all the time and must not read the record in vain each moment.
+	maxBackoff = 32
+	// maxOverBackoff is the bound while the sum is over the limit and nothing may start.
+	maxOverBackoff = 4
+	// maxReserve bounds the units that an idle daemon keeps for a first request.
+	maxReserve = 4
+	// readCost is the price of a read in the budget of writes.
+	readCost = 0.25
+	// maxAttempts bounds the writes of one adjustment that meet a conflict.
+	maxAttempts = 3
+)
+
+// peerDemand is what the peers reported of one team.
+type peerDemand struct {
+	// demand counts running and queued requests, starved those queued where no unit is free.
+	demand, starved int
+	// spare lists peers with unused units.
+	spare []string
+}
+
+// plan is one intended change of a team's record.
+type plan struct {
+	next  *record
+	seats []plannedSeat
+}
+
+// plannedSeat is the intended entry of one seat.
+type plannedSeat struct {
+	seat fleet.SeatID
+	u    *seatUnits
+	// before is the usable number, to be put back when the write had no effect.
+	before, entry, cap int
+}
+
+// Run moves units according to demand until ctx ends.
+func (a *Allotments) Run(ctx context.Context) error {
+	rows, stopRows := a.cfg.Seats.SubscribeRows()
+	defer stopRows()
+	conf, stopConf := a.cfg.Config.Subscribe()
+	defer stopConf()
+	tick := time.NewTicker(a.cfg.RetryInterval)
+	defer tick.Stop()
+	for {
+		a.step(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		case <-rows:
+		case <-conf:
+		case <-a.wake:
+		}
+		// Requests that find no unit wake this loop; the pause bounds its cost.
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(a.cfg.RetryInterval / 10):
+		}
+	}
+}
+
+// step looks at each team once, the most urgent first.
+func (a *Allotments) step(ctx context.Context) {
+	if !a.cfg.Seats.StoreVisible() {
+		// Nothing can move; caps must not hold work back meanwhile.
+		a.liftCaps()
+		return
+	}
+	a.dropLostSeats()
+	for _, id := range a.byUrgency() {
+		if ctx.Err() != nil {
+			return
+		}
+		a.adjust(ctx, id)
+	}
+}
+
+func (a *Allotments) liftCaps() {
+	a.mu.Lock()
+	lifted := false
+	for _, t := range a.teams {
+		for _, u := range t.seats {
+			lifted = lifted || u.cap != noCap
+			u.cap = noCap
+		}
+	}
+	a.mu.Unlock()
+	if lifted {
+		a.notify()
+	}
+}
+
+// dropLostSeats forgets the units of seats that this daemon no longer holds. The
+// grace time leaves the units in place while a handover is being prepared.
+func (a *Allotments) dropLostSeats() {
+	held := map[fleet.SeatID]bool{}
+	for _, s := range a.cfg.Seats.HeldSeats() {
+		held[s] = true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for _, t := range a.teams {
+		for s, u := range t.seats {
+			switch {
+			case held[s]:
+				u.awaited, u.missingSince = false, time.Time{}
+			case u.awaited:
+			case u.missingSince.IsZero():
+				u.missingSince = now
+			case u.inUse(now) == 0 && now.Sub(u.missingSince) > a.cfg.CallTimeout:
+				delete(t.seats, s)
+			}
+		}
+	}
+}
+
+func (a *Allotments) byUrgency() []fleet.TeamID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := a.cfg.Config.Current(); c != nil {
+		for id := range c.Teams {
+			a.team(id)
+		}
+	}
+	ids := make([]fleet.TeamID, 0, len(a.teams))
+	class := map[fleet.TeamID]int{}
+	for id, t := range a.teams {
+		ids = append(ids, id)
+		switch {
+		case t.record != nil && !a.withinLimit(t):
+			class[id] = 0
+		case t.queued > 0 || t.missed:
+			class[id] = 1
+		default:
+			class[id] = 2
+		}
+	}
+	slices.SortFunc(ids, func(x, y fleet.TeamID) int {
+		return cmp.Or(class[x]-class[y], cmp.Compare(x, y))
+	})
+	return ids
+}
+
+// adjust brings the entries of this daemon's seats for one team in line with demand.
+func (a *Allotments) adjust(ctx context.Context, id fleet.TeamID) {
+	for range maxAttempts {
+		p, read := a.prepare(id)
+		if read {
+			if !a.read(ctx, id) {
+				return
+			}
+			p, _ = a.prepare(id)
+		}
+		if p == nil {
+			break
+		}
+		if a.write(ctx, id, p) {
+			a.notify()
+			break
+		}
+	}
+	a.collectOrphans(ctx, id)
+}
+
+// read fetches the record; false ends the adjustment.
+func (a *Allotments) read(ctx context.Context, id fleet.TeamID) bool {
+	if !a.spend(readCost) {
+		return false
+	}
+	r, err := a.fetch(ctx, id)
+	if err != nil {
+		a.log.WithError(err).WithField("team", id).Debug("allotments not read")
+		return false
+	}
+	a.mu.Lock()
+	a.adopt(a.team(id), r, time.Now())
+	a.mu.Unlock()
+	a.notify()
+	return true
+}
+
+// spend takes n from the budget of writes.
+func (a *Allotments) spend(n float64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.tokens += float64(now.Sub(a.refilled)) / float64(a.cfg.WriteInterval)
+	a.tokens = min(a.tokens, float64(a.cfg.WriteBurst))
+	a.refilled = now
+	if a.tokens < n {
+		return false
+	}
+	a.tokens -= n
+	return true
+}
+
+// peerRows sums the peers' rows of one team.
+func (a *Allotments) peerRows(id fleet.TeamID) peerDemand {
+	var d peerDemand
+	for _, p := range a.cfg.Seats.PeerTeamRows() {
+		if !p.Active || p.Leaving {
+			continue
+		}
+		for _, r := range p.Rows {
+			if r.Team != string(id) {
+				continue
+			}
+			d.demand += r.Running + r.Queued
+			if r.Queued > 0 && r.Running >= r.Units {
+				d.starved += r.Queued
+			}
+			if r.Units > r.Running+r.Queued {
+				d.spare = append(d.spare, p.Incarnation)
+			}
+		}
+	}
+	return d
+}
+
+// reserve is the number of units that this daemon keeps for a first request. A
+// team whose limit is smaller than the number of daemons has its units at few of them.
+func (a *Allotments) reserve(id fleet.TeamID, limit int) int {
+	daemons := map[string]bool{}
+	self := ""
+	for _, m := range a.cfg.Seats.View().Members {
+		if m.Active {
+			daemons[m.Incarnation] = true
+		}
+		if m.Self {
+			self = m.Incarnation
+		}
+	}
+	n := len(daemons)
+	if n == 0 || self == "" {
+		return 0
+	}
+	if limit >= n {
+		return min(max(limit/(2*n), 1), maxReserve)
+	}
+	rank := 0
+	for d := range daemons {
+		if score(id, d) < score(id, self) {
+			rank++
+		}
+	}
+	if rank < limit {
+		return 1
+	}
+	return 0
+}
+
+func score(id fleet.TeamID, daemon string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	h.Write([]byte{0})
+	h.Write([]byte(daemon))
+	x := h.Sum64()
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+// prepare decides on the next change. read asks to read the record first.
+// The local counts are lowered here, before the write.
+func (a *Allotments) prepare(id fleet.TeamID) (p *plan, read bool) {
+	peers := a.peerRows(id)
+	held := a.cfg.Seats.HeldSeats()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t, now := a.team(id), time.Now()
+	if t.record == nil {
+		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
+	}
+	limit, _ := a.effectiveLimit(t)
+	if !a.withinLimit(t) && (t.record.Limit > limit || t.record.sum() > limit) {
+		return a.prepareOver(t, held, limit, now)
+	}
+	d := a.demand(t, held, now)
+	want := a.target(t, d, limit, peers)
+	return a.prepareTarget(t, held, d, want, limit, peers, now)
+}
+
+// delay moves the team's next vain attempt back; it always returns true.
+func (a *Allotments) delay(t *team, now time.Time, bound time.Duration) bool {
+	t.backoff = min(max(t.backoff*2, a.cfg.RetryInterval), bound*a.cfg.RetryInterval)
+	t.tryAfter = now.Add(t.backoff)
+	return true
+}
+
+// demandState is the team's state on this daemon.
+type demandState struct {
+	units, inUse, demand int
+}
+
+func (a *Allotments) demand(t *team, held []fleet.SeatID, now time.Time) demandState {
+	var d demandState
+	for _, s := range held {
+		if t.record.Holders[s] > 0 {
+			// An entry that was left without local units goes back to the record.
+			t.seat(s)
+		}
+		if u := t.seats[s]; u != nil && !u.exported {
+			d.units += u.units
+			d.inUse += u.inUse(now)
+		}
+	}
+	d.demand = d.inUse + t.queued
+	if t.missed && t.queued == 0 {
+		d.demand++
+	}
+	t.missed = false
+	if now.Sub(t.peakSince) >= a.cfg.IdleTime {
+		t.lastPeak, t.peak, t.peakSince = t.peak, 0, now
+	}
+	t.peak = max(t.peak, d.demand)
+	return d
+}
+
+// target returns the number of units that this daemon should have.
+func (a *Allotments) target(t *team, d demandState, limit int, peers peerDemand) int {
+	if peers.starved > 0 {
+		total := d.demand + peers.demand
+		if total <= limit || d.demand == 0 {
+			return d.demand
+		}
+		// Rounding up keeps the last unit of a small limit where it is used.
+		return min(d.demand, (limit*d.demand+total-1)/total)
+	}
+	idle := max(t.peak, t.lastPeak, a.reserve(t.id, limit))
+	if d.demand > d.units {
+		// The headroom saves writes while demand grows.
+		return max(d.demand+d.demand/4, idle)
+	}
+	if d.units-idle <= idle/4 {
+		return max(d.units, idle)
+	}
+	return idle
+}
+
+// prepareOver lowers this daemon's entries after the limit was lowered.
+func (a *Allotments) prepareOver(t *team, held []fleet.SeatID, limit int, now time.Time) (*plan, bool) {
+	if now.Sub(t.readAt) > a.cfg.RetryInterval {
+		if now.Before(t.tryAfter) {
+			return nil, false
+		}
+		return nil, a.delay(t, now, maxOverBackoff)
+	}
+	next := t.record.clone()
+	sum := next.sum()
+	p := a.newPlan(t, next, limit)
+	for _, s := range held {
+		u := t.seats[s]
+		if u == nil || u.exported {
+			continue
+		}
+		entry := u.units
+		if sum > limit {
+			entry = min(entry, max(u.inUse(now), u.units*limit/sum))
+		}
+		p.add(t, s, u, entry, noCap, now)
+	}
+	return a.checkPlan(t, p), false
+}
+
+// prepareTarget raises or lowers the entries towards the target.
+func (a *Allotments) prepareTarget(
+	t *team, held []fleet.SeatID, d demandState, want, limit int, peers peerDemand, now time.Time,
+) (*plan, bool) {
+	next := t.record.clone()
+	p := a.newPlan(t, next, limit)
+	surplus := max(0, d.units-want)
+	raised := false
+	for i := len(held) - 1; i >= 0; i-- {
+		u := t.seats[held[i]]
+		if u == nil || u.exported {
+			continue
+		}
+		entry, limitTo := u.units, noCap
+		if surplus > 0 {
+			limitTo = max(0, u.units-surplus)
+			entry = max(u.inUse(now), limitTo)
+			surplus -= min(u.units, surplus)
+		}
+		p.add(t, held[i], u, entry, limitTo, now)
+	}
+	if want > d.units {
+		free := limit - next.sum()
+		if free <= 0 && d.demand > d.units {
+			if now.After(t.tryAfter) {
+				a.cfg.askSpare(peers.spare)
+				return nil, a.delay(t, now, maxBackoff)
+			}
+			return a.checkPlan(t, p), false
+		}
+		for _, s := range held {
+			if free > 0 && a.cfg.Seats.SeatMayStart(s) {
+				u := t.seat(s)
+				if !u.exported {
+					p.add(t, s, u, u.units+min(free, want-d.units), noCap, now)
+					raised = true
+					break
+				}
+			}
+		}
+	}
+	if raised || d.demand <= d.units {
+		t.backoff, t.tryAfter = 0, time.Time{}
+	}
+	return a.checkPlan(t, p), false
+}
+
+// askSpare lets peers with unused units learn of the queued requests at once.
+func (c *Config) askSpare(peers []string) {
+	const most = 2
+	c.Seats.HeartbeatNow(peers[:min(len(peers), most)]...)
+}
+
+func (a *Allotments) newPlan(t *team, next *record, limit int) *plan {
+	if rev := a.revision(); rev >= next.Revision && next.Limit != limit {
+		next.Limit, next.Revision = limit, rev
+	}
+	return &plan{next: next}
+}
+
+// add plans the entry of one seat; it replaces an earlier one. No entry goes below the units in use.
+func (p *plan) add(t *team, s fleet.SeatID, u *seatUnits, entry, limitTo int, now time.Time) {
+	entry = max(entry, min(u.inUse(now), t.record.Holders[s]))
+	p.next.set(s, entry)
+	p.seats = slices.DeleteFunc(p.seats, func(x plannedSeat) bool { return x.seat == s })
+	p.seats = append(p.seats, plannedSeat{seat: s, u: u, before: u.units, entry: entry, cap: limitTo})
+}
+
+// checkPlan applies the caps and returns the plan if it changes the record, after
+// lowering the local counts.
+func (a *Allotments) checkPlan(t *team, p *plan) *plan {
+	for _, x := range p.seats {
+		x.u.cap = x.cap
+	}
+	changed := len(p.next.Holders) != len(t.record.Holders)
+	raises := false
+	for s, n := range p.next.Holders {
+		changed = changed || n != t.record.Holders[s]
+		raises = raises || n > t.record.Holders[s]
+	}
+	changed = changed || (p.next.Limit != t.record.Limit && (raises || p.next.Limit < t.record.Limit))
+	if !changed || (raises && p.next.sum() > p.next.Limit) {
+		return nil
+	}
+	for _, x := range p.seats {
+		x.u.units = min(x.u.units, x.entry)
+	}
+	return p
+}
+
+// write sends the plan; false asks to prepare again.
+func (a *Allotments) write(ctx context.Context, id fleet.TeamID, p *plan) bool {
+	if !a.spend(1) {
+		a.settle(p, func(u *seatUnits, before, _ int) { u.units = before })
+		return true
+	}
+	expect := p.next.version
+	err := a.put(ctx, id, p.next)
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
+	switch {
+	case err == nil:
+		a.settle(p, func(u *seatUnits, _, entry int) {
+			u.units, u.uncertain, u.imported = entry, false, false
+		})
+		a.mu.Lock()
+		t := a.team(id)
+		t.record, t.readAt = p.next, time.Now()
+		a.mu.Unlock()
+		return true
+	case errors.As(err, &unavailable):
+		a.settle(p, func(u *seatUnits, before, _ int) {
+			if !u.uncertain {
+				u.units = before
+			}
+		})
+		return true
+	}
+	// A conflict may also follow an own write that applied and was repeated on the way,
+	// so both cases use the smaller number until a later version is read.
+	a.settle(p, func(u *seatUnits, _, _ int) {
+		u.uncertain, u.fence = true, max(u.fence, expect)
+	})
+	return !errors.As(err, &conflict) || !a.read(ctx, id)
+}
+
+// settle applies the outcome of a write to the seats that are still held. A seat
+// that was handed over and came back meanwhile has another seatUnits.
+func (a *Allotments) settle(p *plan, f func(u *seatUnits, before, entry int)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, x := range p.seats {
+		if !x.u.exported {
+			f(x.u, x.before, x.entry)
+		}
+	}
+}
+
+// collectOrphans removes entries of seats that no longer exist. Such an entry is
+// left when a write of a lost seat is delivered after its reclaim. The record is
+// read before the seat, and a seat exists before its first entry and never
+// again after its deletion, so an entry of a live seat is never removed.
+func (a *Allotments) collectOrphans(ctx context.Context, id fleet.TeamID) {
+	known := map[fleet.SeatID]bool{}
+	for _, m := range a.cfg.Seats.View().Members {
+		known[m.Seat] = true
+	}
+	a.mu.Lock()
+	t := a.team(id)
+	var orphan fleet.SeatID
+	if t.record != nil && t.backoff > 0 && t.queued > 0 {
+		for s := range t.record.Holders {
+			if !known[s] {
+				orphan = s
+			}
+		}
+	}
+	a.mu.Unlock()
+	if orphan == "" || !a.spend(1) {
+		return
+	}
+	r, err := a.fetch(ctx, id)
+	if err != nil {
+		return
+	}
+	if gone, err := a.cfg.Seats.SeatDeleted(ctx, orphan); err != nil || !gone {
+		return
+	}
+	delete(r.Holders, orphan)
+	if a.put(ctx, id, r) == nil {
+		a.mu.Lock()
+		a.adopt(t, r, time.Now())
+		a.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/allotment/config.go
@@ -0,0 +1,92 @@
+package allotment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// Defaults of Config.
+const (
+	// DefaultWriteInterval is the mean time between two store writes of a daemon.
+	DefaultWriteInterval = time.Second
+	// DefaultWriteBurst allows a daemon to take its reserves of several teams at start.
+	DefaultWriteBurst = 8
+	// DefaultIdleTime is how long units stay unused before they return to the record.
+	DefaultIdleTime = 5 * time.Second
+	// DefaultRetryInterval is the time between two attempts to get units for queued requests.
+	DefaultRetryInterval = 250 * time.Millisecond
+	// DefaultCallTimeout bounds one store call.
+	DefaultCallTimeout = time.Second
+)
+
+// Seats is the part of membership that the limiter uses; *membership.Membership implements it.
+type Seats interface {
+	// HeldSeats returns the seats of this daemon that exist in the store.
+	HeldSeats() []fleet.SeatID
+	// SeatMayStart reports whether new work may start under the seat now.
+	SeatMayStart(seat fleet.SeatID) bool
+	// SeatRight reports whether work admitted under the seat may still be sent.
+	SeatRight(seat fleet.SeatID) bool
+	// SeatDeleted reads from the store whether the seat no longer exists.
+	SeatDeleted(ctx context.Context, seat fleet.SeatID) (bool, error)
+	// StoreVisible reports whether the last call to the store was answered.
+	StoreVisible() bool
+	View() membership.View
+	PeerTeamRows() []membership.PeerRows
+	SubscribeRows() (changed <-chan struct{}, stop func())
+	HeartbeatNow(incarnations ...string)
+}
+
+// Config has the settings and collaborators of Allotments. Zero durations take the defaults.
+type Config struct {
+	Seats  Seats
+	Store  platform.Store
+	Config config.Source
+	Logger logrus.FieldLogger
+
+	WriteInterval time.Duration
+	WriteBurst    int
+	IdleTime      time.Duration
+	RetryInterval time.Duration
+	CallTimeout   time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	set := func(d *time.Duration, def time.Duration) {
+		if *d == 0 {
+			*d = def
+		}
+	}
+	set(&c.WriteInterval, DefaultWriteInterval)
+	set(&c.IdleTime, DefaultIdleTime)
+	set(&c.RetryInterval, DefaultRetryInterval)
+	set(&c.CallTimeout, DefaultCallTimeout)
+	if c.WriteBurst == 0 {
+		c.WriteBurst = DefaultWriteBurst
+	}
+	if c.Logger == nil {
+		c.Logger = logrus.StandardLogger()
+	}
+	return c
+}
+
+// ReclaimError reports a seat whose entries could not all be removed.
+type ReclaimError struct {
+	Seat  fleet.SeatID
+	Cause error
+}
+
+func (e *ReclaimError) Error() string {
+	return fmt.Sprintf("units of seat %s not removed: %v", e.Seat, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ReclaimError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/membership/cell_test.go
@@ -0,0 +1,562 @@
+package membership_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/allotment"
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+func TestMembership(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "membership")
+}
+
+// The durations are those of the design divided by 25.
+const (
+	interval = 40 * time.Millisecond
+	lease    = 10 * interval
+	margin   = 2 * interval
+	failure  = 3 * interval
+	renewal  = 4 * interval
+	maxRun   = 5 * interval
+)
+
+// memoryStore is the shared store of a test cell.
+type memoryStore struct {
+	mu       sync.Mutex
+	down     bool
+	records  map[string]platform.Entry
+	revision uint64
+}
+
+// storeClient is one daemon's access to the store, with its faults.
+type storeClient struct {
+	platform.Store
+	*memoryStore
+	node *node
+	// cut, loseAnswers and delayWrites are guarded by memoryStore.mu. The two last are
+	// percentages of the writes: applied with a lost answer, and applied after a while.
+	cut                      bool
+	loseAnswers, delayWrites int
+	rng                      *rand.Rand
+}
+
+var errLink = errors.New("link is cut")
+
+func (c *storeClient) enter(ctx context.Context) error {
+	if err := c.node.gate(ctx); err != nil {
+		return &platform.UnavailableError{Cause: err}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down || c.cut {
+		return &platform.UnavailableError{Cause: errLink}
+	}
+	return nil
+}
+
+func (c *storeClient) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := c.enter(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	c.mu.Lock()
+	e, ok := c.records[key]
+	c.mu.Unlock()
+	if err := c.node.gate(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	if !ok {
+		return platform.Entry{}, &platform.NotFoundError{Key: key}
+	}
+	return e, nil
+}
+
+func (c *storeClient) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []platform.Entry
+	for k, e := range c.records {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, c.revision, nil
+}
+
+func (c *storeClient) Put(
+	ctx context.Context, key string, value []byte, expect uint64, _ platform.LeaseID,
+) (uint64, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	lose, late := c.rng.IntN(100) < c.loseAnswers, c.rng.IntN(100) < c.delayWrites
+	c.mu.Unlock()
+	apply := func() (uint64, error) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if v := c.records[key].Version; v != expect {
+			return 0, &platform.ConflictError{Key: key, Expect: expect, Current: v}
+		}
+		c.revision++
+		c.records[key] = platform.Entry{Key: key, Value: value, Version: c.revision}
+		return c.revision, nil
+	}
+	if late {
+		time.AfterFunc(3*interval, func() { _, _ = apply() })
+		return 0, &platform.UnknownOutcomeError{Key: key, Cause: errLink}
+	}
+	version, err := apply()
+	if gone := c.node.gate(ctx); gone != nil || lose {
+		return 0, &platform.UnknownOutcomeError{Key: key, Cause: errLink}
+	}
+	return version, err
+}
+
+func (c *storeClient) Delete(ctx context.Context, key string, expect uint64) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.records[key]
+	if !ok {
+		return &platform.NotFoundError{Key: key}
+	}
+	if e.Version != expect {
+		return &platform.ConflictError{Key: key, Expect: expect, Current: e.Version}
+	}
+	c.revision++
+	delete(c.records, key)
+	return nil
+}
+
+// settings is the configuration of a test cell.
+type settings struct {
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+	subs     []chan struct{}
+}
+
+func (s *settings) Current() *config.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *settings) Subscribe() (<-chan struct{}, func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ch := make(chan struct{}, 1)
+	s.subs = append(s.subs, ch)
+	return ch, func() {}
+}
+
+func (s *settings) set(limits map[fleet.TeamID]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := &config.Snapshot{
+		Revision: 1, Teams: map[fleet.TeamID]fleet.Team{},
+		Services: map[fleet.ServiceID]fleet.Service{"press": {ID: "press", MaxRunTime: maxRun}},
+	}
+	if s.snapshot != nil {
+		next.Revision = s.snapshot.Revision + 1
+	}
+	for t, l := range limits {
+		next.Teams[t] = fleet.Team{ID: t, Limit: l, Weight: 1}
+	}
+	s.snapshot = next
+	for _, ch := range s.subs {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// cell is a number of daemons in one process.
+type cell struct {
+	store    *memoryStore
+	settings *settings
+	seed     uint64
+
+	mu    sync.Mutex
+	nodes map[string]*node
+	cuts  map[string]bool
+	// running counts the work of each team at the endpoints, over all daemons.
+	running   map[fleet.TeamID]int
+	limits    map[fleet.TeamID]int
+	overshoot int
+	starts    map[string]int
+	next      int
+	changed   map[fleet.TeamID]time.Time
+}
+
+type node struct {
+	*membership.Membership
+	cell    *cell
+	name    string
+	client  *storeClient
+	units   *allotment.Allotments
+	cancel  context.CancelFunc
+	stopped chan struct{}
+
+	mu      sync.Mutex
+	frozen  chan struct{}
+	killed  bool
+	workers sync.WaitGroup
+}
+
+func newCell(seed uint64, limits map[fleet.TeamID]int) *cell {
+	c := &cell{
+		store:    &memoryStore{records: map[string]platform.Entry{}},
+		settings: &settings{}, seed: seed, nodes: map[string]*node{}, cuts: map[string]bool{},
+		running: map[fleet.TeamID]int{}, starts: map[string]int{},
+	}
+	c.setLimits(limits)
+	ginkgo.DeferCleanup(c.close)
+	return c
+}
+
+func (c *cell) setLimits(limits map[fleet.TeamID]int) {
+	c.mu.Lock()
+	c.limits = limits
+	c.mu.Unlock()
+	c.settings.set(limits)
+}
+
+// start adds a daemon; setup changes it before it runs.
+func (c *cell) start(setup ...func(*node)) *node {
+	c.mu.Lock()
+	c.next++
+	n := &node{cell: c, name: fmt.Sprintf("d%d", c.next), stopped: make(chan struct{})}
+	c.nodes[n.name] = n
+	c.mu.Unlock()
+	n.client = &storeClient{memoryStore: c.store, node: n, rng: rand.New(rand.NewPCG(c.seed, uint64(c.next)))}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n.Membership = membership.New(membership.Config{
+		Daemon: n.name, Incarnation: "i-" + n.name, PeerAddress: n.name, Store: n.client, Config: c.settings,
+		Dial:   func(address string) (membership.Peer, error) { return &link{from: n, to: address}, nil },
+		Logger: quiet, Lease: lease, VouchLifetime: lease, Margin: margin, HeartbeatInterval: interval,
+		FailureTime: failure, RenewalInterval: renewal, ListInterval: lease,
+	})
+	n.units = allotment.New(allotment.Config{
+		Seats: n.Membership, Store: n.client, Config: c.settings, Logger: quiet, WriteInterval: interval,
+		IdleTime: 5 * interval, RetryInterval: interval / 4, CallTimeout: interval,
+	})
+	n.Attach(n.units, nil)
+	for _, f := range setup {
+		f(n)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.stopped)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = n.Run(ctx) })
+		wg.Go(func() { _ = n.units.Run(ctx) })
+		wg.Wait()
+	}()
+	return n
+}
+
+func (c *cell) startAll(count int, setup ...func(*node)) []*node {
+	var out []*node
+	for range count {
+		out = append(out, c.start(setup...))
+	}
+	gomega.Eventually(func(g gomega.Gomega) {
+		for _, n := range out {
+			g.Expect(n.RightValid()).To(gomega.BeTrue())
+			g.Expect(activeSeats(n)).To(gomega.BeNumerically(">=", count))
+		}
+	}, "3s", "5ms").Should(gomega.Succeed())
+	return out
+}
+
+func activeSeats(n *node) int {
+	count := 0
+	for _, m := range n.View().Members {
+		if m.Active {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *cell) close() {
+	c.mu.Lock()
+	nodes := make([]*node, 0, len(c.nodes))
+	for _, n := range c.nodes {
+		nodes = append(nodes, n)
+	}
+	c.mu.Unlock()
+	for _, n := range nodes {
+		n.kill()
+	}
+	for _, n := range nodes {
+		<-n.stopped
+		n.workers.Wait()
+	}
+}
+
+// kill ends the daemon; its work goes on at the endpoints.
+func (n *node) kill() {
+	n.thaw()
+	n.mu.Lock()
+	n.killed = true
+	n.mu.Unlock()
+	n.cancel()
+}
+
+func (n *node) dead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.killed
+}
+
+// freeze holds the daemon at its next message or store call, and its workers.
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen = make(chan struct{})
+}
+
+func (n *node) thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen != nil {
+		close(n.frozen)
+		n.frozen = nil
+	}
+}
+
+// gate waits while the daemon is frozen. A frozen process does not see its deadlines pass.
+func (n *node) gate(ctx context.Context) error {
+	n.mu.Lock()
+	f, killed := n.frozen, n.killed
+	n.mu.Unlock()
+	if f != nil {
+		<-f
+	}
+	if killed {
+		return errLink
+	}
+	return ctx.Err()
+}
+
+// cut stops messages between two daemons in both directions until heal.
+func (c *cell) cut(a, b string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cuts[a+b], c.cuts[b+a] = true, true
+}
+
+func (c *cell) heal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.cuts)
+}
+
+// isolate cuts a daemon from all peers.
+func (c *cell) isolate(n *node) {
+	for _, o := range c.nodes {
+		if o != n {
+			c.cut(n.name, o.name)
+		}
+	}
+}
+
+// setStore takes the store down for all daemons or brings it back.
+func (c *cell) setStore(down bool) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.down = down
+}
+
+func (n *node) setFaults(f func(*storeClient)) {
+	n.client.mu.Lock()
+	defer n.client.mu.Unlock()
+	f(n.client)
+}
+
+// link carries the messages of one daemon to an address.
+type link struct {
+	from *node
+	to   string
+}
+
+type message interface {
+	MarshalJSON() ([]byte, error)
+	UnmarshalJSON([]byte) error
+}
+
+func send[Q, R any, QP interface {
+	*Q
+	message
+}, RP interface {
+	*R
+	message
+}](ctx context.Context, l *link, q QP, handle func(*node, QP) (RP, error)) (RP, error) {
+	body, err := q.MarshalJSON()
+	if err != nil {
+		return nil, err
+	}
+	if err := l.from.gate(ctx); err != nil {
+		return nil, err
+	}
+	c := l.from.cell
+	c.mu.Lock()
+	to, cut := c.nodes[l.to], c.cuts[l.from.name+l.to]
+	c.mu.Unlock()
+	if to == nil || cut || to.dead() {
+		return nil, errLink
+	}
+	type result struct {
+		r   RP
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		if to.gate(context.Background()) != nil {
+			return
+		}
+		copied := QP(new(Q))
+		if err := copied.UnmarshalJSON(body); err != nil {
+			done <- result{err: err}
+			return
+		}
+		r, err := handle(to, copied)
+		done <- result{r, err}
+	}()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case res := <-done:
+		if res.err != nil {
+			return nil, res.err
+		}
+		if err := l.from.gate(ctx); err != nil {
+			return nil, err
+		}
+		back, err := res.r.MarshalJSON()
+		if err != nil {
+			return nil, err
+		}
+		out := RP(new(R))
+		return out, out.UnmarshalJSON(back)
+	}
+}
+
+func (l *link) Heartbeat(ctx context.Context, q *oas.Heartbeat) (*oas.HeartbeatReply, error) {
+	return send(ctx, l, q, func(n *node, q *oas.Heartbeat) (*oas.HeartbeatReply, error) { return n.Heartbeat(ctx, q) })
+}
+
+func (l *link) Consent(ctx context.Context, q *oas.ConsentRequest) (*oas.ConsentReply, error) {
+	return send(ctx, l, q, func(n *node, q *oas.ConsentRequest) (*oas.ConsentReply, error) { return n.Consent(ctx, q) })
+}
+
+func (l *link) Handover(ctx context.Context, q *oas.Handover) (*oas.HandoverReply, error) {
+	return send(ctx, l, q, func(n *node, q *oas.Handover) (*oas.HandoverReply, error) { return n.Handover(ctx, q) })
+}
+
+// begin starts one piece of work if the daemon may, and checks the limit over all daemons.
+func (n *node) begin(team fleet.TeamID, run time.Duration) bool {
+	unit, ok := n.units.TryAcquireUnit(team)
+	if !ok {
+		return false
+	}
+	_ = n.gate(context.Background())
+	c := n.cell
+	c.mu.Lock()
+	if !unit.StillValid() {
+		c.mu.Unlock()
+		unit.Release()
+		return false
+	}
+	c.running[team]++
+	c.starts[n.name]++
+	c.overshoot = max(c.overshoot, c.running[team]-c.limits[team])
+	c.mu.Unlock()
+	n.workers.Go(func() {
+		time.Sleep(run)
+		// The endpoint ends first, then the daemon learns of it.
+		c.mu.Lock()
+		c.running[team]--
+		c.mu.Unlock()
+		_ = n.gate(context.Background())
+		unit.Release()
+	})
+	return true
+}
+
+// load keeps a queue of the team at the daemon until ctx ends.
+func (n *node) load(ctx context.Context, team fleet.TeamID, queued int, run time.Duration) {
+	n.workers.Go(func() {
+		rng := rand.New(rand.NewPCG(n.cell.seed, 77))
+		for ctx.Err() == nil && !n.dead() {
+			_ = n.gate(context.Background())
+			n.units.SetDemand(team, queued)
+			for n.begin(team, run/2+time.Duration(rng.Int64N(int64(run/2)+1))) {
+			}
+			time.Sleep(interval / 20)
+		}
+		n.units.SetDemand(team, 0)
+	})
+}
+
+func (c *cell) totalStarts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.starts {
+		n += s
+	}
+	return n
+}
+
+func (c *cell) startsOf(n *node) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts[n.name]
+}
+
+func (c *cell) worst() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.overshoot
+}
+
+// records returns the keys of the store with the prefix.
+func (c *cell) keys(prefix string) []string {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	var out []string
+	for k := range c.store.records {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/membership/config.go
@@ -0,0 +1,138 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// Default durations. The safety argument needs Margin > 0 and one VouchLifetime on all daemons.
+const (
+	DefaultLease             = 10 * time.Second
+	DefaultVouchLifetime     = 10 * time.Second
+	DefaultMargin            = 2 * time.Second
+	DefaultHeartbeatInterval = time.Second
+	DefaultFailureTime       = 3 * time.Second
+	// DefaultRenewalInterval allows one lost renewal within the lease.
+	DefaultRenewalInterval = 4 * time.Second
+	// DefaultListInterval bounds how long a seat that sends no heartbeat stays unknown.
+	// The list is read rarely because it is the largest control message.
+	DefaultListInterval = 10 * time.Second
+)
+
+// Peer is the part of the peer client that membership uses; *oas.Client implements it.
+type Peer interface {
+	Heartbeat(ctx context.Context, request *oas.Heartbeat) (*oas.HeartbeatReply, error)
+	Consent(ctx context.Context, request *oas.ConsentRequest) (*oas.ConsentReply, error)
+	Handover(ctx context.Context, request *oas.Handover) (*oas.HandoverReply, error)
+}
+
+// Allotments is the part of package allotment that moves units with a seat.
+// Membership calls it without holding its own lock.
+type Allotments interface {
+	// ExportSeat stops the use of the seat's units and returns them with the units still in use.
+	ExportSeat(seat fleet.SeatID) (units, running []oas.TeamUnits)
+	// SeatRunning returns the units of an exported seat that are still in use.
+	SeatRunning(seat fleet.SeatID) []oas.TeamUnits
+	// ImportSeat takes units over. The running ones stay unused until UpdateRunning
+	// lowers them or hold has passed.
+	ImportSeat(seat fleet.SeatID, units, running []oas.TeamUnits, hold time.Duration)
+	// UpdateRunning lowers the units of an imported seat that its earlier holder still uses.
+	UpdateRunning(seat fleet.SeatID, running []oas.TeamUnits)
+	// ReclaimSeat removes the seat's entries from all team records of the store.
+	ReclaimSeat(ctx context.Context, seat fleet.SeatID) error
+	// TeamRows returns the units, running and queued requests of each team on this daemon.
+	TeamRows() []oas.TeamRow
+}
+
+// Claims moves idempotency claims with a seat.
+type Claims interface {
+	ExportClaims(seat fleet.SeatID) []oas.Claim
+	ImportClaims(seat fleet.SeatID, claims []oas.Claim)
+}
+
+// Config has the settings and collaborators of Membership. Zero durations take the defaults.
+type Config struct {
+	Daemon      string
+	Incarnation string
+	PeerAddress string
+	Zone        fleet.AvailabilityZone
+	// Host is the platform's ID of the host of this daemon; it may be empty.
+	Host fleet.HostID
+
+	Store platform.Store
+	// Hosts is optional. A host that it reports as gone frees the seats of its daemon without consent.
+	Hosts  platform.HostLister
+	Config config.Source
+	Dial   func(address string) (Peer, error)
+	Logger logrus.FieldLogger
+
+	// RevokedCount is the number of revoked keys known to this daemon; it is optional.
+	RevokedCount func() int
+	// OnPeerState is called with the state of each peer after an exchange; it is optional,
+	// runs under no lock and must not block.
+	OnPeerState func(state *oas.Heartbeat)
+
+	Lease             time.Duration
+	VouchLifetime     time.Duration
+	Margin            time.Duration
+	HeartbeatInterval time.Duration
+	FailureTime       time.Duration
+	RenewalInterval   time.Duration
+	ListInterval      time.Duration
+}
+
+// faults selects rejected designs, so that tests can show that they fail.
+type faults struct {
+	// stopAtLeaseEnd ignores vouches: the right ends with the store lease.
+	stopAtLeaseEnd bool
+	// timeoutReclaim reclaims a seat without consent and without the run-time wait.
+	timeoutReclaim bool
+}
+
+func (c Config) withDefaults() Config {
+	set := func(d *time.Duration, def time.Duration) {
+		if *d == 0 {
+			*d = def
+		}
+	}
+	set(&c.Lease, DefaultLease)
+	set(&c.VouchLifetime, DefaultVouchLifetime)
+	set(&c.Margin, DefaultMargin)
+	set(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	set(&c.FailureTime, DefaultFailureTime)
+	set(&c.RenewalInterval, DefaultRenewalInterval)
+	set(&c.ListInterval, DefaultListInterval)
+	if c.Logger == nil {
+		c.Logger = logrus.StandardLogger()
+	}
+	return c
+}
+
+// SeatError reports an operation on a seat that this daemon cannot do.
+type SeatError struct {
+	Seat   fleet.SeatID
+	Reason string
+}
+
+func (e *SeatError) Error() string { return fmt.Sprintf("seat %s: %s", e.Seat, e.Reason) }
+
+// HandoverError reports seats that were not handed over.
+type HandoverError struct {
+	Seats []fleet.SeatID
+	Cause error
+}
+
+func (e *HandoverError) Error() string {
+	return fmt.Sprintf("handover of seats %v not confirmed: %v", e.Seats, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *HandoverError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/membership/contact.go
@@ -0,0 +1,62 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// contactStore notes which calls the store answered.
+type contactStore struct {
+	platform.Store
+	contact func(recovered bool)
+	mu      sync.Mutex
+	ok      bool
+}
+
+func (c *contactStore) visible() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ok
+}
+
+func (c *contactStore) note(err error) {
+	var missing *platform.NotFoundError
+	var conflict *platform.ConflictError
+	ok := err == nil || errors.As(err, &missing) || errors.As(err, &conflict)
+	c.mu.Lock()
+	recovered := ok && !c.ok
+	c.ok = ok
+	c.mu.Unlock()
+	if ok {
+		c.contact(recovered)
+	}
+}
+
+func (c *contactStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	e, err := c.Store.Get(ctx, key)
+	c.note(err)
+	return e, err
+}
+
+func (c *contactStore) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	es, rev, err := c.Store.List(ctx, prefix)
+	c.note(err)
+	return es, rev, err
+}
+
+func (c *contactStore) Put(
+	ctx context.Context, key string, value []byte, expect uint64, lease platform.LeaseID,
+) (uint64, error) {
+	v, err := c.Store.Put(ctx, key, value, expect, lease)
+	c.note(err)
+	return v, err
+}
+
+func (c *contactStore) Delete(ctx context.Context, key string, expect uint64) error {
+	err := c.Store.Delete(ctx, key, expect)
+	c.note(err)
+	return err
+}
--- /dev/null
+++ b/internal/membership/handover.go
@@ -0,0 +1,475 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// wrongIncarnation is the detail of a refusal by a later process at the successor's address.
+const wrongIncarnation = "incarnation"
+
+// report tells the successor of an exported seat which units are still in use here.
+type report struct {
+	msg       *oas.Handover
+	successor *peer
+	confirmed bool
+	// abandoned is set when nothing more can be done for the seat here.
+	abandoned bool
+	// release is set when the seat is given back to the store because no successor exists.
+	release bool
+}
+
+// Leave hands over all seats of this daemon. New work must no longer be sent to
+// it: its seats start nothing from the call on. It returns when each successor
+// has confirmed or ctx ends. Work that still runs is reported until Drained returns.
+func (m *Membership) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	var ids []fleet.SeatID
+	for id := range m.held {
+		ids = append(ids, id)
+	}
+	m.mu.Unlock()
+	// A handover that is being taken finishes first; later ones are refused.
+	m.handoverMu.Lock()
+	m.mu.Lock()
+	ids = ids[:0]
+	for id := range m.held {
+		ids = append(ids, id)
+	}
+	m.mu.Unlock()
+	m.handoverMu.Unlock()
+	var failed []fleet.SeatID
+	var cause error
+	for _, id := range ids {
+		if err := m.handOver(ctx, id, nil); err != nil {
+			failed, cause = append(failed, id), err
+		}
+	}
+	m.goRun(m.beatAll)
+	if cause != nil {
+		return &HandoverError{Seats: failed, Cause: cause}
+	}
+	return nil
+}
+
+// Drained returns when the successors know that no work of this daemon runs under the
+// seats it handed over. The caller waits for its running requests first.
+func (m *Membership) Drained(ctx context.Context) error {
+	t := time.NewTicker(m.cfg.HeartbeatInterval / 4)
+	defer t.Stop()
+	for {
+		m.mu.Lock()
+		n := len(m.reports)
+		m.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+// handOver moves one seat to a successor; to names it, or is nil for the best one.
+func (m *Membership) handOver(ctx context.Context, seat fleet.SeatID, to *peer) error {
+	successor := to
+	if successor == nil {
+		successor = m.successor(ctx, nil)
+	}
+	s := m.stopSeat(seat)
+	if s == nil {
+		return nil
+	}
+	r := &report{}
+	var units, running []oas.TeamUnits
+	if m.allotments != nil {
+		units, running = m.allotments.ExportSeat(seat)
+	}
+	var claims []oas.Claim
+	if m.claims != nil {
+		claims = m.claims.ExportClaims(seat)
+	}
+	r.msg = m.handoverMessage(s, units, running, claims)
+	m.mu.Lock()
+	m.reports[seat] = r
+	m.mu.Unlock()
+	defer m.goRun(func(ctx context.Context) { m.reportLoop(ctx, seat, r) })
+	tried := map[string]bool{}
+	for successor != nil {
+		r.successor = successor
+		r.msg.ID, r.msg.Successor = newID(), oas.NewOptString(successor.incarnation)
+		taken, again, err := m.deliver(ctx, r)
+		if taken {
+			m.mu.Lock()
+			r.confirmed = true
+			m.mu.Unlock()
+			m.log.WithFields(map[string]any{"seat": seat, "successor": successor.daemon}).Info("seat handed over")
+			return nil
+		}
+		if !again {
+			return err
+		}
+		tried[successor.incarnation] = true
+		successor = m.successor(ctx, tried)
+	}
+	m.mu.Lock()
+	r.release = true
+	m.mu.Unlock()
+	m.log.WithField("seat", seat).Warn("no successor; the seat is released when its work has ended")
+	return nil
+}
+
+// stopSeat ends the use of the seat by this daemon, as holder and as voter.
+func (m *Membership) stopSeat(seat fleet.SeatID) *heldSeat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.held[seat]
+	if s == nil {
+		return nil
+	}
+	now := time.Now()
+	for _, other := range m.held {
+		if other == s {
+			continue
+		}
+		// The votes between seats of this daemon become promises with an end.
+		if m.ownVote(s.id, other) {
+			other.vouches[s.id] = now
+			m.promise(s, other.id, now)
+		}
+		if m.ownVote(other.id, s) {
+			s.vouches[other.id] = now
+			m.promise(other, s.id, now)
+		}
+	}
+	s.handing = true
+	delete(m.held, seat)
+	if !s.created() {
+		return nil
+	}
+	m.exported[seat] = s
+	if k := m.known[seat]; k != nil {
+		k.claimed = false
+	}
+	m.changed()
+	return s
+}
+
+// handoverMessage describes a seat after stopSeat.
+func (m *Membership) handoverMessage(s *heldSeat, units, running []oas.TeamUnits, claims []oas.Claim) *oas.Handover {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	msg := &oas.Handover{
+		Seat: oas.SeatState{
+			Seat: string(s.id), Daemon: m.cfg.Daemon, Incarnation: m.cfg.Incarnation,
+			PeerAddress: m.cfg.PeerAddress, AvailabilityZone: string(m.cfg.Zone),
+			Renewal: s.renewal, Moves: oas.NewOptInt64(s.moves),
+		},
+		Renewal: s.renewal, RecordVersion: oas.NewOptInt64(int64(s.version)),
+		Quorum: seatStrings(s.quorum), Units: nonNil(units), Running: nonNil(running),
+		Memory: []oas.VouchMemory{}, Claims: nonNil(claims),
+	}
+	// Either quorum may be the one in the record; the successor needs a majority of both.
+	switch {
+	case s.handedQuorum != nil:
+		msg.PendingQuorum = seatStrings(s.handedQuorum)
+	case s.pending != nil:
+		msg.PendingQuorum = seatStrings(s.pending.Quorum)
+	}
+	now := time.Now()
+	for id, mem := range s.memory {
+		msg.Memory = append(msg.Memory, oas.VouchMemory{
+			Seat: string(id), Renewal: mem.consented, Consented: mem.consented >= 0,
+			PromisedMs: max(0, mem.promisedUntil.Sub(now).Milliseconds()+1),
+		})
+	}
+	return msg
+}
+
+// deliver sends the handover to one successor until it answers. again reports
+// that the successor certainly did not take the seat and another may be asked.
+func (m *Membership) deliver(ctx context.Context, r *report) (taken, again bool, err error) {
+	for attempt := 1; ; attempt++ {
+		reply, err := m.sendHandover(ctx, r.successor.address, r.msg)
+		switch {
+		case err == nil && reply.Taken:
+			return true, false, nil
+		case err == nil && (attempt == 1 || reply.Detail.Or("") != wrongIncarnation):
+			return false, true, nil
+		case err == nil:
+			// An earlier attempt may have reached a process that has ended since.
+			m.mu.Lock()
+			r.abandoned = true
+			m.mu.Unlock()
+			return false, false, &SeatError{Seat: fleet.SeatID(r.msg.Seat.Seat), Reason: "successor was replaced"}
+		}
+		select {
+		case <-ctx.Done():
+			return false, false, err
+		case <-time.After(m.cfg.HeartbeatInterval / 4):
+		}
+	}
+}
+
+func (m *Membership) sendHandover(ctx context.Context, address string, msg *oas.Handover) (*oas.HandoverReply, error) {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	c, err := m.client(address)
+	if err != nil {
+		return nil, err
+	}
+	return c.Handover(ctx, msg)
+}
+
+// successor picks an active daemon that stays and answers now, with the fewest seats.
+func (m *Membership) successor(ctx context.Context, except map[string]bool) *peer {
+	m.mu.Lock()
+	seats := map[string]int{}
+	for _, k := range m.known {
+		if k.claimed {
+			seats[k.incarnation]++
+		}
+	}
+	var candidates []*peer
+	for i, p := range m.peers {
+		if p.active && !p.leaving && !except[i] {
+			candidates = append(candidates, p)
+		}
+	}
+	m.mu.Unlock()
+	slices.SortFunc(candidates, func(a, b *peer) int {
+		if d := seats[a.incarnation] - seats[b.incarnation]; d != 0 {
+			return d
+		}
+		if score(m.cfg.Incarnation, a.incarnation) < score(m.cfg.Incarnation, b.incarnation) {
+			return -1
+		}
+		return 1
+	})
+	for _, p := range candidates {
+		if m.exchange(ctx, p) != nil {
+			continue
+		}
+		m.mu.Lock()
+		leaving := p.leaving
+		m.mu.Unlock()
+		if !leaving {
+			return p
+		}
+	}
+	return nil
+}
+
+// Handover takes a seat from a leaving daemon. A repetition only lowers the
+// units that are still in use there.
+func (m *Membership) Handover(_ context.Context, req *oas.Handover) (*oas.HandoverReply, error) {
+	m.handoverMu.Lock()
+	defer m.handoverMu.Unlock()
+	seat := fleet.SeatID(req.Seat.Seat)
+	if req.Successor.Or("") != m.cfg.Incarnation {
+		return &oas.HandoverReply{Detail: oas.NewOptString(wrongIncarnation)}, nil
+	}
+	if taken, known := m.handovers[req.ID]; known {
+		if taken && m.allotments != nil {
+			m.allotments.UpdateRunning(seat, req.Running)
+		}
+		return &oas.HandoverReply{Taken: taken}, nil
+	}
+	m.mu.Lock()
+	refuse := m.leaving || m.held[seat] != nil || m.exported[seat] != nil
+	m.mu.Unlock()
+	// The answer is kept, so that a late repetition cannot turn a refusal round.
+	m.handovers[req.ID] = !refuse
+	if refuse {
+		return &oas.HandoverReply{Detail: oas.NewOptString("refused")}, nil
+	}
+	if m.allotments != nil {
+		m.allotments.ImportSeat(seat, req.Units, req.Running, m.importHold())
+	}
+	if m.claims != nil {
+		m.claims.ImportClaims(seat, req.Claims)
+	}
+	m.takeSeat(req)
+	m.goRun(m.beatAll)
+	m.goRun(m.renewDue)
+	return &oas.HandoverReply{Taken: true}, nil
+}
+
+// importHold is the time after which work of the earlier holder has surely
+// ended: its right ends within the longer of lease and vouch lifetime, and work
+// that started before runs at most the maximum run time.
+func (m *Membership) importHold() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	run, ok := m.longestRun(time.Now())
+	if !ok {
+		// Without a configuration nothing is known of run times; the leaver's reports free the units.
+		run = 24 * time.Hour
+	}
+	return max(m.cfg.Lease, m.cfg.VouchLifetime) + m.cfg.Margin + run
+}
+
+func (m *Membership) takeSeat(req *oas.Handover) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := newHeldSeat(fleet.SeatID(req.Seat.Seat))
+	s.moves = req.Seat.Moves.Or(0) + 1
+	s.version, s.renewal = uint64(req.RecordVersion.Or(0)), req.Renewal
+	s.quorum = seatIDs(req.Quorum)
+	if len(req.PendingQuorum) > 0 {
+		s.handedQuorum = seatIDs(req.PendingQuorum)
+	}
+	now := time.Now()
+	for _, v := range req.Memory {
+		mem := voteMemory{promisedUntil: now.Add(time.Duration(v.PromisedMs) * time.Millisecond), consented: -1}
+		if v.Consented {
+			mem.consented = v.Renewal
+		}
+		s.memory[fleet.SeatID(v.Seat)] = mem
+	}
+	m.held[s.id] = s
+	m.learnOwn(s)
+	m.log.WithFields(map[string]any{"seat": s.id, "from": req.Seat.Daemon}).Info("seat taken over")
+	m.changed()
+}
+
+// reportLoop reports the units still in use here until there are none.
+func (m *Membership) reportLoop(ctx context.Context, seat fleet.SeatID, r *report) {
+	t := time.NewTicker(m.cfg.HeartbeatInterval / 4)
+	defer t.Stop()
+	sent := r.msg.Running
+	for {
+		if m.reportStep(ctx, seat, r, &sent) {
+			m.mu.Lock()
+			delete(m.reports, seat)
+			delete(m.exported, seat)
+			m.mu.Unlock()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// reportStep does one round; it returns true when nothing is left to report.
+func (m *Membership) reportStep(ctx context.Context, seat fleet.SeatID, r *report, sent *[]oas.TeamUnits) bool {
+	m.mu.Lock()
+	confirmed, abandoned, release := r.confirmed, r.abandoned, r.release
+	m.mu.Unlock()
+	var running []oas.TeamUnits
+	if m.allotments != nil {
+		running = m.allotments.SeatRunning(seat)
+	}
+	if abandoned {
+		return true
+	}
+	if release {
+		return len(running) == 0 && m.releaseSeat(ctx, seat)
+	}
+	if confirmed && slices.Equal(running, *sent) {
+		return len(running) == 0
+	}
+	msg := *r.msg
+	msg.Running, msg.Memory, msg.Claims = nonNil(running), []oas.VouchMemory{}, []oas.Claim{}
+	if !confirmed {
+		// The first message carries the whole seat until it is confirmed.
+		msg = *r.msg
+	}
+	reply, err := m.sendHandover(ctx, r.successor.address, &msg)
+	if err != nil {
+		return false
+	}
+	if !reply.Taken {
+		return true
+	}
+	m.mu.Lock()
+	r.confirmed = true
+	m.mu.Unlock()
+	*sent = msg.Running
+	return false
+}
+
+// releaseSeat deletes a seat that nobody took over and on which nothing runs.
+func (m *Membership) releaseSeat(ctx context.Context, seat fleet.SeatID) bool {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	if m.allotments != nil {
+		if m.allotments.ReclaimSeat(ctx, seat) != nil {
+			return false
+		}
+	}
+	var missing *platform.NotFoundError
+	key := seatPrefix + string(seat)
+	entry, err := m.store.Get(ctx, key)
+	if err == nil {
+		err = m.store.Delete(ctx, key, entry.Version)
+	}
+	return err == nil || errors.As(err, &missing)
+}
+
+// balanceStep hands a spare seat to a daemon that has none, so that a rolling
+// replacement without the store does not gather the seats on few daemons.
+func (m *Membership) balanceStep(ctx context.Context) {
+	m.mu.Lock()
+	var ids []fleet.SeatID
+	for id, s := range m.held {
+		if s.created() {
+			ids = append(ids, id)
+		}
+	}
+	due := len(ids) > 1 && !m.leaving && time.Since(m.lastBalanced) >= m.cfg.FailureTime
+	var to *peer
+	if due {
+		m.lastBalanced = time.Now()
+		for i, p := range m.peers {
+			if p.active && !p.leaving && !m.occupies(i) && (to == nil || i < to.incarnation) {
+				to = p
+			}
+		}
+	}
+	m.mu.Unlock()
+	if to == nil {
+		return
+	}
+	sortSeats(ids)
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.FailureTime)
+	defer cancel()
+	if err := m.handOver(ctx, ids[len(ids)-1], to); err != nil {
+		m.log.WithError(err).Info("spare seat not handed over")
+	}
+}
+
+func seatStrings(ids []fleet.SeatID) []string {
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, string(id))
+	}
+	return out
+}
+
+func seatIDs(ss []string) []fleet.SeatID {
+	out := make([]fleet.SeatID, 0, len(ss))
+	for _, s := range ss {
+		out = append(out, fleet.SeatID(s))
+	}
+	return out
+}
+
+func nonNil[T any](s []T) []T {
+	if s == nil {
+		return []T{}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/membership/heartbeat.go
@@ -0,0 +1,477 @@
+package membership
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+const (
+	// maxRows bounds the team rows of one heartbeat; the others follow in later ones.
+	maxRows = 8
+	// rowRefreshBeats is the number of heartbeat intervals after which an unchanged row
+	// is sent again, because the reply that carried it may have been lost.
+	rowRefreshBeats = 15
+	// maxProbes is the number of failed probes after which a peer is inactive.
+	maxProbes = 3
+	// forgetAfter is the number of failure times after which an inactive daemon without seats is forgotten.
+	forgetAfter = 20
+)
+
+// peer is another daemon, named by its incarnation. Membership.mu guards it.
+type peer struct {
+	daemon      string
+	incarnation string
+	address     string
+	zone        fleet.AvailabilityZone
+	leaving     bool
+	active      bool
+	probing     bool
+	lastSeen    time.Time
+	lastBeat    time.Time
+	rows        map[string]oas.TeamRow
+	sent        map[string]sentRow
+}
+
+type sentRow struct {
+	row oas.TeamRow
+	at  time.Time
+}
+
+// PeerRows holds the team rows that one peer sent.
+type PeerRows struct {
+	Daemon      string
+	Incarnation string
+	PeerAddress string
+	Active      bool
+	// Leaving daemons start no new work under their seats.
+	Leaving bool
+	Rows    []oas.TeamRow
+}
+
+// PeerTeamRows returns the last rows received from each peer.
+func (m *Membership) PeerTeamRows() []PeerRows {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]PeerRows, 0, len(m.peers))
+	for _, p := range m.peers {
+		r := PeerRows{
+			Daemon: p.daemon, Incarnation: p.incarnation, PeerAddress: p.address,
+			Active: p.active, Leaving: p.leaving,
+		}
+		for _, row := range p.rows {
+			r.Rows = append(r.Rows, row)
+		}
+		slices.SortFunc(r.Rows, func(a, b oas.TeamRow) int { return cmp.Compare(a.Team, b.Team) })
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b PeerRows) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return out
+}
+
+// SubscribeRows returns a channel that receives a value after rows of a peer changed.
+func (m *Membership) SubscribeRows() (<-chan struct{}, func()) { return m.rowSubs.subscribe() }
+
+// beat exchanges one heartbeat with the peer that waited longest. Voters of this
+// daemon's seats come first; one beat in seven goes to another peer, so that each
+// voter vouches well within the vouch lifetime in a cell of any size.
+func (m *Membership) beat(ctx context.Context) {
+	m.mu.Lock()
+	m.forgetPeers()
+	m.beats++
+	var voters, others []*peer
+	isVoter := m.voterDaemons()
+	for _, p := range m.peers {
+		if isVoter[p.incarnation] {
+			voters = append(voters, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	if len(others) > 0 && (len(voters) == 0 || m.beats%maxQuorum == 0) {
+		voters = others
+	}
+	var next *peer
+	for _, p := range voters {
+		if next == nil || p.lastBeat.Before(next.lastBeat) {
+			next = p
+		}
+	}
+	m.mu.Unlock()
+	if next != nil {
+		m.goRun(func(ctx context.Context) { m.exchangeOrProbe(ctx, next) })
+	}
+}
+
+func (m *Membership) voterDaemons() map[string]bool {
+	out := map[string]bool{}
+	for _, s := range m.held {
+		for _, q := range [][]fleet.SeatID{s.quorum, s.handedQuorum} {
+			for _, v := range q {
+				if k := m.known[v]; k != nil {
+					out[k.incarnation] = true
+				}
+			}
+		}
+	}
+	return out
+}
+
+// beatAll exchanges a heartbeat with every peer at once. It is used after a
+// change of this daemon's seats and at start.
+func (m *Membership) beatAll(ctx context.Context) {
+	m.mu.Lock()
+	peers := make([]*peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		peers = append(peers, p)
+	}
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, p := range peers {
+		wg.Go(func() { m.exchangeOrProbe(ctx, p) })
+	}
+	wg.Wait()
+}
+
+// HeartbeatNow exchanges a heartbeat with the daemons of the incarnations at once.
+func (m *Membership) HeartbeatNow(incarnations ...string) {
+	m.mu.Lock()
+	var peers []*peer
+	for _, i := range incarnations {
+		if p := m.peers[i]; p != nil && p.active {
+			peers = append(peers, p)
+		}
+	}
+	m.mu.Unlock()
+	for _, p := range peers {
+		m.goRun(func(ctx context.Context) { m.exchangeOrProbe(ctx, p) })
+	}
+}
+
+// Probe checks a peer to which a forwarded request could not connect.
+func (m *Membership) Probe(peerAddress string) {
+	m.mu.Lock()
+	var found *peer
+	for _, p := range m.peers {
+		if p.address == peerAddress && p.active {
+			found = p
+		}
+	}
+	m.mu.Unlock()
+	if found != nil {
+		m.goRun(func(ctx context.Context) { m.probe(ctx, found, time.Now()) })
+	}
+}
+
+func (m *Membership) exchangeOrProbe(ctx context.Context, p *peer) {
+	start := time.Now()
+	if m.exchange(ctx, p) != nil {
+		m.probe(ctx, p, start)
+	}
+}
+
+// probe repeats the heartbeat each interval until the peer answers or is inactive.
+func (m *Membership) probe(ctx context.Context, p *peer, start time.Time) {
+	m.mu.Lock()
+	if p.probing || !p.active {
+		m.mu.Unlock()
+		return
+	}
+	p.probing = true
+	m.mu.Unlock()
+	defer func() { m.mu.Lock(); p.probing = false; m.mu.Unlock() }()
+	for failed := 0; failed < maxProbes && time.Since(start) < m.cfg.FailureTime; failed++ {
+		next := time.Now().Add(m.cfg.HeartbeatInterval)
+		if m.exchange(ctx, p) == nil {
+			return
+		}
+		if failed == maxProbes-1 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.active && p.lastSeen.Before(start) {
+		p.active = false
+		m.log.WithField("peer", p.daemon).Warn("peer inactive")
+		m.changed()
+	}
+}
+
+// exchange sends one heartbeat and takes the reply.
+func (m *Membership) exchange(ctx context.Context, p *peer) error {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	rows := m.teamRows()
+	m.mu.Lock()
+	now := time.Now()
+	p.lastBeat = now
+	msg := m.state(p, rows, now)
+	address, self := p.address, m.cfg.Incarnation
+	m.mu.Unlock()
+	client, err := m.client(address)
+	if err != nil {
+		return err
+	}
+	sent := time.Now()
+	reply, err := client.Heartbeat(ctx, msg)
+	if err != nil {
+		m.mu.Lock()
+		// The rows may not have arrived.
+		for _, r := range msg.Teams {
+			delete(p.sent, r.Team)
+		}
+		m.mu.Unlock()
+		return err
+	}
+	if reply.State.Incarnation == self {
+		return &SeatError{Reason: "peer address leads back to this daemon"}
+	}
+	defer m.tellState(&reply.State)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.learnPeer(&reply.State)
+	for _, v := range reply.Vouched {
+		if s := m.held[fleet.SeatID(v.Seat)]; s != nil && s.vouches[fleet.SeatID(v.Voter)].Before(sent) {
+			s.vouches[fleet.SeatID(v.Voter)] = sent
+		}
+	}
+	if reply.State.Incarnation != p.incarnation {
+		return &SeatError{Reason: "another process answers at the peer address"}
+	}
+	return nil
+}
+
+func (m *Membership) client(address string) (Peer, error) {
+	m.mu.Lock()
+	c := m.clients[address]
+	m.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := m.cfg.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	m.clients[address] = c
+	m.mu.Unlock()
+	return c, nil
+}
+
+// state returns this daemon's heartbeat for p. The identity fields of its own
+// seats stay empty: they equal those of the heartbeat.
+func (m *Membership) state(p *peer, rows []oas.TeamRow, now time.Time) *oas.Heartbeat {
+	h := &oas.Heartbeat{
+		Daemon: m.cfg.Daemon, Incarnation: m.cfg.Incarnation, PeerAddress: m.cfg.PeerAddress,
+		AvailabilityZone: string(m.cfg.Zone), Seats: []oas.SeatState{}, StoreVisible: m.store.visible(),
+	}
+	if m.leaving {
+		h.Leaving = oas.NewOptBool(true)
+	}
+	if c := m.cfg.Config.Current(); c != nil {
+		h.Revision = int64(c.Revision)
+	}
+	if m.cfg.RevokedCount != nil {
+		h.Revoked = oas.NewOptInt(m.cfg.RevokedCount())
+	}
+	for _, s := range m.held {
+		if s.created() {
+			st := oas.SeatState{Seat: string(s.id), Renewal: s.renewal}
+			if s.moves > 0 {
+				st.Moves = oas.NewOptInt64(s.moves)
+			}
+			h.Seats = append(h.Seats, st)
+		}
+	}
+	for _, q := range m.peers {
+		if (q.probing || !q.active) && q != p && m.occupies(q.incarnation) {
+			h.Inactive = append(h.Inactive, q.incarnation)
+		}
+	}
+	h.Teams = m.rowsFor(p, rows, now)
+	return h
+}
+
+// teamRows reads the rows. It is called without m.mu, because the limiter asks
+// for rights while it holds its own lock.
+func (m *Membership) teamRows() []oas.TeamRow {
+	if m.allotments == nil {
+		return nil
+	}
+	return m.allotments.TeamRows()
+}
+
+func (m *Membership) tellState(h *oas.Heartbeat) {
+	if m.cfg.OnPeerState != nil {
+		m.cfg.OnPeerState(h)
+	}
+}
+
+// rowsFor returns the rows that p does not have, oldest first.
+func (m *Membership) rowsFor(p *peer, all []oas.TeamRow, now time.Time) []oas.TeamRow {
+	refresh := rowRefreshBeats * m.cfg.HeartbeatInterval
+	var rows []oas.TeamRow
+	for _, r := range all {
+		last, ok := p.sent[r.Team]
+		empty := r.Units == 0 && r.Running == 0 && r.Queued == 0
+		if (!ok && !empty) || (ok && last.row != r) || (ok && !empty && now.Sub(last.at) > refresh) {
+			rows = append(rows, r)
+		}
+	}
+	if len(rows) > maxRows {
+		slices.SortStableFunc(rows, func(a, b oas.TeamRow) int {
+			return p.sent[a.Team].at.Compare(p.sent[b.Team].at)
+		})
+		rows = rows[:maxRows]
+	}
+	for _, r := range rows {
+		p.sent[r.Team] = sentRow{row: r, at: now}
+	}
+	return rows
+}
+
+// Heartbeat answers a peer and vouches for its seats.
+func (m *Membership) Heartbeat(_ context.Context, req *oas.Heartbeat) (*oas.HeartbeatReply, error) {
+	rows := m.teamRows()
+	if req.Incarnation != m.cfg.Incarnation {
+		defer m.tellState(req)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if req.Incarnation != m.cfg.Incarnation {
+		m.learnPeer(req)
+	}
+	now := time.Now()
+	reply := &oas.HeartbeatReply{Vouched: []oas.Vouch{}}
+	for _, voter := range m.held {
+		if !voter.created() {
+			continue
+		}
+		for _, st := range req.Seats {
+			if m.vouch(voter, fleet.SeatID(st.Seat), st.Renewal, now) {
+				reply.Vouched = append(reply.Vouched, oas.Vouch{Voter: string(voter.id), Seat: st.Seat})
+			}
+		}
+	}
+	p := m.peers[req.Incarnation]
+	if p == nil {
+		p = &peer{sent: map[string]sentRow{}}
+	}
+	reply.State = *m.state(p, rows, now)
+	return reply, nil
+}
+
+// vouch lets the seat go on for the vouch lifetime, unless the voter consented
+// to the reclaim of this or a later renewal. A holder that does not know whether
+// its last write applied sends the earlier counter, so earlier ones are refused too.
+func (m *Membership) vouch(voter *heldSeat, seat fleet.SeatID, renewal int64, now time.Time) bool {
+	if renewal <= m.consentedTo(voter, seat) || m.held[seat] != nil {
+		return false
+	}
+	m.promise(voter, seat, now)
+	return true
+}
+
+// learnPeer takes the state of a daemon that was just in contact.
+func (m *Membership) learnPeer(h *oas.Heartbeat) {
+	now := time.Now()
+	m.lastContact = now
+	p := m.peers[h.Incarnation]
+	if p == nil {
+		p = &peer{incarnation: h.Incarnation, sent: map[string]sentRow{}, rows: map[string]oas.TeamRow{}}
+		m.peers[h.Incarnation] = p
+	}
+	p.daemon, p.address, p.zone = h.Daemon, h.PeerAddress, fleet.AvailabilityZone(h.AvailabilityZone)
+	p.active, p.lastSeen, p.leaving = true, now, h.Leaving.Or(false)
+	for _, q := range m.peers {
+		// One address serves one process: an earlier incarnation there has ended.
+		if q != p && q.address == p.address {
+			q.active = false
+		}
+	}
+	for _, k := range m.known {
+		if k.incarnation == h.Incarnation {
+			k.claimed = false
+		}
+	}
+	for _, st := range h.Seats {
+		st.Daemon, st.Incarnation, st.PeerAddress = h.Daemon, h.Incarnation, h.PeerAddress
+		st.AvailabilityZone = h.AvailabilityZone
+		if k := m.learnState(st); k.incarnation == h.Incarnation {
+			k.claimed = true
+		}
+	}
+	for _, i := range h.Inactive {
+		if q := m.peers[i]; q != nil && q.active && !q.probing {
+			m.goProbe(q)
+		}
+	}
+	for _, r := range h.Teams {
+		p.rows[r.Team] = r
+	}
+	if len(h.Teams) > 0 {
+		m.rowSubs.notify()
+	}
+	m.changed()
+}
+
+// goProbe starts a probe while m.mu is held.
+func (m *Membership) goProbe(p *peer) {
+	if ctx := m.runCtx; ctx != nil && ctx.Err() == nil {
+		m.background.Go(func() { m.probe(ctx, p, time.Now()) })
+	}
+}
+
+// learnState merges what is known of one seat. The occupant with the higher
+// number of handovers wins; between equal ones the higher renewal counter.
+func (m *Membership) learnState(st oas.SeatState) *knownSeat {
+	id := fleet.SeatID(st.Seat)
+	k := m.known[id]
+	if k == nil {
+		k = &knownSeat{id: id, moves: -1, learned: time.Now()}
+		m.known[id] = k
+	}
+	moves := st.Moves.Or(0)
+	if moves > k.moves {
+		k.daemon, k.incarnation, k.address = st.Daemon, st.Incarnation, st.PeerAddress
+		k.zone, k.moves, k.claimed = fleet.AvailabilityZone(st.AvailabilityZone), moves, false
+	}
+	k.renewal = max(k.renewal, st.Renewal)
+	if k.incarnation != m.cfg.Incarnation && m.peers[k.incarnation] == nil {
+		m.peers[k.incarnation] = &peer{
+			daemon: k.daemon, incarnation: k.incarnation, address: k.address, zone: k.zone,
+			lastSeen: time.Now(), sent: map[string]sentRow{}, rows: map[string]oas.TeamRow{},
+		}
+	}
+	return k
+}
+
+// occupies reports whether a known seat names the incarnation as its occupant.
+func (m *Membership) occupies(incarnation string) bool {
+	for _, k := range m.known {
+		if k.incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetPeers drops inactive daemons that occupy no seat.
+func (m *Membership) forgetPeers() {
+	for i, p := range m.peers {
+		if !p.active && !p.probing && time.Since(p.lastSeen) > forgetAfter*m.cfg.FailureTime && !m.occupies(i) {
+			delete(m.peers, i)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,323 @@
+package membership
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+// knownSeat is a seat of the cell as this daemon knows it.
+type knownSeat struct {
+	id          fleet.SeatID
+	daemon      string
+	incarnation string
+	address     string
+	zone        fleet.AvailabilityZone
+	renewal     int64
+	moves       int64
+	marked      bool
+	// claimed is set while the occupant's last heartbeat listed the seat.
+	claimed bool
+	learned time.Time
+}
+
+// Membership keeps the seats of this daemon and its view of the cell.
+type Membership struct {
+	cfg   Config
+	store *contactStore
+	log   logrus.FieldLogger
+
+	allotments Allotments
+	claims     Claims
+	faults     faults
+
+	mu       sync.Mutex
+	held     map[fleet.SeatID]*heldSeat
+	exported map[fleet.SeatID]*heldSeat
+	known    map[fleet.SeatID]*knownSeat
+	peers    map[string]*peer
+	clients  map[string]Peer
+	epoch    uint64
+	view     View
+	subs     notifier
+	rowSubs  notifier
+	// lastContact is the time of the last answer of the store or exchange with a peer.
+	lastContact  time.Time
+	leaving      bool
+	beats        int
+	runTimes     runTimes
+	observed     map[fleet.SeatID]*observation
+	gone         map[fleet.SeatID]bool
+	reports      map[fleet.SeatID]*report
+	background   sync.WaitGroup
+	lastBalanced time.Time
+	lastList     time.Time
+	lastHosts    time.Time
+
+	// handoverMu serialises incoming handovers.
+	handoverMu sync.Mutex
+	handovers  map[string]bool
+
+	runCtx context.Context
+	wake   chan struct{}
+}
+
+// New returns a Membership that does nothing until Run.
+func New(cfg Config) *Membership {
+	cfg = cfg.withDefaults()
+	m := &Membership{
+		cfg: cfg, log: cfg.Logger.WithField("daemon", cfg.Daemon),
+		held: map[fleet.SeatID]*heldSeat{}, exported: map[fleet.SeatID]*heldSeat{},
+		known: map[fleet.SeatID]*knownSeat{}, peers: map[string]*peer{}, clients: map[string]Peer{},
+		observed: map[fleet.SeatID]*observation{}, gone: map[fleet.SeatID]bool{},
+		reports: map[fleet.SeatID]*report{}, handovers: map[string]bool{},
+		wake: make(chan struct{}, 1),
+	}
+	m.store = &contactStore{Store: cfg.Store, contact: m.storeContact}
+	return m
+}
+
+// Attach plugs in the owners of the state that moves with a seat; claims may be
+// nil. It must be called before Run.
+func (m *Membership) Attach(a Allotments, c Claims) { m.allotments, m.claims = a, c }
+
+// Run keeps the seats until ctx ends. It gives no seat up; see Leave.
+func (m *Membership) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.runCtx = ctx
+	m.mu.Unlock()
+	m.join(ctx)
+	loops := []struct {
+		every time.Duration
+		step  func(context.Context)
+	}{
+		{m.cfg.HeartbeatInterval, m.beat},
+		{m.cfg.HeartbeatInterval, m.renewDue},
+		{m.cfg.HeartbeatInterval, m.listDue},
+		{m.cfg.HeartbeatInterval, m.reclaimStep},
+		{m.cfg.HeartbeatInterval, m.balanceStep},
+	}
+	var wg sync.WaitGroup
+	for _, l := range loops {
+		wg.Go(func() {
+			t := time.NewTicker(l.every)
+			defer t.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-t.C:
+					l.step(ctx)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	m.background.Wait()
+	return ctx.Err()
+}
+
+// join reads the seats, greets their occupants and creates a seat.
+func (m *Membership) join(ctx context.Context) {
+	if m.listSeats(ctx) {
+		m.beatAll(ctx)
+		m.createSeat(ctx)
+	}
+}
+
+// call bounds one call to the store or to a peer, so that a stalled one delays no loop.
+func (m *Membership) call(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, m.cfg.HeartbeatInterval)
+}
+
+// goRun runs f in the background until Run's context ends.
+func (m *Membership) goRun(f func(ctx context.Context)) {
+	m.mu.Lock()
+	ctx := m.runCtx
+	m.mu.Unlock()
+	if ctx == nil || ctx.Err() != nil {
+		return
+	}
+	m.background.Go(func() { f(ctx) })
+}
+
+func (m *Membership) createSeat(ctx context.Context) {
+	m.mu.Lock()
+	if len(m.held) > 0 || m.leaving {
+		m.mu.Unlock()
+		return
+	}
+	s := newHeldSeat(fleet.SeatID(newID()))
+	m.held[s.id] = s
+	m.mu.Unlock()
+	m.renewLogged(ctx, s)
+	m.mu.Lock()
+	created := s.created()
+	m.mu.Unlock()
+	if created {
+		m.beatAll(ctx)
+	}
+}
+
+// renewDue renews the seats whose last renewal is older than the renewal interval.
+func (m *Membership) renewDue(ctx context.Context) {
+	m.mu.Lock()
+	now := time.Now()
+	var due []*heldSeat
+	for _, s := range m.held {
+		if now.Sub(s.renewedAt) >= m.cfg.RenewalInterval-m.cfg.HeartbeatInterval/2 {
+			due = append(due, s)
+		}
+	}
+	none := len(m.held) == 0 && !m.leaving
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, s := range due {
+		wg.Go(func() { m.renewLogged(ctx, s) })
+	}
+	wg.Wait()
+	if none && m.listSeats(ctx) {
+		m.createSeat(ctx)
+	}
+}
+
+func (m *Membership) renewLogged(ctx context.Context, s *heldSeat) {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	if err := m.renewSeat(ctx, s); err != nil {
+		m.log.WithError(err).WithField("seat", s.id).Debug("seat not renewed")
+	}
+}
+
+// View returns this daemon's opinion on the seats of the cell.
+func (m *Membership) View() View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view
+}
+
+// Subscribe returns a channel that receives a value after each change of the view.
+func (m *Membership) Subscribe() (<-chan struct{}, func()) { return m.subs.subscribe() }
+
+// changed computes the view again and tells the subscribers when it differs.
+func (m *Membership) changed() {
+	members := make([]Member, 0, len(m.known))
+	for _, k := range m.known {
+		self := m.held[k.id] != nil
+		members = append(members, Member{
+			Seat: k.id, Daemon: k.daemon, Incarnation: k.incarnation, PeerAddress: k.address, Zone: k.zone,
+			Active: self || m.activeSeat(k), Self: self,
+		})
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Seat, b.Seat) })
+	if slices.Equal(members, m.view.Members) {
+		return
+	}
+	m.epoch++
+	m.view = View{Epoch: m.epoch, Members: members}
+	m.subs.notify()
+}
+
+func (m *Membership) activeSeat(k *knownSeat) bool {
+	if k.incarnation == m.cfg.Incarnation {
+		return m.held[k.id] != nil
+	}
+	p := m.peers[k.incarnation]
+	return p != nil && p.active && k.claimed && !k.marked
+}
+
+// learnOwn puts a seat of this daemon into the known seats.
+func (m *Membership) learnOwn(s *heldSeat) {
+	m.known[s.id] = &knownSeat{
+		id: s.id, daemon: m.cfg.Daemon, incarnation: m.cfg.Incarnation, address: m.cfg.PeerAddress,
+		zone: m.cfg.Zone, renewal: s.renewal, moves: s.moves, claimed: true, learned: time.Now(),
+	}
+}
+
+// LastContact returns the time of the last answer of the store or exchange with a peer.
+func (m *Membership) LastContact() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastContact
+}
+
+// StoreVisible reports whether the last call to the store was answered.
+func (m *Membership) StoreVisible() bool { return m.store.visible() }
+
+func (m *Membership) storeContact(recovered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastContact = time.Now()
+	if recovered {
+		// A record that was not renewed while the store was down says nothing about its occupant.
+		clear(m.observed)
+	}
+}
+
+// Seats returns the known seats, for snapshots to peers.
+func (m *Membership) Seats() []oas.SeatState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]oas.SeatState, 0, len(m.known))
+	for _, k := range m.known {
+		out = append(out, oas.SeatState{
+			Seat: string(k.id), Daemon: k.daemon, Incarnation: k.incarnation, PeerAddress: k.address,
+			AvailabilityZone: string(k.zone), Renewal: k.renewal, Moves: oas.NewOptInt64(k.moves),
+		})
+	}
+	return out
+}
+
+// LearnSeats adds seats from a peer's snapshot, so that a daemon that starts
+// while the store is down finds its peers.
+func (m *Membership) LearnSeats(seats []oas.SeatState) {
+	m.mu.Lock()
+	for _, s := range seats {
+		m.learnState(s)
+	}
+	m.mu.Unlock()
+	m.goRun(m.beatAll)
+}
+
+// rankedSeats returns the known seats in the rendezvous order of key.
+func (m *Membership) rankedSeats(key string) []*knownSeat {
+	out := make([]*knownSeat, 0, len(m.known))
+	for _, k := range m.known {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b *knownSeat) int {
+		return cmp.Or(cmp.Compare(score(key, string(a.id)), score(key, string(b.id))), cmp.Compare(a.id, b.id))
+	})
+	return out
+}
+
+func score(a, b string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(a))
+	h.Write([]byte{0})
+	h.Write([]byte(b))
+	// FNV leaves similar inputs close together; the multiplication spreads them.
+	x := h.Sum64()
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+func sortSeats(ids []fleet.SeatID) { slices.Sort(ids) }
+
+// newID returns 64 random bits as hex. A seat ID is never used again.
+func newID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/membership/reclaim.go
@@ -0,0 +1,419 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// listScale is the number of seats up to which the seats are listed at the list
+// interval; the interval grows with larger cells, so that the bytes per second stay the same.
+const listScale = 8
+
+// observation is what the store said about one seat record. Its times are taken
+// after the answer, so that they are never earlier than the write of the version.
+type observation struct {
+	version  uint64
+	record   seatRecord
+	since    time.Time
+	markSeen time.Time
+}
+
+// runTimes remembers the longest maximum run time that running work may have.
+type runTimes struct {
+	current time.Duration
+	// Work of the earlier, longer maximum may run until the time given.
+	earlier time.Duration
+	until   time.Time
+}
+
+// observe takes the maximum of the configuration in force.
+func (r *runTimes) observe(d time.Duration, now time.Time) {
+	if d < r.current {
+		r.earlier = r.longest(now)
+		if end := now.Add(r.current); end.After(r.until) {
+			r.until = end
+		}
+	}
+	r.current = d
+}
+
+func (r *runTimes) longest(now time.Time) time.Duration {
+	if now.Before(r.until) {
+		return max(r.current, r.earlier)
+	}
+	return r.current
+}
+
+// longestRun returns the time after which all work that runs now has ended; ok is
+// false before a configuration is known.
+func (m *Membership) longestRun(now time.Time) (d time.Duration, ok bool) {
+	c := m.cfg.Config.Current()
+	if c == nil {
+		return 0, false
+	}
+	for _, s := range c.Services {
+		d = max(d, s.MaxRunTime)
+	}
+	m.runTimes.observe(d, now)
+	return m.runTimes.longest(now), true
+}
+
+// listDue reads the seats at the list interval.
+func (m *Membership) listDue(ctx context.Context) {
+	m.mu.Lock()
+	every := m.cfg.ListInterval * time.Duration(max(1, len(m.known)/listScale))
+	due := time.Since(m.lastList) >= every
+	m.mu.Unlock()
+	if due {
+		m.listSeats(ctx)
+	}
+}
+
+// listSeats reads all seat records; it reports success.
+func (m *Membership) listSeats(ctx context.Context) bool {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	began := time.Now()
+	entries, _, err := m.store.List(ctx, seatPrefix)
+	if err != nil {
+		m.log.WithError(err).Debug("seats not listed")
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastList = time.Now()
+	listed := map[fleet.SeatID]bool{}
+	for _, e := range entries {
+		id := fleet.SeatID(e.Key[len(seatPrefix):])
+		listed[id] = true
+		m.observeRecord(id, e)
+	}
+	for id, k := range m.known {
+		if !listed[id] && m.held[id] == nil && k.learned.Before(began) && !k.claimed {
+			m.forgetSeat(id)
+		}
+	}
+	m.changed()
+	return true
+}
+
+func (m *Membership) forgetSeat(id fleet.SeatID) {
+	delete(m.known, id)
+	delete(m.observed, id)
+	delete(m.gone, id)
+}
+
+// observeRecord takes a record that was just read; it returns nil for one that cannot be read.
+func (m *Membership) observeRecord(id fleet.SeatID, e platform.Entry) *observation {
+	var rec seatRecord
+	if err := json.Unmarshal(e.Value, &rec); err != nil {
+		m.log.WithError(err).WithField("seat", id).Error("seat record is malformed")
+		return nil
+	}
+	now := time.Now()
+	o := m.observed[id]
+	if o == nil || o.version != e.Version {
+		marked := o != nil && !o.markSeen.IsZero()
+		seen := now
+		if marked {
+			seen = o.markSeen
+		}
+		o = &observation{version: e.Version, record: rec, since: now}
+		if rec.Reclaiming {
+			o.markSeen = seen
+		}
+		m.observed[id] = o
+	}
+	k := m.learnState(oas.SeatState{
+		Seat: string(id), Daemon: rec.Daemon, Incarnation: rec.Incarnation, PeerAddress: rec.PeerAddress,
+		AvailabilityZone: string(rec.Zone), Renewal: rec.Renewal, Moves: oas.NewOptInt64(rec.Moves),
+	})
+	k.marked = rec.Reclaiming
+	if rec.Reclaiming {
+		// A marked seat is lost, so a vouch for it would only prolong a false right.
+		for _, v := range m.held {
+			mem := v.memory[id]
+			mem.consented = max(m.consentedTo(v, id), rec.Renewal)
+			v.memory[id] = mem
+		}
+	}
+	return o
+}
+
+// Consent answers a reclaimer that asks for the votes of this daemon's seats.
+func (m *Membership) Consent(_ context.Context, req *oas.ConsentRequest) (*oas.ConsentReply, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reply := &oas.ConsentReply{Voters: []string{}}
+	seat, now := fleet.SeatID(req.Seat), time.Now()
+	if m.held[seat] != nil {
+		reply.WaitMs = (m.cfg.VouchLifetime + m.cfg.Margin).Milliseconds()
+		return reply, nil
+	}
+	for _, v := range m.held {
+		if !v.created() {
+			continue
+		}
+		mem := v.memory[seat]
+		if left := mem.promisedUntil.Sub(now); left > 0 {
+			reply.WaitMs = max(reply.WaitMs, left.Milliseconds()+1)
+			continue
+		}
+		mem.consented = max(m.consentedTo(v, seat), req.Renewal)
+		v.memory[seat] = mem
+		reply.Voters = append(reply.Voters, string(v.id))
+	}
+	return reply, nil
+}
+
+// DeclareGone states that the occupant of the seat has ended, also when no
+// majority of its quorum is left to consent. The caller answers for it: a live
+// occupant could exceed limits until it reads the mark.
+func (m *Membership) DeclareGone(seat fleet.SeatID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.held[seat] != nil {
+		return &SeatError{Seat: seat, Reason: "held by this daemon"}
+	}
+	if m.known[seat] == nil {
+		return &SeatError{Seat: seat, Reason: "not known"}
+	}
+	m.gone[seat] = true
+	return nil
+}
+
+// reclaimStep advances the reclaim of each seat whose occupant is not active. All
+// state that matters is in the store, so any daemon may continue the reclaim of another.
+func (m *Membership) reclaimStep(ctx context.Context) {
+	if !m.store.visible() {
+		return
+	}
+	m.askHosts(ctx)
+	m.mu.Lock()
+	now := time.Now()
+	run, ok := m.longestRun(now)
+	type job struct {
+		id       fleet.SeatID
+		finished bool
+	}
+	var jobs []job
+	for id, o := range m.observed {
+		k := m.known[id]
+		if m.held[id] != nil || (k != nil && m.activeSeat(k) && !m.gone[id]) {
+			continue
+		}
+		// Ranks keep all daemons from asking for consent at the same moment.
+		wait := m.cfg.Lease + m.cfg.Margin + time.Duration(m.rank(id))*m.cfg.HeartbeatInterval
+		switch {
+		case !o.markSeen.IsZero():
+			if ok && (m.faults.timeoutReclaim || now.Sub(o.markSeen) >= run) {
+				jobs = append(jobs, job{id, true})
+			}
+		case m.gone[id] || now.Sub(o.since) >= wait:
+			jobs = append(jobs, job{id, false})
+		}
+	}
+	m.mu.Unlock()
+	for _, j := range jobs {
+		if j.finished {
+			m.finishReclaim(ctx, j.id)
+		} else {
+			m.markSeat(ctx, j.id)
+		}
+	}
+}
+
+// rank is the place of this daemon's first seat in the rendezvous order of the seat.
+func (m *Membership) rank(seat fleet.SeatID) int {
+	n := 0
+	for _, k := range m.rankedSeats(string(seat)) {
+		if m.held[k.id] != nil {
+			break
+		}
+		if m.activeSeat(k) {
+			n++
+		}
+	}
+	return n
+}
+
+// markSeat marks the seat as lost to its occupant, after consent.
+func (m *Membership) markSeat(ctx context.Context, seat fleet.SeatID) {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	entry, err := m.store.Get(ctx, seatPrefix+string(seat))
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		m.mu.Lock()
+		m.forgetSeat(seat)
+		m.changed()
+		m.mu.Unlock()
+		return
+	}
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	before := m.observed[seat]
+	o := m.observeRecord(seat, entry)
+	ready := o != nil && before == o && o.markSeen.IsZero()
+	declared := m.gone[seat]
+	m.mu.Unlock()
+	if !ready && !(declared && o != nil && o.markSeen.IsZero()) {
+		return
+	}
+	if !declared && !m.faults.timeoutReclaim && !m.askConsent(ctx, seat, o.record) {
+		return
+	}
+	rec := o.record
+	rec.Reclaiming = true
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return
+	}
+	version, err := m.store.Put(ctx, entry.Key, value, entry.Version, 0)
+	if err != nil {
+		// A conflict is a renewal or another reclaimer; an unknown outcome is read at the next step.
+		return
+	}
+	m.log.WithFields(map[string]any{"seat": seat, "daemon": rec.Daemon}).Warn("seat marked for reclaim")
+	m.mu.Lock()
+	m.observeRecord(seat, platform.Entry{Key: entry.Key, Value: value, Version: version})
+	m.changed()
+	m.mu.Unlock()
+}
+
+// askConsent asks the occupants of the quorum and reports whether a majority consents.
+func (m *Membership) askConsent(ctx context.Context, seat fleet.SeatID, rec seatRecord) bool {
+	m.mu.Lock()
+	addresses := map[string]bool{}
+	own := false
+	for _, v := range rec.Quorum {
+		if m.held[v] != nil {
+			own = true
+		} else if k := m.known[v]; k != nil && m.activeSeat(k) {
+			addresses[k.address] = true
+		}
+	}
+	m.mu.Unlock()
+	req := &oas.ConsentRequest{Seat: string(seat), Renewal: rec.Renewal}
+	var mu sync.Mutex
+	consents := map[fleet.SeatID]bool{}
+	add := func(r *oas.ConsentReply, err error) {
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, v := range r.Voters {
+			consents[fleet.SeatID(v)] = true
+		}
+	}
+	if own {
+		add(m.Consent(ctx, req))
+	}
+	var wg sync.WaitGroup
+	for a := range addresses {
+		wg.Go(func() {
+			c, err := m.client(a)
+			if err != nil {
+				return
+			}
+			add(c.Consent(ctx, req))
+		})
+	}
+	wg.Wait()
+	n := 0
+	for _, v := range rec.Quorum {
+		if consents[v] {
+			n++
+		}
+	}
+	return n > len(rec.Quorum)/2
+}
+
+// finishReclaim removes the seat from the team records and then deletes it.
+func (m *Membership) finishReclaim(ctx context.Context, seat fleet.SeatID) {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	if m.allotments != nil {
+		if err := m.allotments.ReclaimSeat(ctx, seat); err != nil {
+			m.log.WithError(err).WithField("seat", seat).Info("units not reclaimed yet")
+			return
+		}
+	}
+	m.mu.Lock()
+	o := m.observed[seat]
+	m.mu.Unlock()
+	if o == nil {
+		return
+	}
+	err := m.store.Delete(ctx, seatPrefix+string(seat), o.version)
+	var missing *platform.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return
+	}
+	m.log.WithField("seat", seat).Info("seat reclaimed")
+	m.mu.Lock()
+	m.forgetSeat(seat)
+	m.changed()
+	m.mu.Unlock()
+}
+
+// askHosts declares the seats gone whose host the platform reports as gone. The
+// host list is read only while a seat is inactive.
+func (m *Membership) askHosts(ctx context.Context) {
+	if m.cfg.Hosts == nil {
+		return
+	}
+	m.mu.Lock()
+	suspects := map[fleet.HostID][]fleet.SeatID{}
+	for id, o := range m.observed {
+		if k := m.known[id]; k != nil && !m.activeSeat(k) && m.held[id] == nil && o.record.Host != "" && !m.gone[id] {
+			suspects[o.record.Host] = append(suspects[o.record.Host], id)
+		}
+	}
+	due := len(suspects) > 0 && time.Since(m.lastHosts) >= m.cfg.ListInterval
+	if due {
+		m.lastHosts = time.Now()
+	}
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	hosts, err := m.cfg.Hosts.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range hosts {
+		if h.State == fleet.HostGone {
+			for _, id := range slices.Clone(suspects[h.ID]) {
+				m.gone[id] = true
+			}
+		}
+	}
+}
+
+// SeatDeleted reads from the store whether the seat no longer exists.
+func (m *Membership) SeatDeleted(ctx context.Context, seat fleet.SeatID) (bool, error) {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	_, err := m.store.Get(ctx, seatPrefix+string(seat))
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return true, nil
+	}
+	return false, err
+}
--- /dev/null
+++ b/internal/membership/seat.go
@@ -0,0 +1,335 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// seatPrefix is the store prefix of the seat records.
+const seatPrefix = "seats/"
+
+// maxQuorum bounds the voters of a seat, so that the heartbeat cost does not grow with the cell.
+const maxQuorum = 7
+
+// seatRecord is the stored form of a seat.
+type seatRecord struct {
+	Daemon      string                 `json:"daemon"`
+	Incarnation string                 `json:"incarnation"`
+	PeerAddress string                 `json:"peer_address"`
+	Zone        fleet.AvailabilityZone `json:"zone,omitempty"`
+	Host        fleet.HostID           `json:"host,omitempty"`
+	Quorum      []fleet.SeatID         `json:"quorum"`
+	Renewal     int64                  `json:"renewal"`
+	Moves       int64                  `json:"moves,omitempty"`
+	// Reclaiming marks the seat as lost to its occupant.
+	Reclaiming bool `json:"reclaiming,omitempty"`
+}
+
+// heldSeat is a seat that this daemon occupies. Membership.mu guards it.
+type heldSeat struct {
+	id    fleet.SeatID
+	moves int64
+	// version is the store version of the last record known; 0 before the seat exists.
+	version uint64
+	// renewal and quorum are those of the last confirmed write.
+	renewal int64
+	quorum  []fleet.SeatID
+	// pending was written with an outcome that is not known. It is repeated without a
+	// change until the outcome is known, so that only one write can follow a version.
+	pending   *seatRecord
+	pendingAt time.Time
+	// handedQuorum is the quorum of a write of the earlier occupant whose outcome is not
+	// known. The first write repeats it, so that at most two quorums are possible.
+	handedQuorum []fleet.SeatID
+	renewedAt    time.Time
+	vouches      map[fleet.SeatID]time.Time
+	// memory is what this seat promised as a voter.
+	memory map[fleet.SeatID]voteMemory
+	// handing is set before a handover is sent; nothing starts under the seat afterwards.
+	handing bool
+	writing bool
+}
+
+// voteMemory is what one voter remembers of one seat.
+type voteMemory struct {
+	promisedUntil time.Time
+	// consented is the highest renewal counter whose reclaim the voter consented to; -1 for none.
+	consented int64
+}
+
+func newHeldSeat(id fleet.SeatID) *heldSeat {
+	return &heldSeat{id: id, vouches: map[fleet.SeatID]time.Time{}, memory: map[fleet.SeatID]voteMemory{}}
+}
+
+// created reports whether the seat is known to exist in the store.
+func (s *heldSeat) created() bool { return s.version != 0 }
+
+// rightAt reports whether the right to use the seat's allotments holds at now.
+func (m *Membership) rightAt(s *heldSeat, now time.Time) bool {
+	if !s.created() {
+		return false
+	}
+	if !s.renewedAt.IsZero() && now.Sub(s.renewedAt) < m.cfg.Lease {
+		return true
+	}
+	if m.faults.stopAtLeaseEnd || !m.majority(s, s.quorum, now) {
+		return false
+	}
+	if s.pending != nil && !m.majority(s, s.pending.Quorum, now) {
+		return false
+	}
+	return s.handedQuorum == nil || m.majority(s, s.handedQuorum, now)
+}
+
+// majority reports whether more than half of the quorum vouch for the seat at now.
+func (m *Membership) majority(s *heldSeat, quorum []fleet.SeatID, now time.Time) bool {
+	n := 0
+	for _, v := range quorum {
+		at, ok := s.vouches[v]
+		if v == s.id || (ok && now.Sub(at) < m.cfg.VouchLifetime) || m.ownVote(v, s) {
+			n++
+		}
+	}
+	return n > len(quorum)/2
+}
+
+// ownVote reports whether the voter is another seat of this daemon and supports
+// s. A handover of either seat turns this vote into a promise with an end.
+func (m *Membership) ownVote(voter fleet.SeatID, s *heldSeat) bool {
+	v := m.held[voter]
+	return v != nil && v.created() && !s.handing && m.consentedTo(v, s.id) < s.renewal
+}
+
+// consentedTo returns the highest renewal counter of the seat to whose reclaim
+// the voter consented, or -1.
+func (m *Membership) consentedTo(voter *heldSeat, seat fleet.SeatID) int64 {
+	if mem, ok := voter.memory[seat]; ok {
+		return mem.consented
+	}
+	return -1
+}
+
+// promise notes that the voter supported the seat until now.
+func (m *Membership) promise(voter *heldSeat, seat fleet.SeatID, now time.Time) {
+	voter.memory[seat] = voteMemory{
+		promisedUntil: now.Add(m.cfg.VouchLifetime + m.cfg.Margin),
+		consented:     m.consentedTo(voter, seat),
+	}
+}
+
+// SeatMayStart reports whether new work may start under the seat now.
+func (m *Membership) SeatMayStart(seat fleet.SeatID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.held[seat]
+	return s != nil && m.rightAt(s, time.Now())
+}
+
+// SeatRight reports whether work that was admitted under the seat may still be
+// sent. It also holds for a seat in handover, whose successor keeps the units in use reserved.
+func (m *Membership) SeatRight(seat fleet.SeatID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.held[seat]
+	if s == nil {
+		s = m.exported[seat]
+	}
+	return s != nil && m.rightAt(s, time.Now())
+}
+
+// HeldSeats returns the seats of this daemon that exist in the store, in order.
+func (m *Membership) HeldSeats() []fleet.SeatID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := make([]fleet.SeatID, 0, len(m.held))
+	for id, s := range m.held {
+		if s.created() {
+			ids = append(ids, id)
+		}
+	}
+	sortSeats(ids)
+	return ids
+}
+
+// RightValid reports whether any seat of this daemon may start work now.
+func (m *Membership) RightValid() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, s := range m.held {
+		if m.rightAt(s, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// renewSeat writes the next record of the seat and settles its outcome.
+func (m *Membership) renewSeat(ctx context.Context, s *heldSeat) error {
+	m.mu.Lock()
+	if s.handing || s.writing || m.held[s.id] != s {
+		m.mu.Unlock()
+		return nil
+	}
+	s.writing = true
+	fresh := s.pending == nil
+	if fresh {
+		s.pending = m.nextRecord(s)
+		s.pendingAt = time.Now()
+	}
+	rec, expect := *s.pending, s.version
+	m.mu.Unlock()
+	defer func() { m.mu.Lock(); s.writing = false; m.mu.Unlock() }()
+
+	sent := time.Now()
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return err
+	}
+	version, err := m.store.Put(ctx, seatPrefix+string(s.id), value, expect, 0)
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
+	switch {
+	case err == nil:
+		m.confirm(s, rec, version, sent)
+		return nil
+	case errors.As(err, &conflict):
+		return m.readBack(ctx, s)
+	case errors.As(err, &unavailable) && fresh:
+		m.mu.Lock()
+		if !s.handing {
+			s.pending = nil
+		}
+		m.mu.Unlock()
+	}
+	return err
+}
+
+func (m *Membership) nextRecord(s *heldSeat) *seatRecord {
+	quorum := s.handedQuorum
+	if quorum == nil {
+		quorum = m.chooseQuorum(s)
+	}
+	return &seatRecord{
+		Daemon: m.cfg.Daemon, Incarnation: m.cfg.Incarnation, PeerAddress: m.cfg.PeerAddress,
+		Zone: m.cfg.Zone, Host: m.cfg.Host,
+		Quorum: quorum, Renewal: s.renewal + 1, Moves: s.moves,
+	}
+}
+
+// confirm records a write that took effect and was sent no earlier than sent.
+func (m *Membership) confirm(s *heldSeat, rec seatRecord, version uint64, sent time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s.handing {
+		return
+	}
+	created := s.created()
+	s.version, s.renewal, s.quorum = version, rec.Renewal, rec.Quorum
+	s.pending, s.handedQuorum = nil, nil
+	s.renewedAt = sent
+	m.learnOwn(s)
+	if !created {
+		m.log.WithField("seat", s.id).Info("seat created")
+	}
+	m.changed()
+}
+
+// readBack reads the seat's record after a write that did not apply or may have applied.
+func (m *Membership) readBack(ctx context.Context, s *heldSeat) error {
+	entry, err := m.store.Get(ctx, seatPrefix+string(s.id))
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		m.loseSeat(s, "record deleted")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var rec seatRecord
+	if err := json.Unmarshal(entry.Value, &rec); err != nil {
+		return err
+	}
+	if rec.Reclaiming {
+		m.loseSeat(s, "marked for reclaim")
+		return nil
+	}
+	if rec.Incarnation != m.cfg.Incarnation && rec.Moves >= s.moves {
+		m.loseSeat(s, "occupied by another daemon")
+		return nil
+	}
+	m.mu.Lock()
+	if s.handing {
+		m.mu.Unlock()
+		return nil
+	}
+	if s.pending != nil && rec.Incarnation == m.cfg.Incarnation && rec.Renewal == s.pending.Renewal {
+		sent := s.pendingAt
+		m.mu.Unlock()
+		m.confirm(s, rec, entry.Version, sent)
+		return nil
+	}
+	// Another write of this seat, such as a late one of the earlier occupant, took effect.
+	if entry.Version != s.version {
+		s.version, s.renewal, s.quorum = entry.Version, rec.Renewal, rec.Quorum
+		s.pending, s.handedQuorum = nil, nil
+	}
+	m.mu.Unlock()
+	return nil
+}
+
+// loseSeat gives a seat up for good.
+func (m *Membership) loseSeat(s *heldSeat, reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.held[s.id] != s {
+		return
+	}
+	delete(m.held, s.id)
+	if k := m.known[s.id]; k != nil && k.incarnation == m.cfg.Incarnation {
+		delete(m.known, s.id)
+	}
+	m.log.WithFields(map[string]any{"seat": s.id, "reason": reason}).Warn("seat lost")
+	m.changed()
+}
+
+// chooseQuorum picks the voters for the next write of the seat. Active members
+// of the present quorum stay; an inactive one is replaced, but not dropped,
+// while its seat exists: a daemon that is cut off from all peers must not
+// shrink the quorum to itself, because then nobody could consent to a reclaim.
+func (m *Membership) chooseQuorum(s *heldSeat) []fleet.SeatID {
+	quorum := []fleet.SeatID{s.id}
+	daemons := map[string]bool{m.cfg.Incarnation: true}
+	in := map[fleet.SeatID]bool{s.id: true}
+	add := func(k *knownSeat) {
+		if !in[k.id] && len(quorum) < maxQuorum {
+			quorum = append(quorum, k.id)
+			in[k.id] = true
+			daemons[k.incarnation] = true
+		}
+	}
+	old := map[fleet.SeatID]bool{}
+	for _, id := range s.quorum {
+		old[id] = true
+		if k := m.known[id]; k != nil && m.activeSeat(k) && !daemons[k.incarnation] {
+			add(k)
+		}
+	}
+	ranked := m.rankedSeats(string(s.id))
+	for _, k := range ranked {
+		if m.activeSeat(k) && !k.marked && !daemons[k.incarnation] {
+			add(k)
+		}
+	}
+	for _, k := range ranked {
+		if old[k.id] && !k.marked && k.incarnation != m.cfg.Incarnation {
+			add(k)
+		}
+	}
+	return quorum
+}
--- a/internal/peerapi/oas/oas_json_gen.go
+++ b/internal/peerapi/oas/oas_json_gen.go
@@ -839,6 +839,12 @@
 		e.FieldStart("id")
 		e.Str(s.ID)
 	}
+	{
+		if s.Successor.Set {
+			e.FieldStart("successor")
+			s.Successor.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("seat")
 		s.Seat.Encode(e)
@@ -907,17 +913,18 @@
 	}
 }
 
-var jsonFieldsNameOfHandover = [10]string{
-	0: "id",
-	1: "seat",
-	2: "renewal",
-	3: "record_version",
-	4: "quorum",
-	5: "pending_quorum",
-	6: "units",
-	7: "running",
-	8: "memory",
-	9: "claims",
+var jsonFieldsNameOfHandover = [11]string{
+	0:  "id",
+	1:  "successor",
+	2:  "seat",
+	3:  "renewal",
+	4:  "record_version",
+	5:  "quorum",
+	6:  "pending_quorum",
+	7:  "units",
+	8:  "running",
+	9:  "memory",
+	10: "claims",
 }
 
 // Decode decodes Handover from json.
@@ -941,8 +948,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"id\"")
 			}
+		case "successor":
+			if err := func() error {
+				s.Successor.Reset()
+				if err := s.Successor.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"successor\"")
+			}
 		case "seat":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				if err := s.Seat.Decode(d); err != nil {
 					return err
@@ -952,7 +969,7 @@
 				return errors.Wrap(err, "decode field \"seat\"")
 			}
 		case "renewal":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Int64()
 				s.Renewal = int64(v)
@@ -974,7 +991,7 @@
 				return errors.Wrap(err, "decode field \"record_version\"")
 			}
 		case "quorum":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				s.Quorum = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1013,7 +1030,7 @@
 				return errors.Wrap(err, "decode field \"pending_quorum\"")
 			}
 		case "units":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				s.Units = make([]TeamUnits, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1048,7 +1065,7 @@
 				return errors.Wrap(err, "decode field \"running\"")
 			}
 		case "memory":
-			requiredBitSet[1] |= 1 << 0
+			requiredBitSet[1] |= 1 << 1
 			if err := func() error {
 				s.Memory = make([]VouchMemory, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1066,7 +1083,7 @@
 				return errors.Wrap(err, "decode field \"memory\"")
 			}
 		case "claims":
-			requiredBitSet[1] |= 1 << 1
+			requiredBitSet[1] |= 1 << 2
 			if err := func() error {
 				s.Claims = make([]Claim, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1093,8 +1110,8 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
-		0b01010111,
-		0b00000011,
+		0b10101101,
+		0b00000110,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2006,15 +2023,22 @@
 		e.FieldStart("renewal")
 		e.Int64(s.Renewal)
 	}
+	{
+		if s.Moves.Set {
+			e.FieldStart("moves")
+			s.Moves.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfSeatState = [6]string{
+var jsonFieldsNameOfSeatState = [7]string{
 	0: "seat",
 	1: "daemon",
 	2: "incarnation",
 	3: "peer_address",
 	4: "availability_zone",
 	5: "renewal",
+	6: "moves",
 }
 
 // Decode decodes SeatState from json.
@@ -2098,6 +2122,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"renewal\"")
 			}
+		case "moves":
+			if err := func() error {
+				s.Moves.Reset()
+				if err := s.Moves.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"moves\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/peerapi/oas/oas_schemas_gen.go
+++ b/internal/peerapi/oas/oas_schemas_gen.go
@@ -326,7 +326,9 @@
 
 // Ref: #/components/schemas/Handover
 type Handover struct {
-	ID            string      `json:"id"`
+	ID string `json:"id"`
+	// Incarnation of the receiver. A later process at the same address must not take the seat.
+	Successor     OptString   `json:"successor"`
 	Seat          SeatState   `json:"seat"`
 	Renewal       int64       `json:"renewal"`
 	RecordVersion OptInt64    `json:"record_version"`
@@ -344,6 +346,11 @@
 	return s.ID
 }
 
+// GetSuccessor returns the value of Successor.
+func (s *Handover) GetSuccessor() OptString {
+	return s.Successor
+}
+
 // GetSeat returns the value of Seat.
 func (s *Handover) GetSeat() SeatState {
 	return s.Seat
@@ -394,6 +401,11 @@
 	s.ID = val
 }
 
+// SetSuccessor sets the value of Successor.
+func (s *Handover) SetSuccessor(val OptString) {
+	s.Successor = val
+}
+
 // SetSeat sets the value of Seat.
 func (s *Handover) SetSeat(val SeatState) {
 	s.Seat = val
@@ -888,6 +900,8 @@
 	PeerAddress      string `json:"peer_address"`
 	AvailabilityZone string `json:"availability_zone"`
 	Renewal          int64  `json:"renewal"`
+	// Number of handovers of the seat. The higher number names the occupant.
+	Moves OptInt64 `json:"moves"`
 }
 
 // GetSeat returns the value of Seat.
@@ -920,6 +934,11 @@
 	return s.Renewal
 }
 
+// GetMoves returns the value of Moves.
+func (s *SeatState) GetMoves() OptInt64 {
+	return s.Moves
+}
+
 // SetSeat sets the value of Seat.
 func (s *SeatState) SetSeat(val string) {
 	s.Seat = val
@@ -950,6 +969,11 @@
 	s.Renewal = val
 }
 
+// SetMoves sets the value of Moves.
+func (s *SeatState) SetMoves(val OptInt64) {
+	s.Moves = val
+}
+
 // SettleNoContent is response for Settle operation.
 type SettleNoContent struct{}
 
