--- /dev/null
+++ b/cmd/samphirestile-emulator/bench.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"samphirestile.example/samphirestile/internal/emulator/bench"
+)
+
+type benchCommand struct {
+	Daemon string   `required:"" help:"Path of samphirestiled." type:"existingfile"`
+	Mode   string   `help:"short or full." enum:"short,full" default:"short"`
+	Only   []string `help:"Groups to run: path, share, burst, urgent, limit, key, stop, control."`
+}
+
+// Run prints the metrics; a missed target is reported on standard error and is
+// no failure of the run.
+func (c *benchCommand) Run() error {
+	emulator, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find this program: %w", err)
+	}
+	return bench.Run(bench.Options{Daemon: c.Daemon, Emulator: emulator, Full: c.Mode == "full", Only: c.Only}, os.Stdout, os.Stderr)
+}
--- /dev/null
+++ b/cmd/samphirestile-emulator/demo.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+)
+
+type demoCommand struct {
+	Daemon string `required:"" help:"Path of samphirestiled." type:"existingfile"`
+}
+
+// UnexpectedError reports a step of the demo that went otherwise than expected.
+type UnexpectedError struct{ Step, Detail string }
+
+func (e *UnexpectedError) Error() string { return fmt.Sprintf("%s: %s", e.Step, e.Detail) }
+
+const (
+	demoDaemons   = 3
+	demoEndpoints = 2
+	demoLimit     = 6
+	demoSeed      = 1
+)
+
+// Run exits without an error only if every step went as expected.
+func (c *demoCommand) Run() error {
+	emulator, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find this program: %w", err)
+	}
+	cell, err := process.Start(process.Options{
+		Daemon: c.Daemon, Emulator: emulator, Daemons: demoDaemons, Timing: process.ShortTiming(),
+		Services: []process.Service{{ID: "quotes", Endpoints: demoEndpoints, Behaviour: endpoint.Settings{MeanMS: 5, Capacity: 8}}},
+		Teams:    []process.Team{{ID: "quoting", Account: "burrowline", Weight: 1, Limit: demoLimit}},
+	})
+	if err != nil {
+		return err
+	}
+	defer cell.Close()
+	fmt.Printf("started the platform, %d daemons and %d endpoints; the configuration is in force\n", demoDaemons, demoEndpoints)
+	if err := demonstrate(cell); err != nil {
+		return fmt.Errorf("%w\n%s", err, cell.LogTails())
+	}
+	fmt.Println("all steps went as expected")
+	return nil
+}
+
+func demonstrate(cell *process.Cell) error {
+	key, err := cell.GiveKey("quoting")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("issued key %s to team quoting\n", key.ID)
+	if err := cell.AwaitConfiguration(5 * time.Second); err != nil {
+		return err
+	}
+	var events []history.Event
+	for _, d := range cell.Daemons {
+		r, err := demoLoad(key, 200, d.ServiceURL())
+		if err != nil {
+			return err
+		}
+		events = append(events, r.Recorder.Events(0)...)
+		if t := r.Total(); t.Answered != t.Sent {
+			return &UnexpectedError{"requests through " + d.ID, fmt.Sprintf("%d of %d answered", t.Answered, t.Sent)}
+		}
+		fmt.Printf("%s answered 200 requests\n", d.ID)
+	}
+	more, err := demoKill(cell, key)
+	if err != nil {
+		return err
+	}
+	if err := demoStop(cell); err != nil {
+		return err
+	}
+	return demoCheck(cell, events, more)
+}
+
+func demoLoad(key process.Key, requests int, urls ...string) (*load.Report, error) {
+	return load.Run(context.Background(), load.Plan{
+		Seed: demoSeed, DurationMS: 20000, MaxRequests: requests,
+		Callers: []load.Caller{{
+			Name: "demo-" + urls[0], Team: key.Team, KeyID: key.ID, Key: key.Secret, Service: "quotes", Concurrency: 4,
+			Targets: load.Even(urls...), NonIdempotent: true, BodyBytes: 100,
+		}},
+	})
+}
+
+// demoKill kills the last daemon under load; the others must go on.
+func demoKill(cell *process.Cell, key process.Key) ([]history.Event, error) {
+	victim := cell.Daemons[len(cell.Daemons)-1]
+	urls := []string{cell.Daemons[0].ServiceURL(), cell.Daemons[1].ServiceURL()}
+	killed := time.AfterFunc(300*time.Millisecond, victim.Kill)
+	defer killed.Stop()
+	r, err := load.Run(context.Background(), load.Plan{
+		Seed: demoSeed, DurationMS: 4000,
+		Callers: []load.Caller{{
+			Name: "kill", Team: key.Team, KeyID: key.ID, Key: key.Secret, Service: "quotes", Concurrency: 2,
+			Targets: load.Even(urls...),
+		}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	t := r.Total()
+	fmt.Printf("killed %s under load: %d requests answered by the others, %d refused, %d with unknown outcome\n",
+		victim.ID, t.Answered, t.Refused, t.Unknown)
+	events := r.Recorder.Events(0)
+	if last := events[len(events)-1]; victim.Running() || t.Broken > 0 || t.Failed > 0 || last.Outcome != "" {
+		return nil, &UnexpectedError{"service after the kill", fmt.Sprintf("%+v, last result %+v", t, last)}
+	}
+	return events, nil
+}
+
+// demoStopLimit bounds a planned stop.
+const demoStopLimit = 15 * time.Second
+
+func demoStop(cell *process.Cell) error {
+	for _, d := range cell.Running() {
+		d.Terminate()
+		code, err := d.Wait(demoStopLimit)
+		if err != nil {
+			return err
+		}
+		if code != 0 {
+			return &UnexpectedError{"planned stop of " + d.ID, fmt.Sprintf("exit status %d", code)}
+		}
+		fmt.Printf("stopped %s: exit status 0\n", d.ID)
+	}
+	return nil
+}
+
+func demoCheck(cell *process.Cell, lists ...[]history.Event) error {
+	events, err := cell.Events(lists...)
+	if err != nil {
+		return err
+	}
+	limit := history.NewTeamLimit(map[string]int{"quoting": demoLimit}, 0)
+	bad := history.Check(events, limit, history.NewAtMostOnce(), history.NewNotRun(), history.NewWholeResponses(false))
+	if len(bad) > 0 {
+		return bad[0]
+	}
+	fmt.Printf("checked %d events: at most %d requests ran at once, limit %d\n", len(events), limit.Peak["quoting"], demoLimit)
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/bench/bench.go
@@ -0,0 +1,175 @@
+// Package bench measures the figures of the design page, section 10, on real processes.
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+)
+
+// Options selects what is measured.
+type Options struct {
+	Daemon   string
+	Emulator string
+	// Full runs for longer and at the sizes of the design page.
+	Full bool
+	// Only names the groups to run; empty means all.
+	Only []string
+}
+
+// Metric is one measured figure.
+type Metric struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+}
+
+// group measures some metrics on its own cell.
+type group struct {
+	name    string
+	measure func(Options) ([]Metric, error)
+}
+
+func groups() []group {
+	return []group{
+		{"path", measurePath},
+		{"share", measureShare},
+		{"burst", measureBurst},
+		{"urgent", measureUrgent},
+		{"limit", measureLimit},
+		{"key", measureKey},
+		{"stop", measureStop},
+		{"control", measureControl},
+	}
+}
+
+// target is a bound of the design page.
+type target struct {
+	bound   float64
+	atLeast bool
+}
+
+func targets() map[string]target {
+	return map[string]target{
+		"path.latency_ratio_p50":   {bound: 1.15},
+		"path.latency_ratio_p99":   {bound: 1.5},
+		"share.error_max_percent":  {bound: 5},
+		"burst.busy_percent":       {bound: 95, atLeast: true},
+		"urgent.start_p99_ms":      {bound: 1200},
+		"limit.overshoot_max":      {bound: 0},
+		"key.withdraw_p99_ms":      {bound: 2000},
+		"stop.cut_requests":        {bound: 0},
+		"control.bytes_per_second": {bound: 4096},
+		"control.cpu_percent":      {bound: 1.3},
+		"control.heap_mb":          {bound: 32},
+	}
+}
+
+// GroupError reports a group that could not be measured.
+type GroupError struct {
+	Group string
+	Cause error
+}
+
+func (e *GroupError) Error() string { return fmt.Sprintf("bench group %s: %v", e.Group, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *GroupError) Unwrap() error { return e.Cause }
+
+// Run prints the metrics to out and missed targets to notes. It runs the other
+// groups when one fails, and returns the first failure.
+func Run(o Options, out, notes io.Writer) error {
+	var first error
+	for _, g := range groups() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, g.name) {
+			continue
+		}
+		metrics, err := g.measure(o)
+		if err != nil {
+			failed := &GroupError{Group: g.name, Cause: err}
+			fmt.Fprintln(notes, failed)
+			if first == nil {
+				first = failed
+			}
+		}
+		if err := report(metrics, out, notes); err != nil {
+			return err
+		}
+	}
+	return first
+}
+
+func report(metrics []Metric, out, notes io.Writer) error {
+	enc := json.NewEncoder(out)
+	for _, m := range metrics {
+		if err := enc.Encode(m); err != nil {
+			return fmt.Errorf("write a metric: %w", err)
+		}
+		t, known := targets()[m.Name]
+		if known && (t.atLeast && m.Value < t.bound || !t.atLeast && m.Value > t.bound) {
+			fmt.Fprintf(notes, "missed: %s is %.4g %s, target %.4g\n", m.Name, m.Value, m.Unit, t.bound)
+		}
+	}
+	return nil
+}
+
+// seed fixes the arrival times of all groups.
+const seed = 20261
+
+// cell starts a cell with the given parts.
+func (o Options) cell(daemons int, services []process.Service, teams []process.Team) (*process.Cell, error) {
+	return process.Start(process.Options{
+		Daemon: o.Daemon, Emulator: o.Emulator, Daemons: daemons, Services: services, Teams: teams, LogLevel: "warning",
+	})
+}
+
+// seconds returns the run time in milliseconds of the short or the full mode.
+func (o Options) seconds(short, full int) int {
+	if o.Full {
+		return full * 1000
+	}
+	return short * 1000
+}
+
+// caller returns a caller of team with a new key, for all daemons.
+func caller(c *process.Cell, name, team, service string) (load.Caller, error) {
+	key, err := c.GiveKey(team)
+	if err != nil {
+		return load.Caller{}, err
+	}
+	return load.Caller{
+		Name: name, Team: team, KeyID: key.ID, Key: key.Secret, Service: service, Targets: load.Even(c.ServiceURLs()...),
+	}, nil
+}
+
+// startLatency returns, per op, the time from sending to the start at an endpoint.
+func startLatency(events []history.Event, chosen func(history.Event) bool) []int64 {
+	sent := map[string]int64{}
+	var waits []int64
+	for _, e := range events {
+		switch {
+		case e.Kind == history.KindSend && chosen(e):
+			sent[e.Op] = e.TimeNS
+		case e.Kind == history.KindStart:
+			if at, ok := sent[e.Op]; ok {
+				waits = append(waits, e.TimeNS-at)
+				delete(sent, e.Op)
+			}
+		}
+	}
+	return waits
+}
+
+// quantile returns the q-quantile of values, 0 for none.
+func quantile(values []int64, q float64) int64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(int(q*float64(len(values))), len(values)-1)]
+}
--- /dev/null
+++ b/internal/emulator/bench/burst.go
@@ -0,0 +1,79 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+)
+
+// The burst pattern on five services: a pool of 12 slots with a service time of
+// 40 ms carries 300 requests per second, and a burst demands 1.3 times that.
+const (
+	burstQueues    = 5
+	burstEndpoints = 3
+	burstSlots     = 4
+	burstServiceMS = 40
+	burstDemand    = 1.3
+	burstMean      = burstDemand * burstEndpoints * burstSlots * 1000 / burstServiceMS / load.BurstFactor
+	burstDeadline  = 1000
+)
+
+// measureBurst gives the busy share of usable slots while there is work.
+func measureBurst(o Options) ([]Metric, error) {
+	var services []process.Service
+	for i := range burstQueues {
+		services = append(services, process.Service{
+			ID: fmt.Sprintf("queue%d", i+1), Endpoints: burstEndpoints, Slots: burstSlots, MaxWaitMS: burstDeadline,
+			Behaviour: endpoint.Settings{MeanMS: burstServiceMS, Capacity: burstSlots},
+		})
+	}
+	c, err := o.cell(3, services, []process.Team{
+		{ID: "a", Account: "x", Weight: 1, Limit: 200}, {ID: "b", Account: "y", Weight: 2, Limit: 200},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	callers, err := burstCallers(c, services, o.seconds(2, 5))
+	if err != nil {
+		return nil, err
+	}
+	r, err := load.Run(context.Background(), load.Plan{Seed: seed, DurationMS: o.seconds(10, 100), Callers: callers})
+	if err != nil {
+		return nil, err
+	}
+	events, err := c.Events(r.Recorder.Events(0))
+	if err != nil {
+		return nil, err
+	}
+	usable := map[string]int{}
+	for _, s := range services {
+		usable[s.ID] = burstEndpoints * burstSlots
+	}
+	waits := startLatency(events, func(history.Event) bool { return true })
+	return []Metric{
+		{"burst.busy_percent", history.BusyPercent(events, history.Around(events, 0), usable), "percent"},
+		{"burst.wait_p99_ms", float64(quantile(waits, 0.99)) / float64(time.Millisecond), "ms"},
+	}, nil
+}
+
+func burstCallers(c *process.Cell, services []process.Service, lengthMS int) ([]load.Caller, error) {
+	var callers []load.Caller
+	for i, s := range services {
+		for _, team := range []string{"a", "b"} {
+			k, err := caller(c, s.ID+"-"+team, team, s.ID)
+			if err != nil {
+				return nil, err
+			}
+			k.DeadlineMS = burstDeadline
+			k.Rate = &load.Rate{Mean: burstMean / 2, Burst: &load.Burst{Queue: i, Queues: burstQueues, LengthMS: lengthMS}}
+			callers = append(callers, k)
+		}
+	}
+	return callers, nil
+}
--- /dev/null
+++ b/internal/emulator/bench/stop.go
@@ -0,0 +1,117 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+)
+
+// balancerInterval is the interval of the load balancer's readiness checks.
+const balancerInterval = 50 * time.Millisecond
+
+// stopLimit bounds one planned stop.
+const stopLimit = 70 * time.Second
+
+// ExitStatusError reports a planned stop that ended with a failure.
+type ExitStatusError struct {
+	Daemon string
+	Status int
+}
+
+func (e *ExitStatusError) Error() string {
+	return fmt.Sprintf("planned stop of %s: exit status %d", e.Daemon, e.Status)
+}
+
+// measureStop replaces every daemon under load and counts requests that were
+// cut; refused requests are reported on their own.
+func measureStop(o Options) ([]Metric, error) {
+	daemons := 3
+	if o.Full {
+		daemons = 8
+	}
+	service := process.Service{ID: "s", Endpoints: 4, Behaviour: endpoint.Settings{MeanMS: 30, Shape: endpoint.Exponential}}
+	c, err := process.Start(process.Options{
+		Daemon: o.Daemon, Emulator: o.Emulator, Daemons: daemons, LogLevel: "warning", Timing: process.Timing{GraceMS: 500},
+		Services: []process.Service{service}, Teams: []process.Team{{ID: "a", Account: "x", Weight: 1, Limit: 100}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	k, err := caller(c, "k", "a", "s")
+	if err != nil {
+		return nil, err
+	}
+	k.Balancer = load.NewBalancer(balancerInterval, c.ServiceURLs()...)
+	defer k.Balancer.Close()
+	k.Concurrency, k.NonIdempotent = 12, true
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	replaced := make(chan error, 1)
+	over := make(chan struct{})
+	go func() {
+		replaced <- ReplaceAll(c, k.Balancer)
+		close(over)
+	}()
+	total, err := loadUntil(ctx, k, over)
+	if err != nil {
+		return nil, err
+	}
+	if err := <-replaced; err != nil {
+		return nil, err
+	}
+	return []Metric{
+		{"stop.cut_requests", float64(total.Broken + total.Unknown + total.Failed), "requests"},
+		{"stop.refused_requests", float64(total.Refused), "requests"},
+		{"stop.answered_requests", float64(total.Answered), "requests"},
+	}, nil
+}
+
+// loadUntil repeats short runs until over is closed, so that no request is cancelled at the end.
+func loadUntil(ctx context.Context, k load.Caller, over <-chan struct{}) (load.Result, error) {
+	var sum load.Result
+	for i := int64(0); ; i++ {
+		r, err := load.Run(ctx, load.Plan{Seed: seed + i, DurationMS: 1000, Callers: []load.Caller{k}})
+		if err != nil {
+			return sum, err
+		}
+		t := r.Total()
+		sum.Answered += t.Answered
+		sum.Broken += t.Broken
+		sum.Unknown += t.Unknown
+		sum.Failed += t.Failed
+		sum.Refused += t.Refused
+		select {
+		case <-over:
+			return sum, nil
+		default:
+		}
+	}
+}
+
+// ReplaceAll replaces each running daemon by a new one, one after the other.
+func ReplaceAll(c *process.Cell, b *load.Balancer) error {
+	for _, old := range c.Running() {
+		if _, err := c.AddDaemon(); err != nil {
+			return err
+		}
+		if err := c.AwaitReady(stopLimit); err != nil {
+			return err
+		}
+		b.SetTargets(c.ServiceURLs()...)
+		old.Terminate()
+		status, err := old.Wait(stopLimit)
+		if err != nil {
+			return err
+		}
+		if status != 0 {
+			return &ExitStatusError{Daemon: old.ID, Status: status}
+		}
+		b.SetTargets(c.ServiceURLs()...)
+	}
+	return nil
+}
--- a/internal/emulator/process/cell.go
+++ b/internal/emulator/process/cell.go
@@ -5,7 +5,9 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"samphirestile.example/samphirestile/internal/emulator/history"
@@ -40,10 +42,12 @@
 	// Record holds the events of the operator's actions.
 	Record *history.Recorder
 
-	changes   int
+	changes int
+	relays  []*relay.Relay
+	ownDir  bool
+
+	mu        sync.Mutex // guards processes, which relays read
 	processes []*Process
-	relays    []*relay.Relay
-	ownDir    bool
 }
 
 const (
@@ -51,8 +55,6 @@
 	cellSecret    = "cell-secret-of-the-test-harness-0123456789"
 	// startLimit bounds each wait for a started process.
 	startLimit = 15 * time.Second
-	// exitLimit bounds the wait for a planned stop of a daemon in Close.
-	exitLimit = 10 * time.Second
 )
 
 // New starts the platform emulator and the endpoints, but no daemon.
@@ -129,13 +131,22 @@
 	if err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.processes = append(c.processes, p)
 	return p, nil
 }
 
+// started returns all processes that the cell started.
+func (c *Cell) started() []*Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.processes)
+}
+
 // Close ends every process and relay that the cell started.
 func (c *Cell) Close() {
-	for _, p := range c.processes {
+	for _, p := range c.started() {
 		if p.Running() {
 			p.Kill()
 		}
@@ -155,7 +166,7 @@
 // LogTails returns the end of the log of each daemon and of the platform.
 func (c *Cell) LogTails() string {
 	text := ""
-	for _, p := range c.processes {
+	for _, p := range c.started() {
 		log := p.Log()
 		if len(log) > tailBytes {
 			log = log[len(log)-tailBytes:]
--- a/internal/emulator/process/daemon.go
+++ b/internal/emulator/process/daemon.go
@@ -108,8 +108,23 @@
 		return err
 	}
 	d.settingsPath = c.path(d.ID + ".json")
-	if err := os.WriteFile(d.settingsPath, raw, 0o600); err != nil {
-		return &StartError{Name: d.ID, Cause: err}
+	return writeFile(d.settingsPath, raw)
+}
+
+// WriteError reports a file that could not be written.
+type WriteError struct {
+	Path  string
+	Cause error
+}
+
+func (e *WriteError) Error() string { return fmt.Sprintf("write %s: %v", e.Path, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *WriteError) Unwrap() error { return e.Cause }
+
+func writeFile(path string, content []byte) error {
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return &WriteError{Path: path, Cause: err}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/emulator/process/process_test.go
@@ -0,0 +1,145 @@
+package process
+
+import (
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	daemonsettings "samphirestile.example/samphirestile/internal/settings"
+)
+
+// newCell returns a cell with the built emulator, but without a platform.
+func newCell(t *testing.T) *Cell {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "emulator")
+	out, err := exec.Command("go", "build", "-o", path, "../../../cmd/samphirestile-emulator").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	c := &Cell{Options: Options{Emulator: path, Dir: t.TempDir(), PeerRelays: true}, Record: history.NewRecorder(nil)}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func get(url string) error {
+	client := http.Client{Timeout: 200 * time.Millisecond}
+	resp, err := client.Get(url)
+	if err == nil {
+		err = resp.Body.Close()
+	}
+	return err
+}
+
+// Guards against processes that outlive their end, signals without effect, and
+// events that are lost with a killed endpoint.
+func TestEndpointProcess(t *testing.T) {
+	c := newCell(t)
+	e, err := c.AddEndpoint(Service{ID: "s"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + e.Address + "/x?op=1"
+	if err := get(url); err != nil {
+		t.Fatal(err)
+	}
+	e.Pause()
+	if err := get(url); err == nil {
+		t.Error("a frozen process responded")
+	}
+	e.Resume()
+	if err := e.SetFaults(endpoint.Faults{Hang: true}); err != nil {
+		t.Fatal(err)
+	}
+	_ = get(url)
+	e.Kill()
+	if e.Running() || get(url) == nil {
+		t.Error("a killed process is still there")
+	}
+	if status, err := e.Wait(time.Second); status != -1 || err != nil {
+		t.Errorf("exit status of a killed process: %d, %v", status, err)
+	}
+	if err := c.Restart(e); err != nil {
+		t.Fatal(err)
+	}
+	if err := get(url); err != nil {
+		t.Errorf("after the restart: %v", err)
+	}
+	events, err := c.Events()
+	starts, stops := 0, 0
+	for _, v := range events {
+		switch v.Kind {
+		case history.KindStart:
+			starts++
+		case history.KindStopped:
+			stops++
+		}
+	}
+	if err != nil || starts < 3 || stops != 1 {
+		t.Errorf("%d starts and %d stops recorded, %v", starts, stops, err)
+	}
+	if err := (&Cell{}).AwaitConfiguration(time.Second); err == nil {
+		t.Error("a cell without daemons has a configuration")
+	}
+	if _, err := start(c.Dir, "absent", filepath.Join(c.Dir, "absent")); err == nil {
+		t.Error("an absent program was started")
+	}
+}
+
+// Guards against settings that the daemon rejects.
+func TestSettingsAreAcceptedByTheDaemon(t *testing.T) {
+	c := newCell(t)
+	c.Timing, c.PlatformAddress, c.StoreRelays = ShortTiming(), "127.0.0.1:1", true
+	d := &Daemon{ID: "daemon-1", ServiceAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3", OperatorAddress: "127.0.0.1:4"}
+	if err := c.writeSettings(d); err != nil {
+		t.Fatal(err)
+	}
+	s, err := daemonsettings.Load(d.settingsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.AdvertisePeerAddress != d.PeerRelay.Address() || s.PlatformAddress != d.StoreRelay.Address() || s.LeaseMS != 2000 {
+		t.Errorf("settings %+v", s)
+	}
+}
+
+// Guards against a relay that cannot tell which process opened a connection,
+// without which no single pair of daemons can be separated.
+func TestSourceOfAConnection(t *testing.T) {
+	c := newCell(t)
+	target, err := c.AddEndpoint(Service{ID: "s"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(chan string, 1)
+	r, err := c.relayTo(target.Address, func(a net.Addr) string {
+		name := c.sourceOf(a)
+		seen <- name
+		return name
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, _ := encode("plan", load.Plan{DurationMS: 5000, MaxRequests: 1, Callers: []load.Caller{
+		{Name: "a", Service: "s", Targets: load.Even("http://" + r.Address()), Concurrency: 1, ServiceMS: 300},
+	}})
+	path := filepath.Join(c.Dir, "plan.json")
+	if err := writeFile(path, plan); err != nil {
+		t.Fatal(err)
+	}
+	p, err := c.spawn("loader", c.Emulator, "load", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if name := <-seen; name != "loader" {
+		t.Errorf("source %q, want loader", name)
+	}
+	if status, err := p.Wait(5 * time.Second); status != 0 || err != nil {
+		t.Errorf("load: status %d, %v\n%s", status, err, p.Log())
+	}
+}
--- a/internal/emulator/process/source.go
+++ b/internal/emulator/process/source.go
@@ -19,7 +19,7 @@
 	if inode == "" {
 		return ""
 	}
-	for _, p := range c.processes {
+	for _, p := range c.started() {
 		if p.Running() && holds(p.PID(), "socket:["+inode+"]") {
 			return p.Name
 		}
--- a/internal/emulator/relay/relay.go
+++ b/internal/emulator/relay/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,6 +42,7 @@
 	conns    map[*conn]struct{}
 	closed   bool
 	wg       sync.WaitGroup
+	bytes    atomic.Int64
 }
 
 // ListenError reports that the relay could not listen.
@@ -78,6 +80,9 @@
 	return r, nil
 }
 
+// Bytes returns the number of bytes forwarded so far in both directions.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // Address returns the listening address.
 func (r *Relay) Address() string { return r.address }
 
@@ -287,7 +292,9 @@
 		if !c.pass(k.read, up) {
 			return
 		}
-		if _, err := dst.Write(k.data); err != nil {
+		n, err := dst.Write(k.data)
+		c.relay.bytes.Add(int64(n))
+		if err != nil {
 			c.reset()
 			return
 		}
