--- a/internal/emulator/bench/bench.go
+++ b/internal/emulator/bench/bench.go
@@ -8,7 +8,6 @@
 	"slices"
 
 	"samphirestile.example/samphirestile/internal/emulator/history"
-	"samphirestile.example/samphirestile/internal/emulator/load"
 	"samphirestile.example/samphirestile/internal/emulator/process"
 )
 
@@ -136,17 +135,6 @@
 	return short * 1000
 }
 
-// caller returns a caller of team with a new key, for all daemons.
-func caller(c *process.Cell, name, team, service string) (load.Caller, error) {
-	key, err := c.GiveKey(team)
-	if err != nil {
-		return load.Caller{}, err
-	}
-	return load.Caller{
-		Name: name, Team: team, KeyID: key.ID, Key: key.Secret, Service: service, Targets: load.Even(c.ServiceURLs()...),
-	}, nil
-}
-
 // startLatency returns, per op, the time from sending to the start at an endpoint.
 func startLatency(events []history.Event, chosen func(history.Event) bool) []int64 {
 	sent := map[string]int64{}
--- a/internal/emulator/bench/burst.go
+++ b/internal/emulator/bench/burst.go
@@ -66,7 +66,7 @@
 	var callers []load.Caller
 	for i, s := range services {
 		for _, team := range []string{"a", "b"} {
-			k, err := caller(c, s.ID+"-"+team, team, s.ID)
+			k, err := c.Caller(s.ID+"-"+team, team, s.ID)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/emulator/bench/key.go
+++ b/internal/emulator/bench/key.go
@@ -34,7 +34,7 @@
 
 // withdrawOne revokes a key on daemon d while it is used on every daemon.
 func withdrawOne(c *process.Cell, d *process.Daemon) (time.Duration, error) {
-	k, err := caller(c, "k", "a", "s")
+	k, err := c.Caller("k", "a", "s")
 	if err != nil {
 		return 0, err
 	}
--- a/internal/emulator/bench/limit.go
+++ b/internal/emulator/bench/limit.go
@@ -28,7 +28,7 @@
 	defer c.Close()
 	var callers []load.Caller
 	for team := range limits {
-		k, err := caller(c, team, team, "s")
+		k, err := c.Caller(team, team, "s")
 		if err != nil {
 			return nil, err
 		}
--- a/internal/emulator/bench/path.go
+++ b/internal/emulator/bench/path.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	via, err := caller(c, "via", "a", "path")
+	via, err := c.Caller("via", "a", "path")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/bench/share.go
+++ b/internal/emulator/bench/share.go
@@ -45,7 +45,7 @@
 	spread := [][]float64{{1, 0, 0}, {0.2, 0.8, 0}, {0.1, 0.2, 0.7}}
 	var callers []load.Caller
 	for i, t := range fullTeams() {
-		k, err := caller(c, t.ID, t.ID, "full")
+		k, err := c.Caller(t.ID, t.ID, "full")
 		if err != nil {
 			c.Close()
 			return nil, nil, err
--- a/internal/emulator/bench/stop.go
+++ b/internal/emulator/bench/stop.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	defer c.Close()
-	k, err := caller(c, "k", "a", "s")
+	k, err := c.Caller("k", "a", "s")
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/emulator/process/faults.go
@@ -0,0 +1,110 @@
+package process
+
+import (
+	"bufio"
+	"errors"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/relay"
+)
+
+// Switches of a broken network. Refused connections fail at once; a silent
+// network keeps connections open and delivers nothing.
+var (
+	Refused = relay.Switches{Refuse: true}
+	Silent  = relay.Switches{BlackholeUp: true, BlackholeDown: true}
+)
+
+// apply sets the switches of one relay and cuts open connections that a
+// refusing network would not carry.
+func apply(r *relay.Relay, s relay.Switches) error {
+	err := r.Set(s)
+	if s.Refuse {
+		r.Cut(relay.AnySource)
+	}
+	return err
+}
+
+// SeparateFromStore breaks the connection of d to the platform; zero switches repair it.
+func (c *Cell) SeparateFromStore(d *Daemon, s relay.Switches) error { return apply(d.StoreRelay, s) }
+
+// SeparateFromPeers breaks the connections of d to and from all other daemons;
+// zero switches repair them.
+func (c *Cell) SeparateFromPeers(d *Daemon, s relay.Switches) error {
+	err := apply(d.PeerRelay, s)
+	for _, other := range c.Daemons {
+		if other == d {
+			continue
+		}
+		other.PeerRelay.SetFor(d.ID, s)
+		if s.Refuse {
+			other.PeerRelay.Cut(d.ID)
+		}
+	}
+	return err
+}
+
+// SetStore breaks or repairs the connections of all daemons to the platform.
+func (c *Cell) SetStore(s relay.Switches) error {
+	var errs []error
+	for _, d := range c.Daemons {
+		errs = append(errs, apply(d.StoreRelay, s))
+	}
+	return errors.Join(errs...)
+}
+
+// Caller returns a caller of team with a new key for all running daemons.
+func (c *Cell) Caller(name, team, service string) (load.Caller, error) {
+	key, err := c.GiveKey(team)
+	if err != nil {
+		return load.Caller{}, err
+	}
+	if err := c.AwaitConfiguration(startLimit); err != nil {
+		return load.Caller{}, err
+	}
+	return load.Caller{
+		Name: name, Team: team, KeyID: key.ID, Key: key.Secret, Service: service, Targets: load.Even(c.ServiceURLs()...),
+	}, nil
+}
+
+// Step is one action of a script, at a time since its start.
+type Step struct {
+	At time.Duration
+	Do func() error
+}
+
+// Script runs steps in order and returns a function that waits for their errors.
+func Script(steps ...Step) (wait func() error) {
+	begin := time.Now()
+	done := make(chan error, 1)
+	go func() {
+		var errs []error
+		for _, s := range steps {
+			time.Sleep(time.Until(begin.Add(s.At)))
+			errs = append(errs, s.Do())
+		}
+		done <- errors.Join(errs...)
+	}()
+	return func() error { return <-done }
+}
+
+// PeakMemory returns the largest resident size of the process in bytes, 0 when unknown.
+func (p *Process) PeakMemory() int64 {
+	f, err := os.Open(filepath.Join("/proc", strconv.Itoa(p.PID()), "status"))
+	if err != nil {
+		return 0
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if text, ok := strings.CutPrefix(lines.Text(), "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(text, "kB")), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/test/limits_test.go
@@ -0,0 +1,129 @@
+package proofs
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+	"samphirestile.example/samphirestile/internal/emulator/relay"
+)
+
+// Guarantee 4: no team has more work running than its upper limit.
+var _ = Describe("upper limit", func() {
+	// pressure asks for several times the limits on every daemon.
+	pressure := func(c *process.Cell) []load.Caller {
+		tiny, large := caller(c, "tiny", "tiny"), caller(c, "large", "large")
+		tiny.Concurrency, large.Concurrency = 9, 24
+		tiny.DeadlineMS, large.DeadlineMS = 400, 400
+		tiny.NonIdempotent = true
+		return []load.Caller{tiny, large}
+	}
+	withRelays := func() process.Options {
+		o := standard()
+		o.PeerRelays, o.StoreRelays = true, true
+		return o
+	}
+	// worked guards against a proof that passes because nothing ran.
+	worked := func(l *history.TeamLimit) {
+		GinkgoHelper()
+		Expect(l.Peak).To(HaveKeyWithValue("tiny", tinyLimit))
+		Expect(l.Peak).To(HaveKeyWithValue("large", largeLimit))
+	}
+
+	It("holds below the number of daemons and is used in full", func() {
+		c, l := start(standard()), limits()
+		r := run(4000, pressure(c))
+		check(c, r, l)
+		worked(l)
+	})
+
+	It("holds when it is lowered while work runs", func() {
+		c, l := start(standard()), limits()
+		r := run(6000, pressure(c), at(1500, func() error { return c.SetLimit("large", 3) }))
+		check(c, r, l)
+		worked(l)
+	})
+
+	It("holds when endpoints continue to work after the caller left", func() {
+		c, l := start(standard()), limits()
+		for _, e := range c.Endpoints {
+			Expect(e.SetFaults(endpoint.Faults{KeepWorking: true})).To(Succeed())
+		}
+		callers := pressure(c)
+		for i := range callers {
+			callers[i].ServiceMS, callers[i].CancelShare, callers[i].CancelAfterMS = 100, 0.7, 40
+		}
+		r := run(4000, callers)
+		check(c, r, l)
+		worked(l)
+		Expect(r.Total().Cancelled).To(BeNumerically(">", 100))
+	})
+
+	DescribeTable("holds under failures", func(ms int, steps func(*process.Cell) []process.Step) {
+		c, l := start(withRelays()), limits()
+		r := run(ms, pressure(c), steps(c)...)
+		events := check(c, r, l)
+		worked(l)
+		// At the end the units of lost seats must be usable again.
+		late := history.NewTeamLimit(nil, 0)
+		for _, e := range events {
+			if e.TimeNS > events[len(events)-1].TimeNS-int64(1500*time.Millisecond) {
+				late.Observe(e)
+			}
+		}
+		Expect(late.Peak["large"]).To(BeNumerically(">=", largeLimit-1), "work at the end")
+	},
+		Entry("a daemon is killed", 9000, func(c *process.Cell) []process.Step {
+			return []process.Step{at(1000, silent(c.Daemons[2].Kill))}
+		}),
+		Entry("a daemon is frozen past the lease and resumed", 11000, func(c *process.Cell) []process.Step {
+			return []process.Step{at(1000, silent(c.Daemons[2].Pause)), at(7000, silent(c.Daemons[2].Resume))}
+		}),
+		Entry("a daemon is separated from the store", 7000, func(c *process.Cell) []process.Step {
+			return []process.Step{
+				at(1000, func() error { return c.SeparateFromStore(c.Daemons[1], process.Refused) }),
+				at(5000, func() error { return c.SeparateFromStore(c.Daemons[1], relay.Switches{}) }),
+			}
+		}),
+		Entry("a daemon is separated from its peers", 8000, func(c *process.Cell) []process.Step {
+			return []process.Step{
+				at(1000, func() error { return c.SeparateFromPeers(c.Daemons[1], process.Refused) }),
+				at(5000, func() error { return c.SeparateFromPeers(c.Daemons[1], relay.Switches{}) }),
+			}
+		}),
+		Entry("a daemon is separated from both, silently", 11000, func(c *process.Cell) []process.Step {
+			d := c.Daemons[1]
+			return []process.Step{
+				at(1000, func() error { return c.SeparateFromStore(d, process.Silent) }),
+				at(1000, func() error { return c.SeparateFromPeers(d, process.Silent) }),
+				at(7000, func() error { return c.SeparateFromStore(d, relay.Switches{}) }),
+				at(7000, func() error { return c.SeparateFromPeers(d, relay.Switches{}) }),
+			}
+		}),
+		Entry("the store is down for longer than every lease, and a daemon is killed meanwhile", 14000, func(c *process.Cell) []process.Step {
+			return []process.Step{
+				at(1000, func() error { return c.SetStore(process.Refused) }),
+				at(3000, silent(c.Daemons[2].Kill)),
+				at(7000, func() error { return c.SetStore(relay.Switches{}) }),
+			}
+		}),
+		Entry("responses to store writes are lost", 7000, func(c *process.Cell) []process.Step {
+			lose := func() error {
+				if err := c.SetStore(relay.Switches{BlackholeDown: true}); err != nil {
+					return err
+				}
+				time.Sleep(200 * time.Millisecond)
+				for _, d := range c.Daemons {
+					d.StoreRelay.Cut(relay.AnySource)
+				}
+				return c.SetStore(relay.Switches{})
+			}
+			return []process.Step{at(1000, lose), at(2000, lose), at(3000, lose)}
+		}),
+	)
+})
--- /dev/null
+++ b/test/suite_test.go
@@ -0,0 +1,119 @@
+// Package proofs runs real daemons against the project's emulators and checks
+// the guarantees of the design page over the recorded histories.
+package proofs
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+)
+
+func TestProofs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proofs")
+}
+
+var programs struct{ daemon, emulator string }
+
+var _ = BeforeSuite(func() {
+	var err error
+	programs.daemon, err = gexec.Build("samphirestile.example/samphirestile/cmd/samphirestiled")
+	Expect(err).NotTo(HaveOccurred())
+	programs.emulator, err = gexec.Build("samphirestile.example/samphirestile/cmd/samphirestile-emulator")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+// seed fixes the arrival times and choices of every run.
+const seed = 11
+
+// Upper limits of the teams of a standard cell; tiny is below the number of daemons.
+const (
+	tinyLimit  = 2
+	largeLimit = 8
+)
+
+// standard is a cell of three daemons with short durations and one service of
+// three endpoints.
+func standard() process.Options {
+	return process.Options{
+		Daemons: 3, Timing: process.ShortTiming(),
+		Services: []process.Service{{
+			ID: "work", Endpoints: 3, MaxRunTimeMS: 1000, MaxWaitMS: 800,
+			Behaviour: endpoint.Settings{Shape: endpoint.Exponential, MeanMS: 20, Seed: seed},
+		}},
+		Teams: []process.Team{
+			{ID: "tiny", Account: "kanemori", Weight: 1, Limit: tinyLimit},
+			{ID: "large", Account: "burrowline", Weight: 1, Limit: largeLimit},
+		},
+	}
+}
+
+// start starts a cell that ends with the spec; a failed spec prints the logs.
+func start(o process.Options) *process.Cell {
+	GinkgoHelper()
+	o.Daemon, o.Emulator, o.Dir = programs.daemon, programs.emulator, GinkgoT().TempDir()
+	c, err := process.Start(o)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			AddReportEntry("logs", c.LogTails())
+		}
+		c.Close()
+	})
+	return c
+}
+
+func caller(c *process.Cell, name, team string) load.Caller {
+	GinkgoHelper()
+	k, err := c.Caller(name, team, "work")
+	Expect(err).NotTo(HaveOccurred())
+	return k
+}
+
+// run sends the load while the steps happen.
+func run(ms int, callers []load.Caller, steps ...process.Step) *load.Report {
+	GinkgoHelper()
+	wait := process.Script(steps...)
+	r, err := load.Run(context.Background(), load.Plan{Seed: seed, DurationMS: ms, Callers: callers})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(wait()).To(Succeed())
+	return r
+}
+
+// check applies the checkers, and those of every history, to all events.
+func check(c *process.Cell, r *load.Report, checkers ...history.Checker) []history.Event {
+	GinkgoHelper()
+	events, err := c.Events(r.Recorder.Events(0))
+	Expect(err).NotTo(HaveOccurred())
+	checkers = append(checkers, history.NewAtMostOnce(), history.NewNotRun())
+	Expect(history.Check(events, checkers...)).To(BeEmpty())
+	return events
+}
+
+// limits returns the check of the upper limits of a standard cell.
+func limits() *history.TeamLimit {
+	return history.NewTeamLimit(map[string]int{"tiny": tinyLimit, "large": largeLimit}, 2*time.Second)
+}
+
+// at shortens the scripts.
+func at(ms int, do func() error) process.Step {
+	return process.Step{At: time.Duration(ms) * time.Millisecond, Do: do}
+}
+
+// silent turns an action without error into one of a script.
+func silent(do func()) func() error {
+	return func() error {
+		do()
+		return nil
+	}
+}
