Generate documents in the form of the template module and serve the platform emulator

The harness now renders its configuration with the template module in a test, so that a change of the document form is seen without a running daemon.

--- a/cmd/samphirestile-emulator/platform.go
+++ b/cmd/samphirestile-emulator/platform.go
@@ -1,17 +1,19 @@
 package main
 
-import "fmt"
+import (
+	"time"
 
-type platformCommand struct {
-	Listen string `required:"" help:"IP address and port."`
-}
-
-// UnavailableError reports a subcommand whose package is not part of this build.
-type UnavailableError struct{ Subcommand string }
+	"samphirestile.example/samphirestile/internal/emulator/platform"
+)
 
-func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("subcommand %s is not part of this build", e.Subcommand)
+type platformCommand struct {
+	Listen  string        `required:"" help:"IP address and port."`
+	HostLag time.Duration `help:"Age of the host list that callers see."`
 }
 
 // Run serves until the process ends.
-func (c *platformCommand) Run() error { return &UnavailableError{Subcommand: "platform"} }
+func (c *platformCommand) Run() error {
+	p := platform.New(platform.Config{HostLag: c.HostLag})
+	defer p.Close()
+	return serve(c.Listen, p)
+}
--- a/internal/emulator/process/documents.go
+++ b/internal/emulator/process/documents.go
@@ -1,21 +1,37 @@
 package process
 
 import (
+	"maps"
 	"slices"
 
 	"samphirestile.example/samphirestile/internal/operatorapi/oas"
 )
 
-type serviceDocument struct {
+// harnessPool is the only pool of a cell; its hosts are of no concern to the request path.
+const harnessPool = "main"
+
+type template struct {
+	Body any `json:"body"`
+}
+
+type serviceBody struct {
 	Open         bool   `json:"open,omitempty"`
 	OpenTeam     string `json:"open_team,omitempty"`
 	MaxRunTimeMS int    `json:"max_run_time_ms"`
 	MaxWaitMS    int    `json:"max_wait_ms"`
 	MaxBodyBytes int64  `json:"max_body_bytes,omitempty"`
+	Pool         string `json:"pool"`
 }
 
+type poolBody struct{}
+
 type accountDocument struct {
-	Teams []teamDocument `json:"teams"`
+	Templates []use          `json:"templates"`
+	Teams     []teamDocument `json:"teams"`
+}
+
+type use struct {
+	Template string `json:"template"`
 }
 
 type teamDocument struct {
@@ -46,31 +62,34 @@
 }
 
 func (s Service) document() (oas.Document, error) {
-	return document("service/"+s.ID, serviceDocument{
+	return document("service/"+s.ID, template{Body: serviceBody{
 		Open:         s.OpenTeam != "",
 		OpenTeam:     s.OpenTeam,
 		MaxRunTimeMS: s.MaxRunTimeMS,
 		MaxWaitMS:    s.MaxWaitMS,
 		MaxBodyBytes: s.MaxBodyBytes,
-	})
+		Pool:         harnessPool,
+	}})
 }
 
-// accountDocuments groups the teams by account, in a fixed order.
-func accountDocuments(teams []Team) ([]oas.Document, error) {
+// accountDocuments groups the teams by account, in a fixed order. Each account
+// uses the pool and every service.
+func (c *Cell) accountDocuments() ([]oas.Document, error) {
+	uses := []use{{Template: "pool/" + harnessPool}}
+	for _, s := range c.Services {
+		uses = append(uses, use{Template: "service/" + s.ID})
+	}
 	byAccount := map[string]*accountDocument{}
-	var names []string
-	for _, t := range teams {
+	for _, t := range c.Teams {
 		account := byAccount[t.Account]
 		if account == nil {
-			account = &accountDocument{}
+			account = &accountDocument{Templates: uses}
 			byAccount[t.Account] = account
-			names = append(names, t.Account)
 		}
 		account.Teams = append(account.Teams, teamDocument{ID: t.ID, Weight: t.Weight, Limit: t.Limit})
 	}
-	slices.Sort(names)
 	var docs []oas.Document
-	for _, n := range names {
+	for _, n := range slices.Sorted(maps.Keys(byAccount)) {
 		d, err := document("account/"+n, byAccount[n])
 		if err != nil {
 			return nil, err
@@ -80,6 +99,31 @@
 	return docs, nil
 }
 
+// documents returns the whole configuration of the cell.
+func (c *Cell) documents() ([]oas.Document, error) {
+	docs, err := c.accountDocuments()
+	if err != nil {
+		return nil, err
+	}
+	pool, err := document("pool/"+harnessPool, template{Body: poolBody{}})
+	if err != nil {
+		return nil, err
+	}
+	docs = append(docs, pool)
+	for _, s := range c.Services {
+		service, err := s.document()
+		if err != nil {
+			return nil, err
+		}
+		endpoints, err := c.endpointsDocument(s.ID)
+		if err != nil {
+			return nil, err
+		}
+		docs = append(docs, service, endpoints)
+	}
+	return docs, nil
+}
+
 func (c *Cell) endpointsDocument(service string) (oas.Document, error) {
 	doc := endpointsDocument{Endpoints: []endpointDocument{}}
 	for _, e := range c.Endpoints {
--- a/internal/emulator/process/operator.go
+++ b/internal/emulator/process/operator.go
@@ -57,24 +57,10 @@
 
 // ApplyAll applies the services, teams and endpoints of the cell in one change.
 func (c *Cell) ApplyAll() error {
-	docs, err := accountDocuments(c.Teams)
+	docs, err := c.documents()
 	if err != nil {
 		return err
 	}
-	for _, s := range c.Services {
-		service, err := s.document()
-		if err != nil {
-			return err
-		}
-		endpoints, err := c.endpointsDocument(s.ID)
-		if err != nil {
-			return err
-		}
-		docs = append(docs, service, endpoints)
-	}
-	if len(docs) == 0 {
-		return nil
-	}
 	_, err = c.Apply(docs...)
 	return err
 }
@@ -86,7 +72,7 @@
 			c.Teams[i].Limit = limit
 		}
 	}
-	docs, err := accountDocuments(c.Teams)
+	docs, err := c.accountDocuments()
 	if err != nil {
 		return err
 	}
--- a/internal/emulator/process/process_test.go
+++ b/internal/emulator/process/process_test.go
@@ -12,6 +12,7 @@
 	"samphirestile.example/samphirestile/internal/emulator/history"
 	"samphirestile.example/samphirestile/internal/emulator/load"
 	daemonsettings "samphirestile.example/samphirestile/internal/settings"
+	daemontemplate "samphirestile.example/samphirestile/internal/template"
 )
 
 // newCell returns a cell with the built emulator, but without a platform.
@@ -108,6 +109,28 @@
 	}
 }
 
+// Guards against a configuration that the daemon rejects.
+func TestDocumentsAreAcceptedByTheDaemon(t *testing.T) {
+	s := Service{ID: "s", OpenTeam: "a"}.withDefaults()
+	c := &Cell{Options: Options{Services: []Service{s}, Teams: []Team{{"a", "x", 1, 3}, {"b", "y", 2, 4}}}}
+	c.Endpoints = []*Endpoint{{ID: "s-1", Address: "127.0.0.1:1", Service: s, Leaving: true}}
+	docs, err := c.documents()
+	if err != nil {
+		t.Fatal(err)
+	}
+	contents := map[string][]byte{}
+	for _, d := range docs {
+		contents[d.Name] = []byte(d.Content.Value)
+	}
+	snapshot, err := daemontemplate.Render(contents)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if snapshot.Teams["b"].Limit != 4 || !snapshot.Endpoints["s-1"].Leaving || !snapshot.Services["s"].Open {
+		t.Errorf("snapshot %+v", snapshot)
+	}
+}
+
 // Guards against a relay that cannot tell which process opened a connection,
 // without which no single pair of daemons can be separated.
 func TestSourceOfAConnection(t *testing.T) {
