Route requests to owners that hold units of the team's limit

A lost wakeup in the queue was ruled out by reading: the limiter notifies the queue on each release, but the owner had no unit to release. Change: the entry daemon skips owners that are known to hold no unit, and an owner passes queued requests on when others have free units.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,6 +60,7 @@
 	peerHTTP   *http.Client
 	peers      peerClients
 
+	rows       atomic.Pointer[teamRows]
 	background sync.WaitGroup
 }
 
@@ -130,13 +132,14 @@
 
 // buildPath builds the parts that a request passes.
 func (d *Daemon) buildPath() {
-	d.scheduler = dispatch.New(dispatch.Config{Limiter: d.allotments})
+	d.scheduler = dispatch.New(dispatch.Config{Limiter: d.allotments, FreeElsewhere: d.freeElsewhere})
 	options := forward.Options{
 		Config:      d.config,
 		Members:     d.membership,
 		Dispatcher:  d.scheduler,
 		Upstream:    d.upstream,
 		Secret:      d.secret,
+		Units:       d.unitsOf,
 		Unreachable: func(m membership.Member) { d.membership.Probe(m.PeerAddress) },
 	}
 	d.forwarder = forward.New(options)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -57,6 +57,7 @@
 	d.goRun(ctx, d.config.Run)
 	d.goRun(ctx, func(ctx context.Context) { _ = d.membership.Run(ctx) })
 	d.goRun(ctx, func(ctx context.Context) { _ = d.allotments.Run(ctx) })
+	d.goRun(ctx, d.followRows)
 	d.goRun(ctx, d.followOwnership)
 	d.goRun(ctx, d.followReadiness)
 	d.goRun(ctx, d.learnSeatsFromPeers)
--- /dev/null
+++ b/internal/daemon/units.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/ownership"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+// unitsOf returns the units of a team at a member, from this daemon's own count
+// or the last heartbeat. A peer without a row for the team holds none.
+func (d *Daemon) unitsOf(m membership.Member, team fleet.TeamID) (units int, known bool) {
+	if m.Self {
+		_, units = d.allotments.Usage(team)
+		return units, true
+	}
+	row, known := d.teamRow(m.Incarnation, team)
+	return row.Units, known
+}
+
+// teamRows holds the last row of each team from each peer, by incarnation. A
+// copy is kept, because it is read for each request.
+type teamRows map[string]map[fleet.TeamID]oas.TeamRow
+
+// followRows keeps the team rows up to date.
+func (d *Daemon) followRows(ctx context.Context) {
+	changed, stop := d.membership.SubscribeRows()
+	defer stop()
+	for {
+		rows := teamRows{}
+		for _, peer := range d.membership.PeerTeamRows() {
+			byTeam := make(map[fleet.TeamID]oas.TeamRow, len(peer.Rows))
+			for _, row := range peer.Rows {
+				byTeam[fleet.TeamID(row.Team)] = row
+			}
+			rows[peer.Incarnation] = byTeam
+		}
+		d.rows.Store(&rows)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (d *Daemon) teamRow(incarnation string, team fleet.TeamID) (row oas.TeamRow, known bool) {
+	rows := d.rows.Load()
+	if rows == nil {
+		return oas.TeamRow{}, false
+	}
+	byTeam := (*rows)[incarnation]
+	return byTeam[team], len(byTeam) > 0
+}
+
+// freeElsewhere estimates how many requests of the team other owners of the
+// service could start now: units that are neither running nor wanted by
+// requests queued there. The rows are as old as the last heartbeat.
+func (d *Daemon) freeElsewhere(service fleet.ServiceID, team fleet.TeamID) int {
+	snapshot := d.config.Current()
+	if snapshot == nil {
+		return 0
+	}
+	view := d.membership.View()
+	owners := map[fleet.SeatID]bool{}
+	for id, seat := range ownership.Assign(snapshot.Endpoints, view.Members) {
+		if snapshot.Endpoints[id].Service == service {
+			owners[seat] = true
+		}
+	}
+	free := 0
+	for _, m := range view.Members {
+		if m.Self || !m.Active || !owners[m.Seat] {
+			continue
+		}
+		row, _ := d.teamRow(m.Incarnation, team)
+		free += max(0, row.Units-row.Running-row.Queued)
+	}
+	return free
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,6 +33,9 @@
 	Dispatcher dispatch.Dispatcher
 	Upstream   *upstream.Client
 	Secret     peerapi.Secret
+	// Units returns the units of a team's allotment that a member holds, as far as
+	// it is known; it may be nil. Owners without units are asked last.
+	Units func(m membership.Member, team fleet.TeamID) (units int, known bool)
 	// Unreachable is told of peers that could not be connected to; it may be nil.
 	Unreachable func(membership.Member)
 }
@@ -78,7 +81,7 @@
 func New(o Options) *Forwarder {
 	return &Forwarder{
 		options: o,
-		owners:  &owners{config: o.Config, members: o.Members, local: o.Dispatcher, figures: make(map[figureKey]*figure)},
+		owners:  &owners{config: o.Config, members: o.Members, local: o.Dispatcher, units: o.Units, figures: make(map[figureKey]*figure)},
 		budget:  &retryBudget{credit: make(map[fleet.TeamID]float64)},
 	}
 }
@@ -115,7 +118,7 @@
 			!slices.ContainsFunc(w.endpoints, func(id fleet.EndpointID) bool { return !slices.Contains(avoid, id) })
 	}
 	for {
-		w := f.owners.choose(c.Service.ID, skip)
+		w := f.owners.choose(c.Service.ID, c.Team, skip)
 		if w == nil {
 			return nil, trace, noOwner(last)
 		}
--- a/internal/forward/owners.go
+++ b/internal/forward/owners.go
@@ -50,6 +50,7 @@
 	config  config.Source
 	members membership.Source
 	local   dispatch.Dispatcher
+	units   func(membership.Member, fleet.TeamID) (int, bool)
 
 	mu       sync.Mutex
 	snapshot *config.Snapshot
@@ -165,8 +166,8 @@
 
 // choose picks an owner by two random choices weighted by slots. It looks at all
 // owners when both are full, so that free slots elsewhere are used.
-func (o *owners) choose(service fleet.ServiceID, skip func(*owner) bool) *owner {
-	list := slices.DeleteFunc(slices.Clone(o.of(service)), skip)
+func (o *owners) choose(service fleet.ServiceID, team fleet.TeamID, skip func(*owner) bool) *owner {
+	list := o.withUnits(slices.DeleteFunc(slices.Clone(o.of(service)), skip), team)
 	if len(list) <= 1 {
 		return first(list)
 	}
@@ -199,6 +200,22 @@
 	return best
 }
 
+// withUnits drops the owners that hold no unit of the team's allotment, unless
+// none holds one. A request would wait there until units have moved.
+func (o *owners) withUnits(list []*owner, team fleet.TeamID) []*owner {
+	if o.units == nil {
+		return list
+	}
+	holders := slices.DeleteFunc(slices.Clone(list), func(w *owner) bool {
+		units, known := o.units(w.member, team)
+		return known && units == 0
+	})
+	if len(holders) == 0 {
+		return list
+	}
+	return holders
+}
+
 func first(list []*owner) *owner {
 	if len(list) == 0 {
 		return nil
