--- a/internal/emulator/bench/stop.go
+++ b/internal/emulator/bench/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"samphirestile.example/samphirestile/internal/emulator/endpoint"
@@ -13,19 +12,6 @@
 // balancerInterval is the interval of the load balancer's readiness checks.
 const balancerInterval = 50 * time.Millisecond
 
-// stopLimit bounds one planned stop.
-const stopLimit = 70 * time.Second
-
-// ExitStatusError reports a planned stop that ended with a failure.
-type ExitStatusError struct {
-	Daemon string
-	Status int
-}
-
-func (e *ExitStatusError) Error() string {
-	return fmt.Sprintf("planned stop of %s: exit status %d", e.Daemon, e.Status)
-}
-
 // measureStop replaces every daemon under load and counts requests that were
 // cut; refused requests are reported on their own.
 func measureStop(o Options) ([]Metric, error) {
@@ -54,7 +40,7 @@
 	replaced := make(chan error, 1)
 	over := make(chan struct{})
 	go func() {
-		replaced <- ReplaceAll(c, k.Balancer)
+		replaced <- c.ReplaceAll(k.Balancer)
 		close(over)
 	}()
 	total, err := loadUntil(ctx, k, over)
@@ -92,26 +78,3 @@
 		}
 	}
 }
-
-// ReplaceAll replaces each running daemon by a new one, one after the other.
-func ReplaceAll(c *process.Cell, b *load.Balancer) error {
-	for _, old := range c.Running() {
-		if _, err := c.AddDaemon(); err != nil {
-			return err
-		}
-		if err := c.AwaitReady(stopLimit); err != nil {
-			return err
-		}
-		b.SetTargets(c.ServiceURLs()...)
-		old.Terminate()
-		status, err := old.Wait(stopLimit)
-		if err != nil {
-			return err
-		}
-		if status != 0 {
-			return &ExitStatusError{Daemon: old.ID, Status: status}
-		}
-		b.SetTargets(c.ServiceURLs()...)
-	}
-	return nil
-}
--- a/internal/emulator/process/cell.go
+++ b/internal/emulator/process/cell.go
@@ -44,6 +44,7 @@
 
 	changes int
 	relays  []*relay.Relay
+	store   relay.Switches // of the relays to the platform
 	ownDir  bool
 
 	mu        sync.Mutex // guards processes, which relays read
--- a/internal/emulator/process/daemon.go
+++ b/internal/emulator/process/daemon.go
@@ -88,6 +88,9 @@
 		if d.StoreRelay, err = c.relayTo(c.PlatformAddress, nil); err != nil {
 			return err
 		}
+		if err := apply(d.StoreRelay, c.store); err != nil {
+			return err
+		}
 		platform = d.StoreRelay.Address()
 	}
 	raw, err := encode("settings", settings{
--- a/internal/emulator/process/faults.go
+++ b/internal/emulator/process/faults.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -51,6 +52,7 @@
 
 // SetStore breaks or repairs the connections of all daemons to the platform.
 func (c *Cell) SetStore(s relay.Switches) error {
+	c.store = s
 	var errs []error
 	for _, d := range c.Daemons {
 		errs = append(errs, apply(d.StoreRelay, s))
@@ -72,6 +74,43 @@
 	}, nil
 }
 
+// stopLimit bounds one planned stop.
+const stopLimit = 70 * time.Second
+
+// ExitStatusError reports a planned stop that ended with a failure.
+type ExitStatusError struct {
+	Daemon string
+	Status int
+}
+
+func (e *ExitStatusError) Error() string {
+	return fmt.Sprintf("planned stop of %s: exit status %d", e.Daemon, e.Status)
+}
+
+// ReplaceAll replaces each running daemon by a new one, one after the other,
+// and tells the balancer.
+func (c *Cell) ReplaceAll(b *load.Balancer) error {
+	for _, old := range c.Running() {
+		if _, err := c.AddDaemon(); err != nil {
+			return err
+		}
+		if err := c.AwaitReady(stopLimit); err != nil {
+			return err
+		}
+		b.SetTargets(c.ServiceURLs()...)
+		old.Terminate()
+		status, err := old.Wait(stopLimit)
+		if err != nil {
+			return err
+		}
+		if status != 0 {
+			return &ExitStatusError{Daemon: old.ID, Status: status}
+		}
+		b.SetTargets(c.ServiceURLs()...)
+	}
+	return nil
+}
+
 // Step is one action of a script, at a time since its start.
 type Step struct {
 	At time.Duration
--- /dev/null
+++ b/test/controls_test.go
@@ -0,0 +1,75 @@
+package proofs
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+)
+
+// The same load without daemons between callers and endpoints breaks the
+// guarantees. These specs guard against proofs that pass on any history.
+var _ = Describe("without daemons", func() {
+	bypass := func() *process.Cell {
+		o := standard()
+		o.Emulator, o.Dir = programs.emulator, GinkgoT().TempDir()
+		c, err := process.New(o)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		return c
+	}
+	direct := func(c *process.Cell, name string) load.Caller {
+		var urls []string
+		for _, e := range c.Endpoints {
+			urls = append(urls, "http://"+e.Address)
+		}
+		return load.Caller{Name: name, Team: "large", KeyID: "k", Service: "work", Targets: load.Even(urls...), Concurrency: 24}
+	}
+	expectViolation := func(c *process.Cell, r *load.Report, checker history.Checker) {
+		GinkgoHelper()
+		events, err := c.Events(r.Recorder.Events(0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(history.Check(events, checker)).NotTo(BeEmpty())
+	}
+
+	It("the checks of limits, revoked keys and leaving endpoints fail", func() {
+		c := bypass()
+		r := run(3500, []load.Caller{direct(c, "k")}, at(500, func() error {
+			c.Record.Add(history.Event{Kind: history.KindRevoked, KeyID: "k"})
+			c.Record.Add(history.Event{Kind: history.KindLeaving, Endpoint: c.Endpoints[0].ID})
+			return nil
+		}))
+		expectViolation(c, r, limits())
+		expectViolation(c, r, history.NewRevokedKey(2*time.Second))
+		expectViolation(c, r, history.NewLeaving(2900*time.Millisecond))
+	})
+
+	It("the checks of whole responses and at-most-once fail", func() {
+		c := bypass()
+		k := direct(c, "k")
+		k.NonIdempotent, k.Concurrency = true, 2
+		first := run(500, []load.Caller{k})
+		Expect(c.Endpoints[0].SetFaults(endpoint.Faults{CloseMidBody: true})).To(Succeed())
+		// The same seed sends the same ops again, as a faulty retry would.
+		again := run(500, []load.Caller{k})
+		expectViolation(c, first, history.NewAtMostOnce())
+		expectViolation(c, again, history.NewWholeResponses(false))
+	})
+
+	It("the check of not-run fails when a refusal is false", func() {
+		c := bypass()
+		r := run(300, []load.Caller{direct(c, "k")})
+		for i, e := range r.Recorder.Events(0) {
+			if e.Kind == history.KindResult && i%7 == 0 {
+				e.Outcome = "not-run"
+				c.Record.Add(e)
+			}
+		}
+		expectViolation(c, r, history.NewNotRun())
+	})
+})
--- /dev/null
+++ b/test/endpoints_test.go
@@ -0,0 +1,116 @@
+package proofs
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+)
+
+// Guarantee 8, and endpoints that are not trusted.
+var _ = Describe("endpoints", func() {
+	starts := func(events []history.Event) map[string]int {
+		n := map[string]int{}
+		for _, e := range events {
+			if e.Kind == history.KindStart {
+				n[e.Endpoint]++
+			}
+		}
+		return n
+	}
+
+	It("receive no new work 3 s after they were marked as leaving", func() {
+		c := start(standard())
+		k := caller(c, "k", "large")
+		k.Concurrency = 6
+		leaving := c.Endpoints[0]
+		r := run(6000, []load.Caller{k}, at(1000, func() error { return c.MarkLeaving(leaving) }))
+		events := check(c, r, limits(), history.NewLeaving(3*time.Second), history.NewWholeResponses(false))
+		Expect(starts(events)[leaving.ID]).To(BeNumerically(">", 5), "work before the mark")
+	})
+
+	It("that fail every request at once do not attract load", func() {
+		c := start(standard())
+		Expect(c.Endpoints[0].SetFaults(endpoint.Faults{FailStatus: 500})).To(Succeed())
+		k := caller(c, "k", "large")
+		k.Rate = &load.Rate{Mean: 120}
+		k.NonIdempotent = true
+		r := run(5000, []load.Caller{k})
+		n := starts(check(c, r, limits()))
+		total := n[c.Endpoints[0].ID] + n[c.Endpoints[1].ID] + n[c.Endpoints[2].ID]
+		// A third is the fair part of one of three endpoints.
+		Expect(n[c.Endpoints[0].ID]).To(BeNumerically("<=", total/3), "starts %v", n)
+		Expect(r.Total().Answered).To(BeNumerically(">", r.Total().Sent/2), "%+v", r.Total())
+	})
+
+	It("are not ejected because of one request that always fails", func() {
+		c := start(standard())
+		for _, e := range c.Endpoints {
+			Expect(e.SetFaults(endpoint.Faults{FailStatus: 500, FailPaths: []string{"/bad"}})).To(Succeed())
+		}
+		bad, good := caller(c, "bad", "large"), caller(c, "good", "tiny")
+		bad.Path, bad.Concurrency, bad.RefusalPauseMS = "bad", 4, 5
+		bad.NonIdempotent = true
+		good.Concurrency = 2
+		r := run(4000, []load.Caller{bad, good})
+		check(c, r, limits(), history.NewWholeResponses(true))
+		g := r.Callers["good"]
+		Expect(g.Answered).To(BeNumerically(">", 100))
+		Expect(g.Sent-g.Answered).To(BeNumerically("<=", g.Sent/50), "%+v", g)
+	})
+
+	It("with declared slots of twice their real capacity are detected", func() {
+		const real = 4
+		o := standard()
+		o.Services[0].Endpoints, o.Services[0].Slots = 2, 2*real
+		o.Services[0].Behaviour = endpoint.Settings{Shape: endpoint.Fixed, MeanMS: 40, Capacity: real}
+		o.Teams[1].Limit = 100
+		c := start(o)
+		k := caller(c, "k", "large")
+		k.Concurrency, k.DeadlineMS = 30, 700
+		r := run(9000, []load.Caller{k})
+		events := check(c, r)
+		w := history.Window{To: events[len(events)-1].TimeNS - int64(500*time.Millisecond)}
+		w.From = w.To - int64(2*time.Second)
+		mean := history.Work(events, w)["large"] / 2 / float64(len(c.Endpoints))
+		Expect(mean).To(BeNumerically("<", 1.5*real), "mean number of running requests per endpoint")
+		Expect(mean).To(BeNumerically(">", 0.7*real), "mean number of running requests per endpoint")
+	})
+
+	It("that die are replaced by others without a lost idempotent request", func() {
+		c := start(standard())
+		k := caller(c, "k", "large")
+		k.Concurrency = 6
+		r := run(3500, []load.Caller{k}, at(1000, silent(c.Endpoints[0].Kill)))
+		check(c, r, limits(), history.NewWholeResponses(false))
+		Expect(r.Total().Unknown).To(BeZero(), "%+v", r.Total())
+		Expect(r.Total().Answered).To(BeNumerically(">", 200))
+	})
+})
+
+// Guarantee 9 and the rolling replacement of daemons.
+var _ = Describe("planned stops", func() {
+	DescribeTable("lose no request", func(prepare func(*process.Cell) error) {
+		o := standard()
+		o.StoreRelays = true
+		c := start(o)
+		k := caller(c, "k", "large")
+		k.Concurrency, k.NonIdempotent, k.BodyBytes = 6, true, 500
+		k.Balancer = load.NewBalancer(30*time.Millisecond, c.ServiceURLs()...)
+		defer k.Balancer.Close()
+		Expect(prepare(c)).To(Succeed())
+		r := run(14000, []load.Caller{k}, at(500, func() error { return c.ReplaceAll(k.Balancer) }))
+		check(c, r, limits(), history.NewWholeResponses(false))
+		t := r.Total()
+		Expect(t.Unknown+t.Broken+t.Failed+t.Refused).To(BeZero(), "%+v", t)
+		Expect(t.Answered).To(BeNumerically(">", 500))
+	},
+		Entry("with a store", func(*process.Cell) error { return nil }),
+		Entry("while the store is down", func(c *process.Cell) error { return c.SetStore(process.Refused) }),
+	)
+})
--- /dev/null
+++ b/test/responses_test.go
@@ -0,0 +1,71 @@
+package proofs
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/emulator/endpoint"
+	"samphirestile.example/samphirestile/internal/emulator/history"
+	"samphirestile.example/samphirestile/internal/emulator/load"
+)
+
+// Guarantee 5: a caller receives the complete response to its own request.
+var _ = Describe("responses", func() {
+	It("of 100 MB pass in both directions without being held in memory", func() {
+		const size = 100 << 20
+		c := start(standard())
+		k := caller(c, "big", "large")
+		k.Concurrency, k.BodyBytes, k.Echo, k.NonIdempotent = 1, size, true, true
+		for i, d := range c.Daemons {
+			each := k
+			each.Targets = load.Even(d.ServiceURL())
+			each.Name = d.ID
+			r := run(1, []load.Caller{each})
+			check(c, r, limits(), history.NewWholeResponses(false))
+			Expect(r.Total().Answered).To(Equal(1), "daemon %d: %+v", i, r.Recorder.Events(0))
+		}
+		for _, d := range c.Daemons {
+			Expect(d.PeakMemory()).To(BeNumerically("<", size), d.ID)
+		}
+	})
+
+	It("are aborted when the endpoint's body ends early", func() {
+		c := start(standard())
+		for _, e := range c.Endpoints {
+			Expect(e.SetFaults(endpoint.Faults{CloseMidBody: true})).To(Succeed())
+		}
+		small, sized := caller(c, "small", "large"), caller(c, "sized", "large")
+		small.Concurrency, sized.Concurrency, sized.ResponseBytes = 2, 2, 300_000
+		small.NonIdempotent, sized.NonIdempotent = true, true
+		r := run(1500, []load.Caller{small, sized})
+		check(c, r, limits(), history.NewWholeResponses(true))
+		t := r.Total()
+		Expect(t.Answered).To(BeZero())
+		Expect(t.Broken + t.Unknown).To(BeNumerically(">", 10))
+	})
+
+	It("that carry the ID of another request are dropped", func() {
+		c := start(standard())
+		for _, e := range c.Endpoints {
+			Expect(e.SetFaults(endpoint.Faults{WrongRequestID: true})).To(Succeed())
+		}
+		k := caller(c, "k", "large")
+		k.Concurrency, k.NonIdempotent = 4, true
+		r := run(1500, []load.Caller{k})
+		check(c, r, limits(), history.NewWholeResponses(false))
+		Expect(r.Total().Answered).To(BeZero())
+		Expect(r.Total().Unknown).To(BeNumerically(">", 5))
+	})
+
+	It("belong to their requests while callers cancel in bursts", func() {
+		c := start(standard())
+		k, steady := caller(c, "burst", "large"), caller(c, "steady", "large")
+		k.Concurrency, k.CancelShare, k.CancelAfterMS, k.RefusalPauseMS = 300, 1, 5, 1
+		steady.Concurrency = 2
+		steady.BodyBytes = 1000
+		r := run(3000, []load.Caller{k, steady})
+		check(c, r, limits(), history.NewWholeResponses(false))
+		Expect(r.Callers["burst"].Cancelled).To(BeNumerically(">", 5_000))
+		Expect(r.Callers["steady"].Answered).To(BeNumerically(">", 10))
+	})
+})
