Learn the concurrency and health of endpoints

Slow start raises the limit within about three service times. Then experiments compare the latency at two limits in alternating periods; latency that grows in proportion to the limit means that the larger limit adds no throughput. Failures that occur only above some number of running requests lower the limit below it. A fast failure keeps its slot occupied for a typical service time. Ejection needs failures of most attempts and of at least three signatures that make up most of those seen.

Ruled out: comparison with the smallest latency seen, because bimodal service times have a minimum that says nothing about the load; raw latencies, because a mix of 5 ms and 500 ms requests then needs so many samples that experiments cost 4 % of the slots (baselines for each signature); verdicts while requests of a period are pending, because short requests end first (a limit of 32 for a real capacity of 16 was kept); one timer for tests of smaller and larger limits, because a long test of a smaller limit kept a recovered endpoint at 5 of 8 slots for more than 90 s.

--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -8,9 +8,13 @@
 	"samphirestile.example/samphirestile/internal/fleet"
 )
 
-// maxHold bounds how long a fast failure keeps its slot occupied, so that a few
-// failures do not block a service with very long requests.
-const maxHold = 5 * time.Second
+const (
+	// maxHold bounds how long a fast failure keeps its slot occupied, so that a few
+	// failures do not block a service with very long requests.
+	maxHold = 5 * time.Second
+	// unknownHold is used before any request of the service has succeeded.
+	unknownHold = 50 * time.Millisecond
+)
 
 // grant implements Grant.
 type grant struct {
@@ -51,7 +55,7 @@
 	s.advance(now)
 	s.end(g)
 	elapsed := now.Sub(g.started)
-	g.slots.tracker.Finish(g.attempt, endpoint.Outcome{
+	g.slots.tracker.Finish(now, g.attempt, endpoint.Outcome{
 		Failed: r.Failed, Latency: r.FirstByte, Elapsed: elapsed, Signature: g.signature,
 	})
 	held := time.Duration(0)
@@ -61,6 +65,7 @@
 		s.slotTime.Add(elapsed.Seconds())
 		g.team.duration(g.urgent).Add(elapsed.Seconds())
 	}
+	s.ejectIfFailing(g.slots, now)
 	g.team.charge(s.clock - g.startClock - g.charged + held.Seconds())
 	s.dispatch(now)
 }
@@ -76,6 +81,7 @@
 	defer s.mu.Unlock()
 	s.advance(now)
 	s.end(g)
+	g.slots.tracker.Cancel(g.attempt)
 	g.team.charge(-g.charged)
 	s.dispatch(now)
 }
@@ -88,6 +94,9 @@
 	if typical == 0 {
 		typical = seconds(s.slotTime.Value())
 	}
+	if typical == 0 {
+		typical = unknownHold
+	}
 	d := min(typical-elapsed, maxHold)
 	if d <= 0 {
 		return 0
--- a/internal/dispatch/housekeeping.go
+++ b/internal/dispatch/housekeeping.go
@@ -24,7 +24,7 @@
 			}
 		case <-ticker.C:
 			for id, q := range s.queuesByID() {
-				q.unitsChanged()
+				q.keepHouse()
 				if s.config.FreeElsewhere != nil {
 					s.reroute(id, q)
 				}
@@ -44,6 +44,14 @@
 	return all
 }
 
+// keepHouse performs the periodic tasks of the service.
+func (s *serviceQueue) keepHouse() {
+	s.mu.Lock()
+	s.tick(time.Now())
+	s.mu.Unlock()
+	s.unitsChanged()
+}
+
 // unitsChanged starts requests of teams that the limiter held back.
 func (s *serviceQueue) unitsChanged() {
 	s.mu.Lock()
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -78,11 +78,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.config = service
-	q.setEndpoints(owned)
+	now := time.Now()
+	q.setEndpoints(owned, now)
 	if slots, _ := q.capacity(); slots == 0 {
 		q.refuseAll(notOwner(service.ID))
 	}
-	q.dispatch(time.Now())
+	q.dispatch(now)
 }
 
 // SetTeams sets the weights of the teams.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -272,7 +272,7 @@
 	for _, e := range s.endpoints {
 		if e.usable() {
 			total += e.limit()
-			free += max(0, e.free())
+			free += max(0, e.free(true))
 		}
 	}
 	if total == 1 || free > 1 || s.cost(t, false) < maxFirstEnd.Seconds() {
@@ -295,12 +295,15 @@
 
 func (s *serviceQueue) start(w *waiter, e *slots, release func(), now time.Time) {
 	e.inFlight++
+	if w.Urgent {
+		e.urgent++
+	}
 	t := w.team
 	t.running++
 	t.granted++
 	g := &grant{
 		service: s, team: t, slots: e, endpoint: e.Endpoint, signature: w.Signature, urgent: w.Urgent,
-		attempt: e.tracker.Start(e.inFlight), release: release,
+		attempt: e.tracker.Start(now, e.inFlight), release: release,
 		started: now, startClock: s.clock, charged: s.cost(t, w.Urgent), index: len(s.running),
 	}
 	t.charge(g.charged)
@@ -318,6 +321,9 @@
 	g.team.running--
 	s.unblock(g.team)
 	g.slots.inFlight--
+	if g.urgent {
+		g.slots.urgent--
+	}
 	if !g.slots.owned {
 		s.dropIdle()
 	}
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"samphirestile.example/samphirestile/internal/endpoint"
 	"samphirestile.example/samphirestile/internal/fleet"
@@ -14,6 +15,8 @@
 	tracker *endpoint.Tracker
 	// inFlight counts exchanges that have not ended.
 	inFlight int
+	// urgent counts the urgent requests among them.
+	urgent int
 	// held counts slots that stay occupied after a fast failure.
 	held int
 }
@@ -22,15 +25,25 @@
 func (e *slots) usable() bool { return e.owned && !e.Leaving && e.limit() > 0 }
 
 // limit returns the number of requests that the endpoint may serve at once.
-func (e *slots) limit() int {
-	n := e.tracker.Limit()
+func (e *slots) limit() int { return e.bounded(e.tracker.Limit()) }
+
+func (e *slots) bounded(n int) int {
 	if e.Connections > 0 {
-		n = min(n, e.Connections)
+		return min(n, e.Connections)
 	}
 	return n
 }
 
-func (e *slots) free() int { return e.limit() - e.inFlight - e.held }
+// free returns the number of slots that are free for urgent or other requests.
+// One urgent request at a time may exceed a limit that an experiment has lowered;
+// more of them would take all the slots that the experiment leaves unused.
+func (e *slots) free(urgent bool) int {
+	n := e.limit()
+	if urgent && e.urgent == 0 {
+		n = e.bounded(e.tracker.UrgentLimit())
+	}
+	return n - e.inFlight - e.held
+}
 
 // occupancy returns the occupied part of the endpoint's slots.
 func (e *slots) occupancy() float64 {
@@ -45,7 +58,7 @@
 	var best *slots
 	avoid := len(w.Avoid) > 0 && s.hasAlternative(w)
 	for _, e := range s.endpoints {
-		if !e.usable() || e.free() <= 0 || avoid && w.avoids(e) {
+		if !e.usable() || e.free(w.Urgent) <= 0 || avoid && w.avoids(e) {
 			continue
 		}
 		if best == nil || e.occupancy() < best.occupancy() {
@@ -71,28 +84,72 @@
 }
 
 func (s *serviceQueue) hasFreeSlot() bool {
-	return slices.ContainsFunc(s.endpoints, func(e *slots) bool { return e.usable() && e.free() > 0 })
+	return slices.ContainsFunc(s.endpoints, func(e *slots) bool { return e.usable() && e.free(true) > 0 })
 }
 
 // setEndpoints replaces the owned endpoints. An endpoint that is no longer owned
 // is kept until its running work has ended.
-func (s *serviceQueue) setEndpoints(owned []fleet.Endpoint) {
+func (s *serviceQueue) setEndpoints(owned []fleet.Endpoint, now time.Time) {
 	for _, e := range s.endpoints {
 		e.owned = false
 	}
 	for _, o := range owned {
 		i := slices.IndexFunc(s.endpoints, func(e *slots) bool { return e.ID == o.ID && e.Address == o.Address })
 		if i < 0 {
-			s.endpoints = append(s.endpoints, &slots{tracker: endpoint.NewTracker(o.Slots)})
+			s.endpoints = append(s.endpoints, &slots{tracker: endpoint.NewTracker(o.Slots, now)})
 			i = len(s.endpoints) - 1
 		}
 		e := s.endpoints[i]
 		e.Endpoint, e.owned = o, true
-		e.tracker.SetDeclared(o.Slots)
+		e.tracker.SetDeclared(o.Slots, now)
 	}
 	s.dropIdle()
+	s.keepHalfInUse(now)
 }
 
 func (s *serviceQueue) dropIdle() {
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(e *slots) bool { return !e.owned && e.inFlight == 0 })
 }
+
+// tick performs what is due at the endpoints without a request.
+func (s *serviceQueue) tick(now time.Time) {
+	for _, e := range s.endpoints {
+		e.tracker.Tick(now)
+	}
+}
+
+// ejectIfFailing takes a failing endpoint out of use, unless less than half of
+// the endpoints would stay in use. A single endpoint is never ejected.
+func (s *serviceQueue) ejectIfFailing(e *slots, now time.Time) {
+	if !e.tracker.Failing() {
+		return
+	}
+	if total, out := s.ejected(); 2*(out+1) <= total {
+		e.tracker.Eject(now)
+	}
+}
+
+// ejected counts the endpoints that may take work and those of them out of use.
+func (s *serviceQueue) ejected() (total, out int) {
+	for _, e := range s.endpoints {
+		if e.owned && !e.Leaving {
+			total++
+			if e.tracker.State() != endpoint.InUse {
+				out++
+			}
+		}
+	}
+	return total, out
+}
+
+// keepHalfInUse readmits endpoints after others were lost.
+func (s *serviceQueue) keepHalfInUse(now time.Time) {
+	for _, e := range s.endpoints {
+		if total, out := s.ejected(); 2*out <= total {
+			return
+		}
+		if e.owned && !e.Leaving && e.tracker.State() != endpoint.InUse {
+			e.tracker.Readmit(now)
+		}
+	}
+}
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"samphirestile.example/samphirestile/internal/endpoint"
 	"samphirestile.example/samphirestile/internal/fleet"
 )
 
@@ -29,6 +30,7 @@
 type EndpointStats struct {
 	Declared, Learned int
 	InFlight, Held    int
+	State             endpoint.State
 }
 
 // Stats returns the state of all services.
@@ -56,7 +58,7 @@
 		}
 	}
 	for _, e := range s.endpoints {
-		r.Endpoints[e.ID] = EndpointStats{Declared: e.Slots, Learned: e.limit(), InFlight: e.inFlight, Held: e.held}
+		r.Endpoints[e.ID] = EndpointStats{Declared: e.Slots, Learned: e.limit(), InFlight: e.inFlight, Held: e.held, State: e.tracker.State()}
 	}
 	return r
 }
--- /dev/null
+++ b/internal/endpoint/concurrency.go
@@ -0,0 +1,312 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slowStartPart is the part of the target with which slow start begins.
+	slowStartPart = 4
+	// slowStartStep is the time after which slow start doubles the limit if no
+	// request ended. Without it, an endpoint with very long requests would stay
+	// at its first limit for minutes.
+	slowStartStep = 500 * time.Millisecond
+	// minRecheck and maxRecheck bound the time between two experiments; it
+	// doubles while experiments change nothing.
+	minRecheck = 2 * time.Second
+	maxRecheck = 30 * time.Second
+	// recheckCost is the smallest ratio of the time between experiments to the
+	// length of an experiment. It bounds the capacity lost by measuring to about 2 %.
+	recheckCost = 15
+	// servedBeforeExperiment is how many successes, in multiples of the limit, come
+	// before an experiment, so that it does not start on a few requests.
+	servedBeforeExperiment = 2
+	// maxSignatures bounds the memory for signatures that succeeded or failed.
+	maxSignatures = 256
+)
+
+// concurrency learns how many requests an endpoint serves at once. The declared
+// slots are the upper bound. Slow start raises the limit to a target. After
+// that, experiments compare the latency at two limits in alternating periods: if
+// it grows in proportion to the limit, the larger limit adds no throughput and
+// the smaller one is used. Comparing two limits at the same time, instead of the
+// latency with its past minimum, is insensitive to noise, to bimodal service
+// times and to a changing mix of requests.
+type concurrency struct {
+	declared int
+	limit    int
+	// target is where slow start ends; 0 when it has ended.
+	target     int
+	lastStep   time.Time
+	experiment *experiment
+	// experiments counts the experiments, so that late samples are recognised.
+	experiments uint64
+	// lower and raise say when a smaller and a larger limit are tested.
+	lower, raise schedule
+	// checked is set after the first experiment.
+	checked bool
+	// served counts the successes since the start of slow start.
+	served    int
+	refusals  refusals
+	baselines baselines
+}
+
+func newConcurrency(declared int, now time.Time) concurrency {
+	c := concurrency{declared: declared, limit: declared, refusals: newRefusals(declared), baselines: newBaselines()}
+	c.slowStart(now)
+	return c
+}
+
+// slowStart reduces the limit; it grows again to its present value.
+func (c *concurrency) slowStart(now time.Time) {
+	c.target = max(c.limit, c.target)
+	c.limit = max(min(1, c.declared), c.target/slowStartPart)
+	c.experiment = nil
+	c.lastStep, c.served = now, 0
+	c.endSlowStart(now)
+}
+
+func (c *concurrency) endSlowStart(now time.Time) {
+	if c.limit >= c.target {
+		c.limit, c.target = c.target, 0
+		c.lower.now(now)
+		c.raise.after(now, 0)
+	}
+}
+
+func (c *concurrency) current() int {
+	if c.experiment != nil {
+		return c.experiment.level()
+	}
+	return c.limit
+}
+
+func (c *concurrency) start(now time.Time, running int) sampleID {
+	if c.experiment == nil && c.experimentDue(now) && running >= c.limit {
+		c.begin(now)
+	}
+	if c.experiment == nil {
+		return sampleID{}
+	}
+	return sampleID{experiment: c.experiments, arm: c.experiment.start(running)}
+}
+
+func (c *concurrency) experimentDue(now time.Time) bool {
+	return c.target == 0 && c.served >= servedBeforeExperiment*c.limit &&
+		(c.lower.due(now) || c.limit < c.declared && c.raise.due(now))
+}
+
+// finish records an outcome and reports whether failures lowered the limit.
+func (c *concurrency) finish(now time.Time, a Attempt, o Outcome) (lowered bool) {
+	if m := c.refusals.finish(a.running, o); m > 0 && m < c.current() {
+		c.refuseAbove(now, m)
+		return true
+	}
+	if o.Failed {
+		c.cancel(a)
+		return false
+	}
+	c.served++
+	if c.target > 0 && 2*a.running >= c.limit {
+		c.limit++
+		c.lastStep = now
+		c.endSlowStart(now)
+		return false
+	}
+	latency := o.Latency
+	if latency <= 0 {
+		latency = o.Elapsed
+	}
+	logLatency := math.Log(math.Max(latency.Seconds(), 1e-6))
+	if c.experiment == nil {
+		c.baselines.learn(o.Signature, logLatency)
+	} else if a.sample.experiment == c.experiments {
+		c.sample(now, a.sample.arm, logLatency-c.baselines.of(o.Signature))
+	}
+	return false
+}
+
+// cancel ends an attempt that says nothing about latency.
+func (c *concurrency) cancel(a Attempt) {
+	if c.experiment != nil && a.sample.experiment == c.experiments {
+		c.experiment.drop(a.sample.arm)
+	}
+}
+
+func (c *concurrency) sample(now time.Time, arm int, logLatency float64) {
+	c.experiment.sample(now, arm, logLatency)
+	if v := c.experiment.verdict(); v != undecided {
+		c.settle(now, v)
+	}
+}
+
+// begin starts the experiment that is due.
+func (c *concurrency) begin(now time.Time) {
+	lo, hi := c.limit, c.limit
+	switch {
+	case !c.lower.due(now):
+		hi = min(c.declared, max(c.limit+2, c.limit*3/2))
+	case !c.checked:
+		// The first experiment looks for twice the real capacity, the usual error.
+		lo = max(1, c.limit/2)
+	default:
+		lo = max(1, min(c.limit-1, c.limit*2/3))
+	}
+	if lo == hi {
+		c.lower.after(now, 0)
+		return
+	}
+	c.experiments++
+	c.experiment = newExperiment(lo, hi, now)
+}
+
+// settle ends the experiment and applies its verdict.
+func (c *concurrency) settle(now time.Time, v verdict) {
+	e, before := c.experiment, c.limit
+	c.experiment, c.checked = nil, true
+	switch v {
+	case excess:
+		c.limit = e.lo
+	case noExcess:
+		c.limit = e.hi
+	}
+	length := now.Sub(e.began)
+	switch {
+	case c.limit < before:
+		c.lower.now(now)
+		c.raise.restart(now)
+	case c.limit > before:
+		c.raise.now(now)
+		c.lower.restart(now)
+	case e.hi == before:
+		c.lower.after(now, recheckCost*length)
+	default:
+		// A larger limit costs no capacity.
+		c.raise.after(now, 0)
+	}
+}
+
+// schedule is the time of the next experiment of one kind. The interval doubles
+// while experiments change nothing.
+type schedule struct {
+	next     time.Time
+	interval time.Duration
+}
+
+func (s *schedule) due(now time.Time) bool { return !now.Before(s.next) }
+
+func (s *schedule) now(now time.Time) { s.next, s.interval = now, 0 }
+
+func (s *schedule) restart(now time.Time) {
+	s.interval = 0
+	s.after(now, 0)
+}
+
+func (s *schedule) after(now time.Time, atLeast time.Duration) {
+	s.interval = min(max(2*s.interval, minRecheck), maxRecheck)
+	s.next = now.Add(max(s.interval, atLeast))
+}
+
+// refuseAbove lowers the limit to what the endpoint does not refuse.
+func (c *concurrency) refuseAbove(now time.Time, limit int) {
+	wasRaise := c.experiment != nil && c.experiment.hi > c.limit
+	c.limit, c.target, c.experiment, c.checked = min(limit, c.limit), 0, nil, true
+	if wasRaise {
+		c.raise.after(now, 0)
+	} else {
+		c.raise.restart(now)
+	}
+	c.refusals = newRefusals(c.declared)
+}
+
+func (c *concurrency) tick(now time.Time, typical time.Duration) {
+	if c.target > 0 && now.Sub(c.lastStep) >= slowStartStep {
+		c.limit = min(2*c.limit, c.target)
+		c.lastStep = now
+		c.endSlowStart(now)
+	}
+	if c.experiment != nil && c.experiment.stalled(now, typical) {
+		c.experiment = nil
+		c.lower.after(now, 0)
+		c.raise.after(now, 0)
+	}
+}
+
+// refusals finds the number of running requests above which an endpoint fails
+// requests that it serves otherwise.
+type refusals struct {
+	// ok and failed count outcomes by the number of running requests at the start.
+	ok, failed []float64
+	// lastFailed holds for each signature whether its last attempt failed. A
+	// signature that only fails says nothing about concurrency.
+	lastFailed map[string]bool
+}
+
+const (
+	// refusalMemory is the factor by which old outcomes are kept with each new one.
+	refusalMemory = 0.98
+	// minRefusals and minServed are the outcomes needed above and below the limit.
+	minRefusals = 2.5
+	minServed   = 2.5
+	// refusedPart and servedPart are the failing parts above and below the limit.
+	refusedPart = 0.6
+	servedPart  = 0.15
+)
+
+func newRefusals(declared int) refusals {
+	return refusals{
+		ok: make([]float64, declared+1), failed: make([]float64, declared+1), lastFailed: map[string]bool{},
+	}
+}
+
+// finish records an outcome and returns the largest number of running requests
+// that is not refused; 0 when failures do not depend on that number.
+func (r *refusals) finish(running int, o Outcome) int {
+	n := min(running, len(r.ok)-1)
+	for i := range r.ok {
+		r.ok[i] *= refusalMemory
+		r.failed[i] *= refusalMemory
+	}
+	failedBefore := r.lastFailed[o.Signature]
+	r.remember(o)
+	if !o.Failed {
+		r.ok[n]++
+		return 0
+	}
+	if failedBefore {
+		return 0
+	}
+	r.failed[n]++
+	return r.knee()
+}
+
+func (r *refusals) remember(o Outcome) {
+	if len(r.lastFailed) >= maxSignatures {
+		clear(r.lastFailed)
+	}
+	if o.Failed {
+		r.lastFailed[o.Signature] = true
+	} else {
+		delete(r.lastFailed, o.Signature)
+	}
+}
+
+func (r *refusals) knee() int {
+	var okBelow, failedBelow, okAbove, failedAbove float64
+	for i := range r.ok {
+		okBelow += r.ok[i]
+		failedBelow += r.failed[i]
+	}
+	for m := len(r.ok) - 2; m > 0; m-- {
+		okAbove += r.ok[m+1]
+		failedAbove += r.failed[m+1]
+		okBelow -= r.ok[m+1]
+		failedBelow -= r.failed[m+1]
+		if failedAbove >= minRefusals && okBelow >= minServed &&
+			failedAbove >= refusedPart*(okAbove+failedAbove) && failedBelow <= servedPart*(okBelow+failedBelow) {
+			return m
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/endpoint/concurrency_test.go
@@ -0,0 +1,227 @@
+package endpoint_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/endpoint"
+)
+
+func TestEndpoint(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "endpoint")
+}
+
+// overcommit is what a simulated endpoint does with more requests than it can serve.
+type overcommit int
+
+const (
+	slows overcommit = iota
+	queues
+	refuses
+)
+
+// simulation drives a tracker with a saturated endpoint in steps of stepTime.
+type simulation struct {
+	tracker *endpoint.Tracker
+	real    int
+	mode    overcommit
+	// demand draws the work of a request in milliseconds; failPart is the part of
+	// requests that fails for reasons other than concurrency.
+	demand   func(*rand.Rand) float64
+	failPart float64
+	rand     *rand.Rand
+	now      time.Time
+	jobs     []*job
+	held     []time.Time
+	// served and failed count ended requests; limits sums the limit over all steps.
+	served, failed int
+	steps, limits  int
+	// work is the work done in milliseconds; unlike served it has no sampling noise.
+	work float64
+}
+
+type job struct {
+	attempt   endpoint.Attempt
+	started   time.Time
+	left      float64
+	signature string
+}
+
+func (s *simulation) run(d time.Duration) {
+	s.served, s.failed, s.steps, s.limits, s.work = 0, 0, 0, 0, 0
+	for end := s.now.Add(d); s.now.Before(end); s.steps++ {
+		s.now = s.now.Add(stepTime)
+		if s.steps%25 == 0 {
+			s.tracker.Tick(s.now)
+		}
+		s.limits += s.tracker.Limit()
+		s.serve()
+		for len(s.held) > 0 && s.held[0].Before(s.now) {
+			s.held = s.held[1:]
+		}
+		for len(s.jobs)+len(s.held) < s.tracker.Limit() {
+			s.send()
+		}
+	}
+}
+
+func (s *simulation) serve() {
+	part := stepMs
+	if s.mode == slows && len(s.jobs) > s.real {
+		part *= float64(s.real) / float64(len(s.jobs))
+	}
+	var left []*job
+	for i, j := range s.jobs {
+		if s.mode != queues || i < s.real {
+			j.left -= part
+			s.work += part
+		}
+		if j.left > 0 {
+			left = append(left, j)
+			continue
+		}
+		s.end(j, s.rand.Float64() < s.failPart)
+	}
+	s.jobs = left
+}
+
+func (s *simulation) end(j *job, failed bool) {
+	elapsed := s.now.Sub(j.started)
+	if failed {
+		s.failed++
+		s.held = append(s.held, s.now.Add(s.tracker.Typical()-elapsed))
+	} else {
+		s.served++
+	}
+	s.tracker.Finish(s.now, j.attempt, endpoint.Outcome{Failed: failed, Latency: elapsed, Elapsed: elapsed, Signature: j.signature})
+}
+
+func (s *simulation) send() {
+	j := &job{started: s.now, left: s.demand(s.rand), signature: fmt.Sprint(s.rand.IntN(3))}
+	j.attempt = s.tracker.Start(s.now, len(s.jobs)+1)
+	if s.mode == refuses && len(s.jobs) >= s.real {
+		s.end(j, true)
+		return
+	}
+	s.jobs = append(s.jobs, j)
+}
+
+func (s *simulation) meanLimit() float64 { return float64(s.limits) / float64(s.steps) }
+
+func constant(ms float64) func(*rand.Rand) float64 {
+	return func(*rand.Rand) float64 { return ms }
+}
+
+func exponential(ms float64) func(*rand.Rand) float64 {
+	return func(r *rand.Rand) float64 { return ms * r.ExpFloat64() }
+}
+
+// bimodal has a mean of 60 ms: 1 in 10 requests takes 50 times as long as the others.
+func bimodal(r *rand.Rand) float64 {
+	if r.IntN(10) == 0 {
+		return 500
+	}
+	return 10
+}
+
+func noisy(ms float64) func(*rand.Rand) float64 {
+	return func(r *rand.Rand) float64 { return ms * max(0.2, 1+0.4*r.NormFloat64()) }
+}
+
+const (
+	seeds = 4
+	// stepTime is short compared with the shortest request, 10 ms.
+	stepTime = 2 * time.Millisecond
+	stepMs   = float64(stepTime) / float64(time.Millisecond)
+)
+
+func newSimulation(seed, declared, real int, mode overcommit, demand func(*rand.Rand) float64) *simulation {
+	now := time.Unix(1_700_000_000, 0)
+	return &simulation{
+		tracker: endpoint.NewTracker(declared, now), real: real, mode: mode, demand: demand,
+		rand: rand.New(rand.NewPCG(uint64(seed), 7)), now: now,
+	}
+}
+
+var _ = Describe("learned concurrency", func() {
+	// The first figure guards against overload, the second against collapse: the
+	// endpoint must deliver nearly what it can.
+	DescribeTable("finds the real capacity and keeps the throughput",
+		func(declared, real int, mode overcommit, demand func(*rand.Rand) float64, most, least float64) {
+			var worst, lowest, failures float64
+			lowest = 2
+			for seed := range seeds {
+				s := newSimulation(seed, declared, real, mode, demand)
+				s.run(20 * time.Second)
+				s.run(60 * time.Second)
+				worst = max(worst, s.meanLimit()/float64(real))
+				lowest = min(lowest, s.work/60_000/float64(real))
+				failures = max(failures, float64(s.failed)/float64(s.served+s.failed))
+			}
+			AddReportEntry(fmt.Sprintf("limit/real at most %.3f, throughput at least %.3f, failing %.4f", worst, lowest, failures))
+			Expect(worst).To(BeNumerically("<", most))
+			Expect(lowest).To(BeNumerically(">", least))
+			Expect(failures).To(BeNumerically("<", 0.02))
+		},
+		Entry("true slots, constant", 8, 8, slows, constant(50), 1.01, 0.93),
+		Entry("true slots, noisy", 8, 8, slows, noisy(50), 1.01, 0.93),
+		Entry("true slots, exponential", 8, 8, slows, exponential(50), 1.01, 0.93),
+		Entry("true slots, bimodal", 8, 8, slows, bimodal, 1.01, 0.90),
+		Entry("one true slot", 1, 1, slows, exponential(50), 1.01, 0.93),
+		Entry("twice the capacity, slows down, constant", 8, 4, slows, constant(50), 1.5, 0.93),
+		Entry("twice the capacity, slows down, noisy", 8, 4, slows, noisy(50), 1.5, 0.93),
+		Entry("twice the capacity, slows down, exponential", 8, 4, slows, exponential(50), 1.5, 0.93),
+		Entry("twice the capacity, slows down, bimodal", 8, 4, slows, bimodal, 1.6, 0.85),
+		Entry("twice the capacity, queues, noisy", 8, 4, queues, noisy(50), 1.5, 0.93),
+		Entry("twice the capacity, queues, exponential", 8, 4, queues, exponential(50), 1.5, 0.93),
+		Entry("twice the capacity, queues, bimodal", 8, 4, queues, bimodal, 1.5, 0.90),
+		Entry("twice the capacity, refuses, noisy", 8, 4, refuses, noisy(50), 1.1, 0.93),
+		Entry("twice the capacity, refuses, bimodal", 8, 4, refuses, bimodal, 1.1, 0.90),
+		Entry("a third more than the capacity, slows down, noisy", 8, 6, slows, noisy(50), 1.34, 0.93),
+		Entry("32 declared, 16 real", 32, 16, slows, exponential(50), 1.5, 0.93),
+	)
+
+	It("follows a capacity that halves and returns", func() {
+		for seed := range seeds {
+			s := newSimulation(seed, 8, 8, slows, noisy(50))
+			s.run(30 * time.Second)
+			s.real = 4
+			s.run(60 * time.Second)
+			s.run(30 * time.Second)
+			Expect(s.meanLimit()).To(BeNumerically("<", 6), "seed %d", seed)
+			s.real = 8
+			s.run(90 * time.Second)
+			s.run(30 * time.Second)
+			Expect(s.meanLimit()).To(BeNumerically(">", 7), "seed %d", seed)
+		}
+	})
+
+	DescribeTable("keeps the limit when failures do not depend on concurrency",
+		func(failPart float64) {
+			for seed := range seeds {
+				s := newSimulation(seed, 8, 8, slows, exponential(50))
+				s.failPart = failPart
+				s.run(20 * time.Second)
+				s.run(60 * time.Second)
+				Expect(s.meanLimit()).To(BeNumerically(">", 6), "seed %d", seed)
+			}
+		},
+		Entry("1 in 20 fails", 0.05),
+		Entry("1 in 3 fails", 0.33),
+		Entry("2 in 3 fail", 0.67),
+	)
+
+	It("finds the capacity of an endpoint with long requests", func() {
+		s := newSimulation(1, 8, 4, slows, noisy(2000))
+		s.run(120 * time.Second)
+		s.run(60 * time.Second)
+		AddReportEntry(fmt.Sprintf("limit %.2f", s.meanLimit()))
+		Expect(s.meanLimit()).To(BeNumerically("<", 6))
+	})
+})
--- /dev/null
+++ b/internal/endpoint/experiment.go
@@ -0,0 +1,194 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minSamples of each arm are needed for a verdict; after maxSamples the more
+	// likely explanation is taken.
+	minSamples = 16
+	maxSamples = 1000
+	// excessPart is the part of proportional growth above which the larger limit
+	// counts as excess. With 0.5, a limit of 5 for a real capacity of 6 was kept
+	// because the next larger limit tested, 7, looked like excess.
+	excessPart = 0.6
+	// excessConfidence and noExcessConfidence are the numbers of standard errors by
+	// which the growth of latency must differ from the threshold. Lowering the limit by mistake costs more than keeping it.
+	excessConfidence   = 3.0
+	noExcessConfidence = 2.0
+	// maxPeriods ends an experiment that gets few samples, because the load does
+	// not keep the number of running requests at the limits.
+	maxPeriods = 64
+	// periodFactor is the length of a period in multiples of the larger limit.
+	// Requests at the end of a period are partly served in the next one; with 3
+	// the difference between the arms was too small for exponential service times.
+	periodFactor = 6
+	// stallTime ends an experiment without samples, because the load has gone; it
+	// is extended for endpoints with long requests.
+	stallTime   = 2 * time.Second
+	stallFactor = 4
+)
+
+type verdict int
+
+const (
+	undecided verdict = iota
+	// excess means that the larger limit adds no throughput.
+	excess
+	noExcess
+	inconclusive
+)
+
+// Arms of an experiment. noArm marks requests that start while the number of
+// running requests is changing, or below the limit of the arm.
+const (
+	noArm = iota
+	lowArm
+	highArm
+)
+
+type sampleID struct {
+	experiment uint64
+	arm        int
+}
+
+// experiment compares the latency of an endpoint at two limits.
+type experiment struct {
+	lo, hi int
+	active int
+	// started counts the requests of the present period.
+	started int
+	periods int
+	arms    [highArm + 1]arm
+	began   time.Time
+	// last is when a request ended.
+	last time.Time
+}
+
+func newExperiment(lo, hi int, now time.Time) *experiment {
+	return &experiment{lo: lo, hi: hi, active: lowArm, began: now, last: now}
+}
+
+// level returns the limit of the active arm.
+func (e *experiment) level() int {
+	if e.active == lowArm {
+		return e.lo
+	}
+	return e.hi
+}
+
+// start counts a request and returns the arm that its latency belongs to.
+func (e *experiment) start(running int) int {
+	arm, level := e.active, e.level()
+	e.started++
+	settling := e.started <= level
+	if e.started >= level+max(periodFactor*e.hi, minSamples) {
+		e.started, e.active = 0, lowArm+highArm-e.active
+		e.periods++
+		e.close(lowArm + highArm - e.active)
+	}
+	if settling || running > level || 4*running < 3*level {
+		return noArm
+	}
+	e.arms[arm].pending++
+	return arm
+}
+
+// sample records the latency of a request that belongs to the arm.
+func (e *experiment) sample(now time.Time, arm int, logLatency float64) {
+	e.last = now
+	if arm == noArm {
+		return
+	}
+	e.arms[arm].open.add(logLatency)
+	e.drop(arm)
+}
+
+// drop ends a request of the arm without a latency.
+func (e *experiment) drop(arm int) {
+	if arm == noArm {
+		return
+	}
+	e.arms[arm].pending--
+	e.close(arm)
+}
+
+// close counts the latencies of an arm whose period and requests have ended.
+func (e *experiment) close(arm int) {
+	if a := &e.arms[arm]; arm != e.active && a.pending == 0 {
+		a.merge(a.open)
+		a.open = moments{}
+	}
+}
+
+// verdict tests whether the latency grows in proportion to the limit.
+func (e *experiment) verdict() verdict {
+	low, high := &e.arms[lowArm], &e.arms[highArm]
+	if e.periods > maxPeriods {
+		return inconclusive
+	}
+	if low.n < minSamples || high.n < minSamples {
+		return undecided
+	}
+	growth := high.mean - low.mean
+	threshold := excessPart * math.Log(float64(e.hi)/float64(e.lo))
+	standardError := math.Sqrt(low.squaredError() + high.squaredError())
+	switch {
+	case growth-excessConfidence*standardError > threshold:
+		return excess
+	case growth+noExcessConfidence*standardError < threshold:
+		return noExcess
+	case low.n < maxSamples || high.n < maxSamples:
+		return undecided
+	case growth > threshold:
+		return excess
+	default:
+		return noExcess
+	}
+}
+
+// stalled reports whether no request has ended for much longer than typical.
+func (e *experiment) stalled(now time.Time, typical time.Duration) bool {
+	return now.Sub(e.last) > max(stallTime, stallFactor*typical)
+}
+
+// arm holds the latencies at one limit.
+type arm struct {
+	moments
+	// open holds the latencies of periods with pending requests. They do not count
+	// yet, because the requests that end first are the short ones.
+	open    moments
+	pending int
+}
+
+// moments accumulates mean and variance (Welford's method).
+type moments struct {
+	n        int
+	mean, m2 float64
+}
+
+func (m *moments) add(x float64) {
+	m.n++
+	d := x - m.mean
+	m.mean += d / float64(m.n)
+	m.m2 += d * (x - m.mean)
+}
+
+// merge adds the samples of o.
+func (m *moments) merge(o moments) {
+	if o.n == 0 {
+		return
+	}
+	n, d := float64(m.n), o.mean-m.mean
+	total := n + float64(o.n)
+	m.mean += d * float64(o.n) / total
+	m.m2 += o.m2 + d*d*n*float64(o.n)/total
+	m.n += o.n
+}
+
+// squaredError returns the squared standard error of the mean.
+func (m *moments) squaredError() float64 {
+	return m.m2 / float64(m.n-1) / float64(m.n)
+}
--- /dev/null
+++ b/internal/endpoint/health.go
@@ -0,0 +1,127 @@
+package endpoint
+
+import "time"
+
+const (
+	// healthWindow is the number of recent attempts that health is judged by.
+	healthWindow = 20
+	// minAttempts and minFailingSignatures keep a few failures, or one request
+	// that always fails, from ejecting an endpoint.
+	minAttempts          = 6
+	minFailingSignatures = 3
+	// firstEjection doubles with each failed probing up to maxEjection.
+	firstEjection = time.Second
+	maxEjection   = 30 * time.Second
+	// probeSuccesses ends probing; maxProbeFailures in a row ejects again. One
+	// failure is not enough, because the probe may be a request that always fails.
+	probeSuccesses   = 3
+	maxProbeFailures = 2
+)
+
+// State says whether an endpoint is in use.
+type State int
+
+// States of an endpoint.
+const (
+	InUse State = iota
+	Ejected
+	Probing
+)
+
+// String implements fmt.Stringer.
+func (s State) String() string {
+	return [...]string{"in-use", "ejected", "probing"}[s]
+}
+
+type attempt struct {
+	signature string
+	failed    bool
+}
+
+// health decides whether an endpoint is ejected.
+type health struct {
+	state  State
+	recent []attempt
+	until  time.Time
+	period time.Duration
+	// successes and failures count probes; failures are consecutive.
+	successes, failures int
+}
+
+// finish records an outcome and reports whether probing ended well.
+func (h *health) finish(now time.Time, o Outcome) (recovered bool) {
+	switch h.state {
+	case Ejected:
+		return false
+	case Probing:
+		return h.finishProbe(now, o.Failed)
+	}
+	if len(h.recent) == healthWindow {
+		h.recent = append(h.recent[:0], h.recent[1:]...)
+	}
+	h.recent = append(h.recent, attempt{signature: o.Signature, failed: o.Failed})
+	return false
+}
+
+func (h *health) finishProbe(now time.Time, failed bool) (recovered bool) {
+	if failed {
+		h.failures++
+		if h.failures >= maxProbeFailures {
+			h.eject(now)
+		}
+		return false
+	}
+	h.failures = 0
+	h.successes++
+	if h.successes < probeSuccesses {
+		return false
+	}
+	h.readmit()
+	h.period = 0
+	return true
+}
+
+// failing reports whether most recent attempts failed, over several signatures
+// that make up most of the signatures seen.
+func (h *health) failing() bool {
+	if h.state != InUse || len(h.recent) < minAttempts {
+		return false
+	}
+	failed := 0
+	last := map[string]bool{}
+	for _, a := range h.recent {
+		last[a.signature] = a.failed
+		if a.failed {
+			failed++
+		}
+	}
+	failing := 0
+	for _, f := range last {
+		if f {
+			failing++
+		}
+	}
+	return failed*2 > len(h.recent) && failing >= minFailingSignatures && failing*2 > len(last)
+}
+
+func (h *health) eject(now time.Time) {
+	h.period = min(max(2*h.period, firstEjection), maxEjection)
+	h.state, h.until = Ejected, now.Add(h.period)
+	h.forget()
+}
+
+func (h *health) readmit() {
+	h.state = InUse
+	h.forget()
+}
+
+func (h *health) forget() {
+	h.recent = h.recent[:0]
+	h.successes, h.failures = 0, 0
+}
+
+func (h *health) tick(now time.Time) {
+	if h.state == Ejected && !now.Before(h.until) {
+		h.state = Probing
+	}
+}
