Keep claims of idempotency keys at their homes

Cause: a repeat of an Idempotency-Key through another daemon could run twice.

A claim is taken at the two homes of the key and at the surviving homes of each view of the last ten minutes, one after the other in the order of the seat IDs, so that two daemons that claim a key at once meet at the first seat they share. The gateway claims under a random ID of each arrival, because a caller may send a repeat with the same X-Request-Id.

Ruled out: asking all homes at once, because two claims can then hold one home each. Evicting claims from a full table, because a forgotten key may run twice; new claims are refused instead.

Conclusion: one daemon gets the key, and it is never granted twice while one home of each earlier view survives.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +37,8 @@
 	notReadyRetry = time.Second
 	// claimTimeout bounds the time in which the homes of a key must answer.
 	claimTimeout = 2 * time.Second
+	// claimSeparator stands between the request ID and the random part of a claim ID.
+	claimSeparator = "~"
 	// headerFirstState and headerFirstStatus tell the caller of a repeated request
 	// how the first one ended.
 	headerFirstState  = "Samphirestile-First-State"
@@ -155,6 +159,9 @@
 	started time.Time
 	record  Finished
 	key     string
+	// claimID names the claim of the key. The request ID alone does not, because
+	// a caller may send a repeat with the same X-Request-Id.
+	claimID string
 }
 
 func (t *transaction) observe() {
@@ -270,7 +277,8 @@
 	}
 	ctx, cancel := context.WithTimeout(t.r.Context(), claimTimeout)
 	defer cancel()
-	granted, first, err := claimer.Claim(ctx, c.Team, t.key, c.ID)
+	t.claimID = c.ID + claimSeparator + rand.Text()
+	granted, first, err := claimer.Claim(ctx, c.Team, t.key, t.claimID)
 	switch {
 	case err != nil:
 		t.fail(problem.From(err))
@@ -285,7 +293,11 @@
 func (t *transaction) duplicate(first idempotency.Claim) *problem.Error {
 	h := t.w.Header()
 	h.Set(headerFirstState, string(first.State))
-	detail := fmt.Sprintf("the first request with this key, %s, is %s", first.RequestID, first.State)
+	id := first.RequestID
+	if i := strings.LastIndex(id, claimSeparator); i >= 0 {
+		id = id[:i]
+	}
+	detail := fmt.Sprintf("the first request with this key, %s, is %s", id, first.State)
 	if first.Status != 0 {
 		h.Set(headerFirstStatus, fmt.Sprint(first.Status))
 		detail += fmt.Sprintf(" with status %d", first.Status)
@@ -295,7 +307,7 @@
 
 func (t *transaction) settle(c *forward.Call, state idempotency.State, status int) {
 	if t.key != "" {
-		t.gateway.options.Claimer.Settle(c.Team, t.key, c.ID, state, status)
+		t.gateway.options.Claimer.Settle(c.Team, t.key, t.claimID, state, status)
 	}
 }
 
@@ -314,7 +326,9 @@
 		return
 	}
 	defer resp.Close()
-	t.settle(c, idempotency.Done, resp.Status)
+	var settled sync.WaitGroup
+	defer settled.Wait()
+	settled.Go(func() { t.settle(c, idempotency.Done, resp.Status) })
 	t.record.Status = resp.Status
 	t.body.BeforeHeader(t.w.Header())
 	t.w.Header().Set(problem.HeaderRequestID, c.ID)
--- /dev/null
+++ b/internal/idempotency/coordinator.go
@@ -0,0 +1,295 @@
+package idempotency
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/peerapi"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+const (
+	// askTimeout bounds one message to a home.
+	askTimeout = time.Second
+	// settleWait bounds how long Settle waits for the first attempt. The caller
+	// of a request that did not run may use the key again as soon as it is told so.
+	settleWait = 300 * time.Millisecond
+	// settleAttempts and settleBackoff bound the attempts in the background to about 25 s.
+	settleAttempts   = 8
+	settleBackoff    = 100 * time.Millisecond
+	maxSettleBackoff = 10 * time.Second
+	// maxSettling bounds the settlements in the background. A claim whose
+	// settlement is given up stays as it is until it expires, which is safe.
+	maxSettling = 1024
+	// homeRetry is the advice to callers while a home does not answer.
+	homeRetry = time.Second
+)
+
+// Options are the parts that a Coordinator works with.
+type Options struct {
+	Members membership.Source
+	// Table is the table of this daemon.
+	Table  *Table
+	Secret peerapi.Secret
+	// HTTP is used for messages to other daemons; nil means a client of its own.
+	HTTP *http.Client
+	// AwaitHistory makes the daemon refuse claims until LoadHistory was called or
+	// the retention has passed. It must be set when the daemon joins a cell that
+	// has run before; otherwise a key claimed under a view that this daemon never
+	// saw could run again.
+	AwaitHistory bool
+	// Now gives the monotonic time; nil means time.Now.
+	Now func() time.Time
+	// Dial returns the client of another daemon; nil means the peer interface.
+	Dial func(address string) (Peer, error)
+}
+
+// Coordinator claims keys at their homes on behalf of the entry daemon.
+type Coordinator struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	slots   chan struct{}
+
+	mu      sync.Mutex
+	closed  bool
+	history history
+	peers   map[string]Peer
+	// asked holds the homes that granted the claim of a running request.
+	asked map[string][]fleet.SeatID
+}
+
+// NewCoordinator starts a Coordinator; Close ends it.
+func NewCoordinator(o Options) *Coordinator {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.HTTP == nil {
+		o.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}}
+	}
+	if o.Dial == nil {
+		o.Dial = func(address string) (Peer, error) { return peerapi.NewClient(address, o.Secret, o.HTTP) }
+	}
+	c := &Coordinator{
+		options: o, slots: make(chan struct{}, maxSettling),
+		peers: make(map[string]Peer), asked: make(map[string][]fleet.SeatID),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if o.AwaitHistory {
+		c.history.incompleteUntil = o.Now().Add(Retention)
+	}
+	changed, stop := o.Members.Subscribe()
+	c.observe()
+	c.wg.Go(func() {
+		defer stop()
+		for {
+			select {
+			case <-changed:
+				c.observe()
+			case <-c.ctx.Done():
+				return
+			}
+		}
+	})
+	return c
+}
+
+// Close stops the work in the background.
+func (c *Coordinator) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.wg.Wait()
+}
+
+// observe notes the view in force and returns it.
+func (c *Coordinator) observe() membership.View {
+	v := c.options.Members.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.update(v, c.options.Now())
+	return v
+}
+
+// History returns the views of the last ten minutes, for a daemon that joins or takes a seat over.
+func (c *Coordinator) History() []PastView {
+	c.observe()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.history.export(c.options.Now())
+}
+
+// LoadHistory adds the views that another daemon knew.
+func (c *Coordinator) LoadHistory(views []PastView) {
+	c.observe()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history.incompleteUntil = time.Time{}
+	c.history.load(views, c.options.Now())
+}
+
+// Claim implements Claimer. It asks the homes one after the other. requestID
+// must be different for each request that arrives, also for repeats.
+func (c *Coordinator) Claim(ctx context.Context, team fleet.TeamID, key, requestID string) (bool, Claim, error) {
+	view := c.observe()
+	c.mu.Lock()
+	homes, p := c.history.homes(name(team, key), c.options.Now())
+	c.mu.Unlock()
+	if p != nil {
+		return false, Claim{}, p
+	}
+	request := &oas.ClaimRequest{Team: string(team), Key: key, RequestID: requestID}
+	for i, seat := range homes {
+		reply, err := c.ask(ctx, view, seat, request)
+		if err != nil {
+			// The message may have arrived.
+			c.settle(homes[:i+1], team, key, requestID, Released, 0)
+			return false, Claim{}, &problem.Error{
+				Code: problem.CodeIdempotencyUnknown, Status: http.StatusServiceUnavailable, Outcome: problem.NotRun,
+				Detail: "a daemon that keeps this idempotency key does not answer", RetryAfter: homeRetry, Cause: err,
+			}
+		}
+		if !reply.Granted {
+			c.settle(homes[:i], team, key, requestID, Released, 0)
+			first := reply.Claim.Value
+			return false, Claim{RequestID: first.RequestID, State: State(first.State), Status: first.Status}, nil
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked[requestID] = homes
+	return true, Claim{}, nil
+}
+
+// Settle implements Claimer. It returns after the first attempt; further
+// attempts are made in the background.
+func (c *Coordinator) Settle(team fleet.TeamID, key, requestID string, state State, status int) {
+	c.mu.Lock()
+	homes := c.asked[requestID]
+	delete(c.asked, requestID)
+	c.mu.Unlock()
+	c.settle(homes, team, key, requestID, state, status)
+}
+
+func (c *Coordinator) settle(homes []fleet.SeatID, team fleet.TeamID, key, requestID string, state State, status int) {
+	request := &oas.SettleRequest{
+		Team: string(team), Key: key, RequestID: requestID, State: oas.SettleRequestState(state), Status: status,
+	}
+	first := make(chan struct{}, len(homes))
+	for _, seat := range homes {
+		if !c.start(func() { c.settleAt(seat, request, first) }) {
+			first <- struct{}{}
+		}
+	}
+	timeout := time.NewTimer(settleWait)
+	defer timeout.Stop()
+	for range homes {
+		select {
+		case <-first:
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
+// start runs f in the background unless too much runs there already.
+func (c *Coordinator) start(f func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		return false
+	}
+	c.wg.Go(func() {
+		defer func() { <-c.slots }()
+		f()
+	})
+	return true
+}
+
+// settleAt repeats the message until the home took it or its seat is gone.
+func (c *Coordinator) settleAt(seat fleet.SeatID, request *oas.SettleRequest, first chan<- struct{}) {
+	wait := settleBackoff
+	for attempt := range settleAttempts {
+		done := c.settleOnce(seat, request)
+		if attempt == 0 {
+			first <- struct{}{}
+		}
+		if done {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-c.ctx.Done():
+			return
+		}
+		wait = min(2*wait, maxSettleBackoff)
+	}
+}
+
+func (c *Coordinator) settleOnce(seat fleet.SeatID, request *oas.SettleRequest) (done bool) {
+	home, err := c.home(c.options.Members.View(), seat)
+	if home == nil {
+		return err == nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
+	defer cancel()
+	return home.Settle(ctx, request) == nil
+}
+
+func (c *Coordinator) ask(ctx context.Context, view membership.View, seat fleet.SeatID, request *oas.ClaimRequest) (*oas.ClaimReply, error) {
+	home, err := c.home(view, seat)
+	if err != nil {
+		return nil, err
+	}
+	if home == nil {
+		return nil, &goneError{seat}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return home.Claim(ctx, request)
+}
+
+// goneError reports a seat that is not in the view.
+type goneError struct{ seat fleet.SeatID }
+
+func (e *goneError) Error() string { return "seat " + string(e.seat) + " is gone" }
+
+// home returns the occupant of the seat, nil when the seat does not exist any more.
+func (c *Coordinator) home(view membership.View, seat fleet.SeatID) (Peer, error) {
+	i := slices.IndexFunc(view.Members, func(m membership.Member) bool { return m.Seat == seat })
+	if i < 0 {
+		return nil, nil
+	}
+	m := view.Members[i]
+	if m.Self {
+		return c.options.Table, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.peers[m.PeerAddress]; ok {
+		return p, nil
+	}
+	p, err := c.options.Dial(m.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.peers) > 2*len(view.Members) {
+		// Clients of daemons that were replaced add up; the ones in use are made again.
+		clear(c.peers)
+	}
+	c.peers[m.PeerAddress] = p
+	return p, nil
+}
--- /dev/null
+++ b/internal/idempotency/history.go
@@ -0,0 +1,142 @@
+package idempotency
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/ownership"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+const (
+	// homesPerKey is two, so that a single crash leaves one record of each claim.
+	homesPerKey = 2
+	// maxViews bounds the earlier views kept; a cell has more of them in 10
+	// minutes only when seats fail and return all the time.
+	maxViews = 256
+)
+
+// PastView is a set of active seats under which keys may have been claimed.
+type PastView struct {
+	Seats []fleet.SeatID `json:"seats"`
+	// AgeMs is the time in milliseconds since the view was replaced; 0 while it is in force.
+	AgeMs int64 `json:"age_ms"`
+}
+
+type pastView struct {
+	seats []fleet.SeatID
+	until time.Time
+}
+
+// history remembers the views of the last ten minutes. The caller locks it.
+type history struct {
+	current []fleet.SeatID
+	past    []pastView
+	// incompleteUntil is the time up to which an unknown earlier view may matter.
+	incompleteUntil time.Time
+}
+
+func activeSeats(v membership.View) []fleet.SeatID {
+	var seats []fleet.SeatID
+	for _, m := range v.Members {
+		if m.Active {
+			seats = append(seats, m.Seat)
+		}
+	}
+	slices.Sort(seats)
+	return slices.Compact(seats)
+}
+
+// update notes a change of the active seats.
+func (h *history) update(v membership.View, now time.Time) {
+	h.past = slices.DeleteFunc(h.past, func(p pastView) bool { return now.Sub(p.until) >= Retention })
+	seats := activeSeats(v)
+	if slices.Equal(seats, h.current) {
+		return
+	}
+	h.add(pastView{h.current, now})
+	h.past = slices.DeleteFunc(h.past, func(p pastView) bool { return slices.Equal(p.seats, seats) })
+	h.current = seats
+}
+
+// add notes an earlier view; a set of seats is kept once, with its latest end.
+func (h *history) add(p pastView) {
+	if len(p.seats) == 0 {
+		return
+	}
+	if i := slices.IndexFunc(h.past, func(q pastView) bool { return slices.Equal(q.seats, p.seats) }); i >= 0 {
+		if p.until.After(h.past[i].until) {
+			h.past[i].until = p.until
+		}
+		return
+	}
+	if len(h.past) == maxViews {
+		oldest := slices.MinFunc(h.past, func(a, b pastView) int { return a.until.Compare(b.until) })
+		h.past = slices.DeleteFunc(h.past, func(q pastView) bool { return q.until.Equal(oldest.until) })
+		if end := oldest.until.Add(Retention); end.After(h.incompleteUntil) {
+			h.incompleteUntil = end
+		}
+	}
+	h.past = append(h.past, p)
+}
+
+// homes returns the seats that must grant a claim, in an order that is the same
+// on all daemons: two requests that claim the same key then meet at the first
+// seat that they share, and one of them gets all.
+func (h *history) homes(name string, now time.Time) ([]fleet.SeatID, *problem.Error) {
+	if len(h.current) == 0 {
+		return nil, problem.New(problem.CodeNotReady, http.StatusServiceUnavailable, "no seat is active").After(time.Second)
+	}
+	if now.Before(h.incompleteUntil) {
+		return nil, problem.New(problem.CodeIdempotencyUnknown, http.StatusServiceUnavailable,
+			"this daemon does not know the recent views of the cell yet").After(h.incompleteUntil.Sub(now))
+	}
+	homes := top(name, h.current)
+	for _, p := range h.past {
+		survivors := 0
+		for _, seat := range top(name, p.seats) {
+			if _, active := slices.BinarySearch(h.current, seat); active {
+				survivors++
+				homes = append(homes, seat)
+			}
+		}
+		if survivors == 0 {
+			return nil, problem.NewUnknown(problem.CodeIdempotencyUnknown, http.StatusServiceUnavailable, nil,
+				"all daemons that knew this idempotency key under an earlier view are lost")
+		}
+	}
+	slices.Sort(homes)
+	return slices.Compact(homes), nil
+}
+
+// top returns the seats with the highest rendezvous scores of the name.
+func top(name string, seats []fleet.SeatID) []fleet.SeatID {
+	sorted := slices.SortedFunc(slices.Values(seats), func(a, b fleet.SeatID) int {
+		return cmp.Or(cmp.Compare(ownership.Score(name, b), ownership.Score(name, a)), cmp.Compare(a, b))
+	})
+	return sorted[:min(homesPerKey, len(sorted))]
+}
+
+func (h *history) export(now time.Time) []PastView {
+	views := []PastView{{Seats: slices.Clone(h.current)}}
+	for _, p := range h.past {
+		views = append(views, PastView{Seats: slices.Clone(p.seats), AgeMs: max(now.Sub(p.until).Milliseconds(), 1)})
+	}
+	return views
+}
+
+func (h *history) load(views []PastView, now time.Time) {
+	for _, v := range views {
+		seats := slices.Clone(v.Seats)
+		slices.Sort(seats)
+		seats = slices.Compact(seats)
+		age := time.Duration(max(v.AgeMs, 0)) * time.Millisecond
+		if age < Retention && !slices.Equal(seats, h.current) {
+			h.add(pastView{seats, now.Add(-age)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/idempotency/table.go
@@ -0,0 +1,291 @@
+package idempotency
+
+import (
+	"container/list"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+const (
+	// Retention is how long a claim is kept after its last change.
+	Retention = 10 * time.Minute
+	// DefaultMaxClaims bounds the memory of a table. New claims are refused when
+	// it is full, because forgetting an old one could let a request run twice.
+	DefaultMaxClaims = 100_000
+	// fullRetry is the advice to callers while the table is full.
+	fullRetry = 5 * time.Second
+	// hashedPrefix marks exported keys, which leave the table as hashes only.
+	hashedPrefix = "sha256:"
+)
+
+// Peer is a home of keys: the table of this daemon or a client of another one.
+type Peer interface {
+	Claim(ctx context.Context, req *oas.ClaimRequest) (*oas.ClaimReply, error)
+	Settle(ctx context.Context, req *oas.SettleRequest) error
+}
+
+type keyHash [sha256.Size]byte
+
+func hashKey(team, key string) keyHash {
+	if hash, ok := strings.CutPrefix(key, hashedPrefix); ok && team == "" {
+		var k keyHash
+		if n, err := hex.Decode(k[:], []byte(hash)); err == nil && n == len(k) {
+			return k
+		}
+	}
+	return sha256.Sum256([]byte(team + "\x00" + key))
+}
+
+// record is a claim in a table. A released record stays as a mark that a late
+// message of the same request must not claim the key again.
+type record struct {
+	key   keyHash
+	claim Claim
+	at    time.Time
+}
+
+// Table holds the claims of the keys that have a home at this daemon.
+type Table struct {
+	maxClaims int
+	now       func() time.Time
+
+	mu      sync.Mutex
+	records map[keyHash]*list.Element
+	// order lists the records by the time of their last change, oldest first.
+	order *list.List
+	// frozen is not nil between Export and MoveTo or Resume.
+	frozen    chan struct{}
+	successor Peer
+}
+
+// NewTable returns an empty table; maxClaims 0 means DefaultMaxClaims. now gives
+// the monotonic time; nil means time.Now.
+func NewTable(maxClaims int, now func() time.Time) *Table {
+	if maxClaims <= 0 {
+		maxClaims = DefaultMaxClaims
+	}
+	if now == nil {
+		now = time.Now
+	}
+	return &Table{maxClaims: maxClaims, now: now, records: make(map[keyHash]*list.Element), order: list.New()}
+}
+
+// Claim grants the key to the request or returns the claim of an earlier one.
+// The same request may ask again while it runs.
+func (t *Table) Claim(ctx context.Context, req *oas.ClaimRequest) (*oas.ClaimReply, error) {
+	successor, err := t.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if successor != nil {
+		return successor.Claim(ctx, req)
+	}
+	defer t.mu.Unlock()
+	now := t.now()
+	t.expire(now)
+	key := hashKey(req.Team, req.Key)
+	if e, ok := t.records[key]; ok {
+		r := e.Value.(*record)
+		same := r.claim.RequestID == req.RequestID
+		switch {
+		case same && r.claim.State == Running:
+			return &oas.ClaimReply{Granted: true}, nil
+		case same || r.claim.State != Released:
+			return &oas.ClaimReply{Claim: oas.NewOptClaim(export(r, now, req.Team, req.Key))}, nil
+		}
+	} else if len(t.records) >= t.maxClaims {
+		return nil, problem.New(problem.CodeIdempotencyUnknown, http.StatusServiceUnavailable, "the table of idempotency keys is full").After(fullRetry)
+	}
+	t.put(key, Claim{RequestID: req.RequestID, State: Running}, now)
+	return &oas.ClaimReply{Granted: true}, nil
+}
+
+// Settle records the outcome of the request that holds the claim. It has no
+// effect on the claim of another request.
+func (t *Table) Settle(ctx context.Context, req *oas.SettleRequest) error {
+	successor, err := t.enter(ctx)
+	if err != nil {
+		return err
+	}
+	if successor != nil {
+		return successor.Settle(ctx, req)
+	}
+	defer t.mu.Unlock()
+	now := t.now()
+	t.expire(now)
+	key := hashKey(req.Team, req.Key)
+	e, ok := t.records[key]
+	if ok && e.Value.(*record).claim.RequestID != req.RequestID {
+		return nil
+	}
+	if !ok && len(t.records) >= t.maxClaims {
+		return problem.New(problem.CodeIdempotencyUnknown, http.StatusServiceUnavailable, "the table of idempotency keys is full")
+	}
+	if ok && ended(e.Value.(*record).claim.State) && !ended(State(req.State)) {
+		return nil
+	}
+	t.put(key, Claim{RequestID: req.RequestID, State: State(req.State), Status: req.Status}, now)
+	return nil
+}
+
+// enter locks the table, or returns the successor without a lock. It waits while
+// a handover is under way.
+func (t *Table) enter(ctx context.Context) (Peer, error) {
+	for {
+		t.mu.Lock()
+		if t.successor != nil {
+			defer t.mu.Unlock()
+			return t.successor, nil
+		}
+		frozen := t.frozen
+		if frozen == nil {
+			return nil, nil
+		}
+		t.mu.Unlock()
+		select {
+		case <-frozen:
+		case <-ctx.Done():
+			return nil, problem.New(problem.CodeIdempotencyUnknown, http.StatusServiceUnavailable, "the claims are being handed over").After(time.Second)
+		}
+	}
+}
+
+func (t *Table) put(key keyHash, c Claim, at time.Time) {
+	if e, ok := t.records[key]; ok {
+		t.order.Remove(e)
+	}
+	t.records[key] = t.order.PushBack(&record{key: key, claim: c, at: at})
+}
+
+func (t *Table) expire(now time.Time) {
+	for e := t.order.Front(); e != nil; e = t.order.Front() {
+		r := e.Value.(*record)
+		if now.Sub(r.at) < Retention {
+			return
+		}
+		t.order.Remove(e)
+		delete(t.records, r.key)
+	}
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
+func export(r *record, now time.Time, team, key string) oas.Claim {
+	state := oas.ClaimState(r.claim.State)
+	if r.claim.State == Released {
+		// Only the late message of a released request sees this.
+		state = oas.ClaimStateUnknown
+	}
+	return oas.Claim{
+		Team: team, Key: key, RequestID: r.claim.RequestID, State: state,
+		Status: r.claim.Status, AgeMs: now.Sub(r.at).Milliseconds(),
+	}
+}
+
+// Export returns the claims for a handover and stops the table. Claims that
+// arrive then wait until MoveTo or Resume is called.
+func (t *Table) Export() []oas.Claim {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.frozen == nil {
+		t.frozen = make(chan struct{})
+	}
+	now := t.now()
+	t.expire(now)
+	claims := make([]oas.Claim, 0, t.order.Len())
+	for e := t.order.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*record)
+		if r.claim.State != Released {
+			claims = append(claims, export(r, now, "", hashedPrefix+hex.EncodeToString(r.key[:])))
+		}
+	}
+	return claims
+}
+
+// MoveTo passes all later messages on to the successor that took the claims, so
+// that daemons with an older view still reach the right table.
+func (t *Table) MoveTo(successor Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.successor = successor
+	t.thaw()
+}
+
+// Resume puts the table back in service after a handover that did not happen.
+func (t *Table) Resume() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.thaw()
+}
+
+func (t *Table) thaw() {
+	if t.frozen != nil {
+		close(t.frozen)
+		t.frozen = nil
+	}
+}
+
+// Import merges claims of another daemon. Repeating it has no further effect.
+// It never drops a claim, even if that exceeds the bound of the table.
+func (t *Table) Import(claims []oas.Claim) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, c := range claims {
+		age := time.Duration(min(max(c.AgeMs, 0), Retention.Milliseconds())) * time.Millisecond
+		t.merge(hashKey(c.Team, c.Key), Claim{RequestID: c.RequestID, State: State(c.State), Status: c.Status}, now.Add(-age))
+	}
+	t.expire(now)
+}
+
+// merge keeps the claim that says more: an outcome before a running request
+// before a released one.
+func (t *Table) merge(key keyHash, c Claim, at time.Time) {
+	if e, ok := t.records[key]; ok {
+		r := e.Value.(*record)
+		if rank(r.claim.State) >= rank(c.State) {
+			return
+		}
+		t.order.Remove(e)
+	}
+	r := &record{key: key, claim: c, at: at}
+	next := t.order.Back()
+	for next != nil && next.Value.(*record).at.After(at) {
+		next = next.Prev()
+	}
+	if next == nil {
+		t.records[key] = t.order.PushFront(r)
+		return
+	}
+	t.records[key] = t.order.InsertAfter(r, next)
+}
+
+func rank(s State) int {
+	switch {
+	case ended(s):
+		return 2
+	case s == Running:
+		return 1
+	}
+	return 0
+}
+
+// ended reports whether the state is the outcome of a request that was sent.
+func ended(s State) bool { return s == Done || s == Unknown }
+
+// name is the value whose rendezvous scores choose the homes of a key.
+func name(team fleet.TeamID, key string) string { return string(team) + "\x00" + key }
