Give every refusal before a handler a problem body, and reject ambiguous framing

Cause: net/http answers malformed and oversized headers with plain text, closes the connection of a caller that sends its header too slowly without a response, and removes Content-Length from a request that also has Transfer-Encoding, so that a handler cannot reject it.

The connection of the service listener replaces what net/http writes while no handler runs, and keeps a copy of the header to find both fields.

Ruled out: a parser of our own in front of net/http, because two parsers of the same bytes can disagree. A header pipelined behind another request is not checked; each hop frames the body anew, so it does no harm.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// headCopyBytes is the largest header that net/http accepts.
+	headCopyBytes = MaxHeaderBytes + 4096
 	// lingerTime is how long the rest of a refused request is read and dropped,
 	// because closing a connection with unread bytes may destroy the response.
 	lingerTime = 200 * time.Millisecond
@@ -35,13 +37,53 @@
 	received bool
 	timedOut bool
 	refused  bool
+	// head is a copy of what arrived since the last response, up to headCopyBytes.
+	head []byte
+	// ahead is a byte that net/http read while a handler ran, to notice the end of
+	// the caller; it is the first byte of the next request.
+	ahead []byte
 }
 
-func (c *serviceConn) setHandling(handling bool) {
+// begin marks the start of a handler and reports whether the framing of its
+// request is ambiguous.
+func (c *serviceConn) begin() (ambiguous bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handling = handling
+	c.handling = true
 	c.received, c.timedOut = false, false
+	ambiguous = ambiguousFraming(c.head)
+	c.head, c.ahead = c.head[:0], c.ahead[:0]
+	return ambiguous
+}
+
+// end marks that the response of a handler was sent.
+func (c *serviceConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = false
+	c.head = append(c.head[:0], c.ahead...)
+}
+
+// ambiguousFraming reports whether a request header has both Content-Length and
+// Transfer-Encoding. net/http removes the former before a handler can see it. A
+// header that was pipelined behind another request is not found here; it does no
+// harm, because each hop frames the body anew.
+func ambiguousFraming(head []byte) bool {
+	var length, encoding bool
+	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			break
+		}
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if !ok {
+			continue
+		}
+		name = bytes.TrimSpace(name)
+		length = length || bytes.EqualFold(name, []byte("Content-Length"))
+		encoding = encoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	return length && encoding
 }
 
 // Read implements net.Conn.
@@ -49,10 +91,16 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.handling {
-		c.received = c.received || n > 0
-		c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	if c.handling {
+		c.ahead = c.ahead[:0]
+		if len(p) == 1 {
+			c.ahead = append(c.ahead, p[:n]...)
+		}
+		return n, err
 	}
+	c.received = c.received || n > 0
+	c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	c.head = append(c.head, p[:min(n, headCopyBytes-len(c.head))]...)
 	return n, err
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -131,6 +132,7 @@
 type daemon struct {
 	dispatcher *freeDispatcher
 	gateway    *gateway.Gateway
+	peer       *http.Server
 	address    string
 	finished   chan gateway.Finished
 }
@@ -139,6 +141,7 @@
 	daemons  []*daemon
 	claimer  *memoryClaimer
 	endpoint *httptest.Server
+	runs     atomic.Int64
 	handler  atomic.Pointer[http.HandlerFunc]
 }
 
@@ -146,11 +149,15 @@
 
 const cellSecret = "cell secret"
 
-// newCell starts n daemons that share two endpoints, both served by one handler.
-func newCell(n int) *cell {
+// newCell starts n daemons that share two endpoints of each service, all served
+// by one handler. With a seatless entry, daemon 0 owns none.
+func newCell(n int, seatless ...bool) *cell {
 	c := &cell{claimer: &memoryClaimer{claims: make(map[string]idempotency.Claim)}}
 	c.handle(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "hello") })
-	c.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*c.handler.Load())(w, r) }))
+	c.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.runs.Add(1)
+		(*c.handler.Load())(w, r)
+	}))
 	DeferCleanup(c.endpoint.Close)
 	snapshot := &config.Snapshot{
 		Services: map[fleet.ServiceID]fleet.Service{
@@ -173,7 +180,7 @@
 		listeners = append(listeners, l)
 		members = append(members, membership.Member{
 			Seat: fleet.SeatID(fmt.Sprintf("seat-%d", i)), Daemon: fmt.Sprintf("daemon-%d", i),
-			PeerAddress: l.Addr().String(), Active: true,
+			PeerAddress: l.Addr().String(), Active: i > 0 || len(seatless) == 0,
 		})
 	}
 	assignment := ownership.Assign(snapshot.Endpoints, members)
@@ -203,15 +210,15 @@
 	})
 	d.gateway.SetReady(true)
 	d.gateway.SetAccepting(true)
-	peerServer := &http.Server{Handler: forward.NewServer(options, time.Second).Wrap(http.NotFoundHandler())}
+	d.peer = &http.Server{Handler: forward.NewServer(options, time.Second).Wrap(http.NotFoundHandler())}
 	service := gateway.NewServer(d.gateway, gateway.ServerOptions{ReadHeader: 300 * time.Millisecond})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	d.address = l.Addr().String()
-	go func() { _ = peerServer.Serve(peer) }()
+	go func() { _ = d.peer.Serve(peer) }()
 	go func() { _ = service.Serve(gateway.WrapListener(l)) }()
 	DeferCleanup(func() {
-		_ = peerServer.Close()
+		_ = d.peer.Close()
 		_ = service.Close()
 		client.Close()
 	})
@@ -240,6 +247,13 @@
 	return resp, body
 }
 
+func must(b []byte, err error) int {
+	if err != nil {
+		return -1
+	}
+	return len(b)
+}
+
 func expectProblem(resp *http.Response, body []byte, status int, code problem.Code, outcome problem.Outcome) {
 	GinkgoHelper()
 	Expect(resp.StatusCode).To(Equal(status), string(body))
@@ -326,6 +340,40 @@
 		Expect(resp.Header.Get("Etag")).To(Equal(`"x"`))
 	})
 
+	It("streams in both directions at once", func() {
+		c := newCell(2)
+		c.handle(func(w http.ResponseWriter, r *http.Request) {
+			rc := http.NewResponseController(w)
+			_ = rc.EnableFullDuplex()
+			_ = rc.Flush()
+			lines := bufio.NewScanner(r.Body)
+			for lines.Scan() {
+				fmt.Fprintln(w, "echo "+lines.Text())
+				_ = rc.Flush()
+			}
+		})
+		for _, d := range c.daemons {
+			for range 3 {
+				reader, writer := io.Pipe()
+				go func() { _, _ = writer.Write(bytes.Repeat([]byte("x"), forward.BufferBytes+1)) }()
+				resp, err := http.DefaultTransport.RoundTrip(d.request("POST", "/quotes/", reader))
+				Expect(err).NotTo(HaveOccurred())
+				lines := bufio.NewScanner(resp.Body)
+				lines.Buffer(nil, 1<<16)
+				for _, text := range []string{"", "one", "two"} {
+					fmt.Fprintln(writer, text)
+					Expect(lines.Scan()).To(BeTrue())
+					Expect(lines.Text()).To(HavePrefix("echo"))
+					Expect(lines.Text()).To(HaveSuffix(text))
+				}
+				_ = writer.Close()
+				Expect(lines.Scan()).To(BeFalse())
+				Expect(lines.Err()).NotTo(HaveOccurred())
+				_ = resp.Body.Close()
+			}
+		}
+	})
+
 	It("reroutes a request that did not run and reports the refusal when no owner is left", func() {
 		c := newCell(2)
 		refusal := &problem.Error{Code: problem.CodeOverLimit, Status: 429, Outcome: problem.NotRun, Detail: "no unit", Reroute: true, RetryAfter: time.Second}
@@ -334,6 +382,12 @@
 			resp, _ := do(c.daemons[0].request("POST", "/quotes/", strings.NewReader("x")))
 			Expect(resp.StatusCode).To(Equal(http.StatusOK))
 		}
+		large := bytes.Repeat([]byte("x"), 1<<20)
+		c.handle(func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, must(io.ReadAll(r.Body))) })
+		for range 10 {
+			resp, _ := do(c.daemons[0].request("POST", "/quotes/", bytes.NewReader(large)))
+			Expect(resp.StatusCode).To(Equal(http.StatusOK), "the unread body can be offered again")
+		}
 		c.daemons[0].dispatcher.refuse.Store(refusal)
 		resp, body := do(c.daemons[0].request("POST", "/quotes/", strings.NewReader("x")))
 		expectProblem(resp, body, 429, problem.CodeOverLimit, problem.NotRun)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"samphirestile.example/samphirestile/internal/problem"
 )
 
 // Bounds of the service listener.
@@ -39,8 +41,10 @@
 	}
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if c, ok := r.Context().Value(connKey{}).(*serviceConn); ok {
-				c.setHandling(true)
+			if c, ok := r.Context().Value(connKey{}).(*serviceConn); ok && c.begin() {
+				w.Header().Set("Connection", "close")
+				problem.Write(w, badRequest("the request has both Content-Length and Transfer-Encoding"), "")
+				return
 			}
 			h.ServeHTTP(w, r)
 		}),
@@ -52,7 +56,7 @@
 		},
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if sc, ok := c.(*serviceConn); ok && s == http.StateIdle {
-				sc.setHandling(false)
+				sc.end()
 			}
 		},
 		DisableGeneralOptionsHandler: true,
