--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -28,8 +28,9 @@
 
 // peerDemand is what the peers reported of one team.
 type peerDemand struct {
-	// demand counts running and queued requests, starved those queued where no unit is free.
-	demand, starved int
+	// demand counts running and queued requests of each peer, starved those without a unit.
+	demand  map[string]int
+	starved int
 	// spare lists peers with unused units.
 	spare []string
 }
@@ -213,7 +214,7 @@
 
 // peerRows sums the peers' rows of one team.
 func (a *Allotments) peerRows(id fleet.TeamID) peerDemand {
-	var d peerDemand
+	d := peerDemand{demand: map[string]int{}}
 	for _, p := range a.cfg.Seats.PeerTeamRows() {
 		if !p.Active || p.Leaving {
 			continue
@@ -222,10 +223,8 @@
 			if r.Team != string(id) {
 				continue
 			}
-			d.demand += r.Running + r.Queued
-			if r.Queued > 0 && r.Running >= r.Units {
-				d.starved += r.Queued
-			}
+			d.demand[p.Incarnation] = r.Running + r.Queued
+			d.starved += max(0, r.Running+r.Queued-r.Units)
 			if r.Units > r.Running+r.Queued {
 				d.spare = append(d.spare, p.Incarnation)
 			}
@@ -336,12 +335,12 @@
 // target returns the number of units that this daemon should have.
 func (a *Allotments) target(t *team, d demandState, limit int, peers peerDemand) int {
 	if peers.starved > 0 {
-		total := d.demand + peers.demand
-		if total <= limit || d.demand == 0 {
-			return d.demand
+		share := a.share(t, d.demand, limit, peers)
+		// Hysteresis saves writes while the demand of daemons changes a little.
+		if over := d.units - share; over > 0 && over <= share/4 {
+			return d.units
 		}
-		// Rounding up keeps the last unit of a small limit where it is used.
-		return min(d.demand, (limit*d.demand+total-1)/total)
+		return share
 	}
 	idle := max(t.peak, t.lastPeak, a.reserve(t.id, limit))
 	if d.demand > d.units {
@@ -354,6 +353,41 @@
 	return idle
 }
 
+// share divides the limit over the daemons by their demand. The largest
+// remainders get the units left by rounding, so that a small limit ends up where
+// the demand is largest.
+func (a *Allotments) share(t *team, demand, limit int, peers peerDemand) int {
+	total := demand
+	for _, d := range peers.demand {
+		total += d
+	}
+	if total <= limit || demand == 0 {
+		return demand
+	}
+	self := a.self()
+	left, rank := limit-limit*demand/total, 0
+	for p, d := range peers.demand {
+		left -= limit * d / total
+		c := cmp.Compare(limit*d%total, limit*demand%total)
+		if c > 0 || (c == 0 && score(t.id, p) < score(t.id, self)) {
+			rank++
+		}
+	}
+	if rank < left {
+		return limit*demand/total + 1
+	}
+	return limit * demand / total
+}
+
+func (a *Allotments) self() string {
+	for _, m := range a.cfg.Seats.View().Members {
+		if m.Self {
+			return m.Incarnation
+		}
+	}
+	return ""
+}
+
 // prepareOver lowers this daemon's entries after the limit was lowered.
 func (a *Allotments) prepareOver(t *team, held []fleet.SeatID, limit int, now time.Time) (*plan, bool) {
 	if now.Sub(t.readAt) > a.cfg.RetryInterval {
