Grow quorums at once and hand over what is known of team records

Cause: a daemon that took a seat while the store was down knew no record and started nothing; the first daemon of a cell kept a quorum of itself for one renewal interval and could not be reclaimed when it ended in that time.

Run: go test and go test -race of ./internal/membership pass, 20 scenarios in 17 to 19 s; before, the rolling replacement and the paused holder failed.

--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -284,7 +284,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t, now := a.team(id), time.Now()
-	if t.record == nil {
+	if t.record == nil || t.record.secondHand {
 		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
 	}
 	limit, _ := a.effectiveLimit(t)
--- a/internal/allotment/record.go
+++ b/internal/allotment/record.go
@@ -23,6 +23,8 @@
 	Holders  map[fleet.SeatID]int `json:"holders"`
 
 	version uint64
+	// secondHand is set on a summary from the daemon that handed a seat over.
+	secondHand bool
 }
 
 func (r *record) sum() int {
--- a/internal/allotment/transfer.go
+++ b/internal/allotment/transfer.go
@@ -27,7 +27,12 @@
 		}
 		u.exported = true
 		if u.units > 0 {
-			units = append(units, oas.TeamUnits{Team: string(t.id), Units: u.units})
+			row := oas.TeamUnits{Team: string(t.id), Units: u.units}
+			if t.record != nil {
+				row.Limit, row.Sum = oas.NewOptInt(t.record.Limit), oas.NewOptInt(t.record.sum())
+				row.Revision = oas.NewOptInt64(int64(t.record.Revision))
+			}
+			units = append(units, row)
 		}
 		if n := u.inUse(now); n > 0 {
 			running = append(running, oas.TeamUnits{Team: string(t.id), Units: n})
@@ -68,6 +73,13 @@
 	}
 	for _, r := range units {
 		entry(r.Team).units = r.Units
+		if t := a.team(fleet.TeamID(r.Team)); t.record == nil && r.Limit.Set {
+			// The sender's knowledge allows starts while the store is down; it is no base for a write.
+			t.record = &record{
+				Limit: r.Limit.Value, Revision: uint64(r.Revision.Or(0)),
+				Holders: map[fleet.SeatID]int{seat: r.Sum.Or(0)}, secondHand: true,
+			}
+		}
 	}
 	for _, r := range running {
 		entry(r.Team).reserved = r.Units
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -175,7 +175,9 @@
 	now := time.Now()
 	var due []*heldSeat
 	for _, s := range m.held {
-		if now.Sub(s.renewedAt) >= m.cfg.RenewalInterval-m.cfg.HeartbeatInterval/2 {
+		// A larger quorum is written at once: the first daemon of a cell has only itself to consent.
+		grows := s.created() && len(s.quorum) < maxQuorum && len(m.chooseQuorum(s)) > len(s.quorum)
+		if grows || now.Sub(s.renewedAt) >= m.cfg.RenewalInterval-m.cfg.HeartbeatInterval/2 {
 			due = append(due, s)
 		}
 	}
--- a/internal/peerapi/oas/oas_json_gen.go
+++ b/internal/peerapi/oas/oas_json_gen.go
@@ -2725,11 +2725,32 @@
 		e.FieldStart("units")
 		e.Int(s.Units)
 	}
+	{
+		if s.Limit.Set {
+			e.FieldStart("limit")
+			s.Limit.Encode(e)
+		}
+	}
+	{
+		if s.Revision.Set {
+			e.FieldStart("revision")
+			s.Revision.Encode(e)
+		}
+	}
+	{
+		if s.Sum.Set {
+			e.FieldStart("sum")
+			s.Sum.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfTeamUnits = [2]string{
+var jsonFieldsNameOfTeamUnits = [5]string{
 	0: "team",
 	1: "units",
+	2: "limit",
+	3: "revision",
+	4: "sum",
 }
 
 // Decode decodes TeamUnits from json.
@@ -2765,6 +2786,36 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"units\"")
 			}
+		case "limit":
+			if err := func() error {
+				s.Limit.Reset()
+				if err := s.Limit.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"limit\"")
+			}
+		case "revision":
+			if err := func() error {
+				s.Revision.Reset()
+				if err := s.Revision.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
+		case "sum":
+			if err := func() error {
+				s.Sum.Reset()
+				if err := s.Sum.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"sum\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/peerapi/oas/oas_schemas_gen.go
+++ b/internal/peerapi/oas/oas_schemas_gen.go
@@ -1185,6 +1185,10 @@
 type TeamUnits struct {
 	Team  string `json:"team"`
 	Units int    `json:"units"`
+	// Limit in the team's record as the sender knows it, with its revision and the sum of units.
+	Limit    OptInt   `json:"limit"`
+	Revision OptInt64 `json:"revision"`
+	Sum      OptInt   `json:"sum"`
 }
 
 // GetTeam returns the value of Team.
@@ -1197,6 +1201,21 @@
 	return s.Units
 }
 
+// GetLimit returns the value of Limit.
+func (s *TeamUnits) GetLimit() OptInt {
+	return s.Limit
+}
+
+// GetRevision returns the value of Revision.
+func (s *TeamUnits) GetRevision() OptInt64 {
+	return s.Revision
+}
+
+// GetSum returns the value of Sum.
+func (s *TeamUnits) GetSum() OptInt {
+	return s.Sum
+}
+
 // SetTeam sets the value of Team.
 func (s *TeamUnits) SetTeam(val string) {
 	s.Team = val
@@ -1207,6 +1226,21 @@
 	s.Units = val
 }
 
+// SetLimit sets the value of Limit.
+func (s *TeamUnits) SetLimit(val OptInt) {
+	s.Limit = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *TeamUnits) SetRevision(val OptInt64) {
+	s.Revision = val
+}
+
+// SetSum sets the value of Sum.
+func (s *TeamUnits) SetSum(val OptInt) {
+	s.Sum = val
+}
+
 // Ref: #/components/schemas/Vouch
 type Vouch struct {
 	Voter string `json:"voter"`
