--- a/internal/config/hosts.go
+++ b/internal/config/hosts.go
@@ -22,7 +22,7 @@
 		} else if ctx.Err() == nil {
 			m.log.WithError(err).Debug("host list not read")
 		}
-		if !sleep(ctx, max(hostsEvery-time.Since(start), 0)) {
+		if !sleep(ctx, max(m.config.HostsEvery-time.Since(start), 0)) {
 			return
 		}
 	}
--- a/internal/config/manager.go
+++ b/internal/config/manager.go
@@ -49,6 +49,11 @@
 	Revoked RevokedSet
 	// Log receives diagnostics; nil discards them.
 	Log logrus.FieldLogger
+	// HostsEvery is the time between two reads of the host list; 0 means hostsEvery.
+	HostsEvery time.Duration
+	// PersistDelay is the least time after which this daemon records revocations that
+	// another daemon received; 0 means persistDelay.
+	PersistDelay time.Duration
 }
 
 // Bounds of time.
@@ -110,6 +115,12 @@
 		l.SetOutput(io.Discard)
 		log = l
 	}
+	if c.HostsEvery == 0 {
+		c.HostsEvery = hostsEvery
+	}
+	if c.PersistDelay == 0 {
+		c.PersistDelay = persistDelay
+	}
 	life, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		config: c, log: log, life: life, cancel: cancel,
--- a/internal/config/manager_test.go
+++ b/internal/config/manager_test.go
@@ -223,8 +223,8 @@
 		report(a, b)
 		report(b, a)
 		Expect(a.Current().Endpoints["e1"].Leaving).To(BeFalse())
-		// A daemon uses the marks of others only after its own list is 2 s old.
-		time.Sleep(2100 * time.Millisecond)
+		// A daemon uses the marks of others only after two reads of its own list failed.
+		time.Sleep(500 * time.Millisecond)
 		c.platform.SetHostState("h1", fleet.HostLeaving)
 		for _, d := range []*daemon{a, b} {
 			Eventually(func() bool { return d.Current().Endpoints["e1"].Leaving }, 3*time.Second).Should(BeTrue())
--- /dev/null
+++ b/internal/config/parse_test.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+func FuzzParseHead(f *testing.F) {
+	f.Add([]byte(`{"revision":1,"documents":{},"changes":[]}`))
+	f.Add([]byte(`{"revision":2,"documents":{"a/b":"` + hashOf(nil) + `"},"revoked":["00"],"changes":[{"id":"x","time":"2026-01-01T00:00:00Z","revision":2}]} x`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := parseHead(data)
+		if err != nil {
+			if !errors.As(err, new(*HeadError)) {
+				t.Fatalf("untyped error %T", err)
+			}
+			return
+		}
+		again, err := json.Marshal(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h2, err := parseHead(again); err != nil || h2.Revision != h.Revision || !reflect.DeepEqual(h2.Documents, h.Documents) {
+			t.Fatalf("does not survive its own encoding: %v", err)
+		}
+	})
+}
+
+func FuzzParseWire(f *testing.F) {
+	f.Add([]byte(`{"head":{"revision":0,"documents":{},"changes":null},"documents":{}}`))
+	f.Add(fmt.Appendf(nil, `{"head":{"revision":1,"documents":{"a/b":%q},"changes":[]},"documents":{"a/b":"x"},"leaving":["h"]}`, hashOf([]byte("x"))))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w, err := parseWire(data)
+		if err != nil {
+			return
+		}
+		for name, hash := range w.Head.Documents {
+			if hashOf([]byte(w.Documents[name])) != hash {
+				t.Fatalf("document %q does not match its hash", name)
+			}
+		}
+	})
+}
+
+// Guards against a change whose earlier acceptance is forgotten, or a conflict
+// that is missed, when more changes followed than the head remembers.
+func TestHeadMemory(t *testing.T) {
+	h := &Head{Documents: map[string]string{}}
+	for i := range changeMemory + 5 {
+		h = h.next(h.Documents, nil, ChangeRecord{ID: fmt.Sprint(i), Documents: []string{fmt.Sprintf("pool/p%d", i)}})
+	}
+	last := h.Revision
+	if len(h.Changes) != changeMemory || h.remembers(3) || !h.remembers(last-changeMemory) {
+		t.Fatalf("memory of %d changes is wrong", len(h.Changes))
+	}
+	for _, c := range []struct {
+		revision uint64
+		document string
+		touched  bool
+	}{
+		{last, "pool/p36", false}, {last - 1, "pool/p36", true}, {last - 1, "pool/p35", false}, {3, "pool/none", true},
+	} {
+		if got := h.touched(c.revision, []string{c.document}); got != c.touched {
+			t.Errorf("touched(%d, %s) = %v", c.revision, c.document, got)
+		}
+	}
+}
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -29,8 +29,9 @@
 	maxSources = 4
 	// peerMemory is the time after which a silent peer outside the view is forgotten.
 	peerMemory = time.Minute
-	// hostsStale is the age of the own host list from which a peer's marks are used.
-	hostsStale = 2 * hostsEvery
+	// hostsStale is the number of reads of the host list that must have failed before
+	// a peer's marks are used.
+	hostsStale = 2
 )
 
 // peerState is what a peer last reported.
@@ -163,7 +164,7 @@
 	m.addRevoked(n.Revoked)
 	m.want(uint64(max(n.Revision, 0)))
 	m.mu.Lock()
-	stale := m.config.Hosts != nil && time.Since(m.hostsAge) > hostsStale
+	stale := m.config.Hosts != nil && m.hostsStale()
 	m.mu.Unlock()
 	if stale {
 		m.spawn(m.pullMarks)
@@ -171,6 +172,11 @@
 	return nil
 }
 
+// hostsStale reports whether the own host list is too old. The caller holds the mutex.
+func (m *Manager) hostsStale() bool {
+	return time.Since(m.hostsAge) > hostsStale*m.config.HostsEvery
+}
+
 // wireSnapshot is the configuration as daemons send it to each other: the documents,
 // which the receiver checks against their hashes and renders itself.
 type wireSnapshot struct {
@@ -186,7 +192,7 @@
 	m.mu.Lock()
 	s := m.state
 	var leaving *[]fleet.HostID
-	if time.Since(m.hostsAge) < hostsStale {
+	if !m.hostsStale() {
 		hosts := slices.Sorted(maps.Keys(m.leaving))
 		leaving = &hosts
 	}
@@ -434,7 +440,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.config.Hosts != nil && time.Since(m.hostsAge) > hostsStale {
+	if m.config.Hosts != nil && m.hostsStale() {
 		m.setLeaving(leaving)
 	}
 }
--- a/internal/config/revoke.go
+++ b/internal/config/revoke.go
@@ -19,7 +19,7 @@
 	// persistDelay is the least time after which a daemon records a revocation that
 	// another daemon received; that daemon records it at once if it can.
 	persistDelay = 2 * time.Second
-	persistEvery = 500 * time.Millisecond
+	persistEvery = 250 * time.Millisecond
 	revokeChange = "revoke-"
 )
 
@@ -170,7 +170,7 @@
 // A daemon that only heard of them waits, so that not all daemons write at once.
 func (m *Manager) persistLoop(ctx context.Context) {
 	var since time.Time
-	wait := jitter(2 * persistDelay)
+	wait := jitter(2 * m.config.PersistDelay)
 	tick := time.NewTicker(persistEvery)
 	defer tick.Stop()
 	for {
@@ -185,7 +185,7 @@
 		m.mu.Unlock()
 		switch {
 		case !unsaved:
-			since, wait = time.Time{}, jitter(2*persistDelay)
+			since, wait = time.Time{}, jitter(2*m.config.PersistDelay)
 		case since.IsZero():
 			since = time.Now()
 		case m.StoreVisible() && time.Since(since) > wait:
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,123 @@
+package keys_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/keys"
+	"samphirestile.example/samphirestile/internal/problem"
+)
+
+func TestKeys(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "keys")
+}
+
+type source struct{ snapshot *config.Snapshot }
+
+func (s *source) Current() *config.Snapshot            { return s.snapshot }
+func (s *source) Subscribe() (<-chan struct{}, func()) { return nil, func() {} }
+
+var (
+	closed = fleet.Service{ID: "orders"}
+	open   = fleet.Service{ID: "status", Open: true, OpenTeam: "public"}
+)
+
+var _ = Describe("a verifier", func() {
+	var (
+		text    string
+		record  fleet.Key
+		s       *source
+		revoked *keys.Revoked
+		v       *keys.SourceVerifier
+	)
+	refusal := func(service fleet.Service, authorization string) problem.Code {
+		_, err := v.Authenticate(service, authorization)
+		var p *problem.Error
+		ExpectWithOffset(1, errors.As(err, &p)).To(BeTrue(), "%v", err)
+		ExpectWithOffset(1, p.Outcome).To(Equal(problem.NotRun))
+		ExpectWithOffset(1, p.Error()).NotTo(ContainSubstring(text[len(text)-16:]))
+		return p.Code
+	}
+	BeforeEach(func() {
+		text, record = keys.Generate("desk")
+		s = &source{&config.Snapshot{Keys: map[string]fleet.Key{record.ID: record}}}
+		revoked = keys.NewRevoked()
+		v = keys.NewVerifier(s, revoked)
+	})
+
+	It("accepts a key and knows its team", func() {
+		for _, scheme := range []string{"Bearer ", "bearer "} {
+			team, err := v.Authenticate(closed, scheme+text)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(team).To(Equal(fleet.TeamID("desk")))
+		}
+		Expect(record.Hash).NotTo(ContainSubstring(text[len(text)-64:]))
+	})
+
+	It("refuses everything that differs from a key", func() {
+		Expect(refusal(closed, "")).To(Equal(problem.CodeKeyMissing))
+		other, _ := keys.Generate("desk")
+		flipped := text[:len(text)-1] + "0"
+		if flipped == text {
+			flipped = text[:len(text)-1] + "1"
+		}
+		for _, a := range []string{text, "Basic " + text, "Bearer", "Bearer  " + text, "Bearer " + text + " ",
+			"Bearer " + other, "Bearer " + strings.ToUpper(text), "Bearer " + text[:20], "Bearer " + flipped} {
+			Expect(refusal(closed, a)).To(Equal(problem.CodeKeyRejected), a)
+		}
+	})
+
+	// Guards against a revoked key that works until a new configuration arrives.
+	It("refuses a revoked key at once", func() {
+		Expect(revoked.Add(record.ID, "not an ID")).To(Equal([]string{record.ID}))
+		Expect(revoked.Add(record.ID)).To(BeEmpty())
+		Expect(refusal(closed, "Bearer "+text)).To(Equal(problem.CodeKeyRejected))
+		Expect(refusal(open, "Bearer "+text)).To(Equal(problem.CodeKeyRejected))
+	})
+
+	It("takes requests without a key for the open team of an open service only", func() {
+		team, err := v.Authenticate(open, "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(team).To(Equal(fleet.TeamID("public")))
+		Expect(refusal(open, "Bearer x")).To(Equal(problem.CodeKeyRejected))
+		team, err = v.Authenticate(open, "Bearer "+text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(team).To(Equal(fleet.TeamID("desk")))
+	})
+
+	It("is not ready before the first configuration", func() {
+		s.snapshot = nil
+		Expect(refusal(closed, "Bearer "+text)).To(Equal(problem.CodeNotReady))
+	})
+
+	It("never makes the same key twice", func() {
+		seen := map[string]bool{}
+		for range 1000 {
+			t, k := keys.Generate("desk")
+			Expect(seen[t] || seen[k.ID]).To(BeFalse())
+			seen[t], seen[k.ID] = true, true
+		}
+	})
+})
+
+func FuzzAuthenticate(f *testing.F) {
+	text, record := keys.Generate("desk")
+	v := keys.NewVerifier(&source{&config.Snapshot{Keys: map[string]fleet.Key{record.ID: record}}}, keys.NewRevoked())
+	f.Add("Bearer " + text[:len(text)-1])
+	f.Add(fmt.Sprintf("Bearer ssk_%s_", record.ID))
+	f.Add("Bearer")
+	f.Fuzz(func(t *testing.T, authorization string) {
+		team, err := v.Authenticate(closed, authorization)
+		if err == nil && !strings.HasSuffix(authorization, text) {
+			t.Fatalf("accepted as %s", team)
+		}
+	})
+}
