Add the operators' interface and command-line client

Cause: operators could not reach the configuration manager. The client has one file per subcommand, an exit code per class of failure and tells what to do next.

Ruled out: a default base revision for apply. Reporting a lost answer of a command as unavailable: the command may have taken effect, so it has its own exit code.

--- a/cmd/samphirestile/main.go
+++ b/cmd/samphirestile/main.go
@@ -1,3 +1,83 @@
+// Command samphirestile is the operators' command-line client.
 package main
 
-func main() {}
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kong"
+
+	"samphirestile.example/samphirestile/internal/cli"
+	"samphirestile.example/samphirestile/internal/command"
+	"samphirestile.example/samphirestile/internal/query"
+)
+
+type app struct {
+	cli.Options
+
+	Apply    command.Apply  `cmd:"" help:"Replace or remove documents in one change, or change nothing."`
+	Diff     query.Diff     `cmd:"" help:"Show how documents differ from those in force, and the revision in force."`
+	Validate query.Validate `cmd:"" help:"Check documents without changing anything."`
+	History  query.History  `cmd:"" help:"List recent changes, newest first."`
+	Key      struct {
+		Give     command.KeyGive     `cmd:"" help:"Make a key for a team; its secret is shown once."`
+		Withdraw command.KeyWithdraw `cmd:"" help:"Revoke a key on all daemons, for good."`
+		List     query.KeyList       `cmd:"" help:"List keys without their secrets."`
+	} `cmd:"" help:"Keys of teams."`
+	Team struct {
+		List query.TeamList `cmd:"" help:"List teams."`
+	} `cmd:"" help:"Teams."`
+	Service struct {
+		List query.ServiceList `cmd:"" help:"List services."`
+	} `cmd:"" help:"Services."`
+	Endpoint struct {
+		List query.EndpointList `cmd:"" help:"List endpoints and their owners."`
+	} `cmd:"" help:"Endpoints."`
+	Daemon struct {
+		List query.DaemonList `cmd:"" help:"List seats and daemons."`
+	} `cmd:"" help:"Daemons."`
+	Version query.Version `cmd:"" help:"Show the version of this client."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes one command line and returns the exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var a app
+	left := -1
+	parser, err := kong.New(&a,
+		kong.Name("samphirestile"),
+		kong.Description("Operates a samphirestile cell through the operator interface of any of its daemons.\n\n"+cli.ExitHelp),
+		kong.Writers(out, errOut),
+		kong.UsageOnError(),
+		kong.Exit(func(code int) { left = code }),
+	)
+	if err != nil {
+		return fail(err, cli.FormatTable, errOut)
+	}
+	parsed, err := parser.Parse(args)
+	if left >= 0 {
+		// --help was given.
+		return left
+	}
+	if err != nil {
+		return fail(&cli.UsageError{Cause: err}, a.Output, errOut)
+	}
+	if err := parsed.Run(cli.NewEnvironment(ctx, a.Options, out)); err != nil {
+		return fail(err, a.Output, errOut)
+	}
+	return cli.ExitOK
+}
+
+func fail(err error, format string, w io.Writer) int {
+	r := cli.Describe(err)
+	r.Write(w, format)
+	return r.ExitCode
+}
--- /dev/null
+++ b/cmd/samphirestile/main_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/cli"
+	"samphirestile.example/samphirestile/internal/config"
+	emulator "samphirestile.example/samphirestile/internal/emulator/platform"
+	"samphirestile.example/samphirestile/internal/keys"
+	"samphirestile.example/samphirestile/internal/operatorapi"
+	"samphirestile.example/samphirestile/internal/operatorapi/commands"
+	"samphirestile.example/samphirestile/internal/operatorapi/queries"
+	"samphirestile.example/samphirestile/internal/platform"
+	"samphirestile.example/samphirestile/internal/template"
+)
+
+func TestCommandLine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "command line")
+}
+
+var _ = Describe("the command line", func() {
+	var (
+		store    *emulator.Platform
+		manager  *config.Manager
+		dir      string
+		settings string
+		out, bad bytes.Buffer
+	)
+	// line runs one command line and returns the exit code.
+	line := func(args ...string) int {
+		out.Reset()
+		bad.Reset()
+		return run(context.Background(), append([]string{"--settings", settings}, args...), &out, &bad)
+	}
+	write := func(name, content string) string {
+		path := filepath.Join(dir, name)
+		Expect(os.MkdirAll(filepath.Dir(path), 0o755)).To(Succeed())
+		Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+		return path
+	}
+	address := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
+		return server.Listener.Addr().String()
+	}
+	account := func(limit string) {
+		write("docs/account/acme.json", `{"teams": [{"id": "desk", "weight": 1, "limit": `+limit+`}]}`)
+	}
+	BeforeEach(func() {
+		dir = GinkgoT().TempDir()
+		store = emulator.New(emulator.Config{})
+		DeferCleanup(store.Close)
+		adapter, err := platform.NewHTTP(platform.HTTPConfig{URL: "http://" + address(store)})
+		Expect(err).NotTo(HaveOccurred())
+		manager = config.New(config.Config{Store: adapter, Render: template.Render, Revoked: keys.NewRevoked()})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); manager.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-ended })
+		ready, stop := context.WithTimeout(ctx, 5*time.Second)
+		defer stop()
+		Expect(manager.WaitReady(ready)).To(Succeed())
+		h, err := operatorapi.NewServer(&operatorapi.Handler{
+			Commands: &commands.Commands{Configuration: manager}, Queries: &queries.Queries{Configuration: manager},
+		}, operatorapi.Tokens{"good"})
+		Expect(err).NotTo(HaveOccurred())
+		settings = write("settings.json", `{"server": "`+address(h)+`", "token": "good", "operator": "ann"}`)
+		account("4")
+	})
+
+	It("takes a change from validation to history", func() {
+		docs := filepath.Join(dir, "docs")
+		Expect(line("validate", docs)).To(Equal(cli.ExitOK), bad.String())
+		Expect(line("diff", docs)).To(Equal(cli.ExitOK))
+		Expect(out.String()).To(ContainSubstring("+++ yours/account/acme"))
+		Expect(out.String()).To(ContainSubstring("--revision 0"))
+		Expect(line("apply", docs, "--revision", "0", "--change-id", "first")).To(Equal(cli.ExitOK), bad.String())
+		Expect(line("history")).To(Equal(cli.ExitOK))
+		Expect(out.String()).To(MatchRegexp(`(?m)^1 .* ann +first$`))
+		Expect(line("-o", "json", "diff", docs)).To(Equal(cli.ExitOK))
+		Expect(out.String()).To(MatchJSON(`{"revision": 1, "differences": []}`))
+		Expect(line("apply", "--remove", "account/acme", "--latest")).To(Equal(cli.ExitOK), bad.String())
+		Expect(manager.Current().Teams).To(BeEmpty())
+	})
+
+	It("gives, lists and withdraws keys", func() {
+		Expect(line("apply", filepath.Join(dir, "docs"), "--latest")).To(Equal(cli.ExitOK), bad.String())
+		Expect(line("-o", "json", "key", "give", "desk", "--change-id", "k")).To(Equal(cli.ExitOK), bad.String())
+		var key struct{ ID, Key string }
+		Expect(json.Unmarshal(out.Bytes(), &key)).To(Succeed())
+		Expect(key.Key).To(HavePrefix("ssk_" + key.ID + "_"))
+		Expect(line("key", "give", "desk", "--change-id", "k")).To(Equal(cli.ExitConflict))
+		Expect(line("key", "give", "none")).To(Equal(cli.ExitNotFound))
+		Expect(line("key", "withdraw", key.ID)).To(Equal(cli.ExitOK))
+		Expect(out.String()).To(ContainSubstring("recorded in the store"))
+		Expect(line("key", "list")).To(Equal(cli.ExitOK))
+		Expect(out.String()).To(MatchRegexp(key.ID + ` +desk +true +true`))
+		Expect(out.String()).NotTo(ContainSubstring(key.Key))
+	})
+
+	It("tells that a withdrawal is not recorded while the store is down", func() {
+		Expect(line("apply", filepath.Join(dir, "docs"), "--latest")).To(Equal(cli.ExitOK))
+		Expect(line("-o", "json", "key", "give", "desk")).To(Equal(cli.ExitOK))
+		var key struct{ ID string }
+		Expect(json.Unmarshal(out.Bytes(), &key)).To(Succeed())
+		store.SetFaults(emulator.Faults{Down: true})
+		Expect(line("key", "withdraw", key.ID)).To(Equal(cli.ExitOK), bad.String())
+		Expect(out.String()).To(ContainSubstring("not yet recorded"))
+		Expect(line("apply", filepath.Join(dir, "docs"), "--latest")).To(Equal(cli.ExitUnavailable))
+	})
+
+	It("shows findings, and both versions of a conflict", func() {
+		docs := filepath.Join(dir, "docs")
+		account("-1")
+		Expect(line("apply", docs, "--revision", "0")).To(Equal(cli.ExitInvalid))
+		Expect(bad.String()).To(ContainSubstring("account/acme $.teams[0].limit: -1; allowed: a whole number from 0"))
+		account("4")
+		Expect(line("apply", docs, "--revision", "0")).To(Equal(cli.ExitOK))
+		account("5")
+		Expect(line("apply", docs, "--revision", "0")).To(Equal(cli.ExitConflict))
+		Expect(bad.String()).To(MatchRegexp(`(?s)yours: .*"limit": 5.*theirs: .*"limit": 4.*current revision: 1`))
+		Expect(bad.String()).To(ContainSubstring("next: "))
+	})
+
+	// Guards against an operator who repeats a change that took effect.
+	It("tells a request that was not sent from one whose answer was lost", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		Expect(line("--server", l.Addr().String(), "history")).To(Equal(cli.ExitUnavailable))
+		lost := address(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		Expect(line("--server", lost, "-o", "json", "apply", filepath.Join(dir, "docs"), "--revision", "0", "--change-id", "c7")).To(Equal(cli.ExitUnknown))
+		var r cli.Report
+		Expect(json.Unmarshal(bad.Bytes(), &r)).To(Succeed())
+		Expect(r.ChangeID).To(Equal("c7"))
+		Expect(r.Advice).To(ContainSubstring("c7"))
+		Expect(line("--server", lost, "key", "withdraw", "0123456789abcdef")).To(Equal(cli.ExitUnknown))
+		cut := address(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"id":`)) }))
+		Expect(line("--server", cut, "key", "give", "desk")).To(Equal(cli.ExitUnknown))
+	})
+
+	It("has an exit code for each wrong use", func() {
+		Expect(line("--token", "wrong", "history")).To(Equal(cli.ExitUnauthorized))
+		Expect(line("--server", "localhost:1", "history")).To(Equal(cli.ExitUsage))
+		Expect(line("apply", filepath.Join(dir, "docs"))).To(Equal(cli.ExitUsage))
+		Expect(line("apply", "--latest")).To(Equal(cli.ExitUsage))
+		Expect(line("none")).To(Equal(cli.ExitUsage))
+		Expect(line("diff", filepath.Join(dir, "missing"))).To(Equal(cli.ExitFile))
+		Expect(line("diff", write("zone/x.json", "{}"))).To(Equal(cli.ExitFile))
+		settings = write("bad.json", `{"sever": "x"}`)
+		Expect(line("history")).To(Equal(cli.ExitFile))
+		Expect(line("version")).To(Equal(cli.ExitOK))
+		Expect(line("--help")).To(Equal(cli.ExitOK))
+		for _, code := range strings.Split(cli.ExitHelp, "\n")[1:] {
+			Expect(strings.Join(strings.Fields(out.String()), " ")).To(ContainSubstring(strings.Join(strings.Fields(code), " ")))
+		}
+	})
+})
--- /dev/null
+++ b/internal/command/key_give.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"samphirestile.example/samphirestile/internal/cli"
+	"samphirestile.example/samphirestile/internal/operatorapi/oas"
+)
+
+// KeyGive makes a key for a team.
+type KeyGive struct {
+	Team     string `arg:"" help:"ID of the team."`
+	ChangeID string `help:"ID of the change. Random by default." placeholder:"ID"`
+}
+
+// Run prints the new key, whose secret is shown only here.
+func (c *KeyGive) Run(e *cli.Environment) error {
+	client, err := e.Client()
+	if err != nil {
+		return err
+	}
+	id := c.ChangeID
+	if id == "" {
+		id = cli.NewChangeID()
+	}
+	key, err := client.GiveKey(e.Context, &oas.GiveKeyReq{Team: c.Team, ChangeID: id})
+	if err != nil {
+		return &cli.ChangeError{ID: id, Cause: err,
+			Advice: "Run `samphirestile key list`; withdraw a key that was made but not shown, and give a new one."}
+	}
+	t := cli.Table{Header: []string{"ID", "TEAM", "KEY"}}
+	t.Add(key.ID, key.Team, key.Key)
+	return e.Print(key, t)
+}
--- /dev/null
+++ b/internal/command/key_withdraw.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"fmt"
+
+	"samphirestile.example/samphirestile/internal/cli"
+	"samphirestile.example/samphirestile/internal/operatorapi/oas"
+)
+
+// KeyWithdraw revokes a key for good.
+type KeyWithdraw struct {
+	ID string `arg:"" help:"ID of the key; key list shows it."`
+}
+
+// Run tells which state the revocation reached. Repeating it is safe.
+func (c *KeyWithdraw) Run(e *cli.Environment) error {
+	client, err := e.Client()
+	if err != nil {
+		return err
+	}
+	r, err := client.RevokeKey(e.Context, oas.RevokeKeyParams{ID: c.ID})
+	if err != nil {
+		return &cli.ChangeError{Cause: err, Advice: "Repeat the command; withdrawing a key twice is safe."}
+	}
+	state := "recorded in the store"
+	if !r.Durable {
+		state = "in force, not yet recorded in the store; repeat the command to see when it is"
+	}
+	t := cli.Table{Header: []string{"ID", "DAEMONS", "STATE"}}
+	t.Add(r.ID, fmt.Sprintf("%d of %d", r.Reached.Or(0)+1, r.Peers.Or(0)+1), state)
+	return e.Print(r, t)
+}
--- a/internal/config/revoke.go
+++ b/internal/config/revoke.go
@@ -221,3 +221,6 @@
 		}
 	}
 }
+
+// IsRevoked reports whether a key is revoked on this daemon.
+func (m *Manager) IsRevoked(keyID string) bool { return m.config.Revoked.Has(keyID) }
--- a/internal/config/suite_test.go
+++ b/internal/config/suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	emulator "samphirestile.example/samphirestile/internal/emulator/platform"
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/keys"
+	"samphirestile.example/samphirestile/internal/peerapi"
 	"samphirestile.example/samphirestile/internal/peerapi/oas"
 	"samphirestile.example/samphirestile/internal/platform"
 	"samphirestile.example/samphirestile/internal/template"
@@ -62,6 +64,7 @@
 	address string
 	store   *switchStore
 	revoked *keys.Revoked
+	peers   *httptest.Server
 	deaf    atomic.Bool
 	stop    context.CancelFunc
 	done    chan struct{}
@@ -144,22 +147,43 @@
 	d.stop()
 	<-d.done
 	d.store.Close()
+	d.peers.CloseClientConnections()
+	d.peers.Close()
 }
 
-// dial reaches a daemon unless it is deaf or unknown.
-func (c *cell) dial(address string) (config.Peer, error) {
+// peerHandler serves the peer interface of a daemon; a deaf one gives no answer.
+type peerHandler struct {
+	oas.UnimplementedHandler
+	d *daemon
+}
+
+func (h peerHandler) Notice(ctx context.Context, n *oas.Notice) error { return h.d.Notice(ctx, n) }
+
+func (h peerHandler) Snapshot(ctx context.Context) (*oas.Snapshot, error) { return h.d.Snapshot(ctx) }
+
+const secret = peerapi.Secret("cell")
+
+func (d *daemon) servePeers() {
+	server, err := oas.NewServer(peerHandler{d: d}, secret)
+	Expect(err).NotTo(HaveOccurred())
+	d.peers = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.deaf.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		server.ServeHTTP(w, r)
+	}))
+}
+
+// dial reaches a daemon by its name.
+func (c *cell) dial(name string) (config.Peer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if d := c.daemons[address]; d != nil && !d.deaf.Load() {
-		return d, nil
+	if d := c.daemons[name]; d != nil {
+		return peerapi.NewClient(d.peers.Listener.Addr().String(), secret, http.DefaultClient)
 	}
 	return nil, &platform.UnavailableError{Cause: context.DeadlineExceeded}
 }
 
-var _ config.Peer = (*daemon)(nil)
-
-func (d *daemon) Snapshot(ctx context.Context) (*oas.Snapshot, error) { return d.Manager.Snapshot(ctx) }
-
 // start adds a daemon that knows the given peers; a blind one cannot see the store.
 func (c *cell) start(address string, blind bool, peers ...string) *daemon {
 	h, err := platform.NewHTTP(platform.HTTPConfig{URL: c.server.URL, Timeout: 500 * time.Millisecond})
@@ -171,6 +195,7 @@
 		Self: address, Peers: peers, Revoked: d.revoked,
 		HostsEvery: 200 * time.Millisecond, PersistDelay: 200 * time.Millisecond,
 	})
+	d.servePeers()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	c.mu.Lock()
--- /dev/null
+++ b/internal/operatorapi/commands/commands.go
@@ -0,0 +1,31 @@
+// Package commands holds the handlers of the operators' interface that change
+// something.
+package commands
+
+import (
+	"context"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/fleet"
+)
+
+// Configuration accepts changes; *config.Manager implements it.
+type Configuration interface {
+	Apply(ctx context.Context, c config.Change) (config.Accepted, error)
+	Modify(ctx context.Context, c config.Modification) (config.Accepted, error)
+	Revoke(ctx context.Context, keyID string) (config.Revocation, error)
+	Documents() (revision uint64, documents map[string][]byte, err error)
+	IsRevoked(keyID string) bool
+}
+
+// Seats takes an operator's statement about a seat.
+type Seats interface {
+	// DeclareGone states that the occupant of a seat is gone for good.
+	DeclareGone(ctx context.Context, seat fleet.SeatID) error
+}
+
+// Commands implements the commands of oas.Handler.
+type Commands struct {
+	Configuration Configuration
+	Seats         Seats
+}
--- /dev/null
+++ b/internal/operatorapi/queries/queries.go
@@ -0,0 +1,51 @@
+// Package queries holds the handlers of the operators' interface that only read.
+package queries
+
+import (
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/ownership"
+)
+
+// Configuration is the configuration in force; *config.Manager implements it.
+type Configuration interface {
+	Current() *config.Snapshot
+	Documents() (revision uint64, documents map[string][]byte, err error)
+	History() ([]config.ChangeRecord, error)
+	Validate(c config.Change) error
+	IsRevoked(keyID string) bool
+	Durable(keyID string) bool
+}
+
+// View gives the seats of the cell; membership.Source implements it.
+type View interface{ View() membership.View }
+
+// Usage gives the use of a team on this daemon; allotment.Limiter implements it.
+type Usage interface {
+	Usage(team fleet.TeamID) (running, units int)
+}
+
+// Loads gives the load of a service on this daemon; dispatch.Dispatcher implements it.
+type Loads interface {
+	Load(service fleet.ServiceID) (load dispatch.Load, ok bool)
+}
+
+// Queries implements the queries of oas.Handler.
+type Queries struct {
+	Configuration Configuration
+	View          View
+	Usage         Usage
+	Loads         Loads
+	// Owners returns the current assignment of endpoints to seats.
+	Owners func() ownership.Assignment
+}
+
+// snapshot returns the configuration in force.
+func (q *Queries) snapshot() (*config.Snapshot, error) {
+	if s := q.Configuration.Current(); s != nil {
+		return s, nil
+	}
+	return nil, &config.NotReadyError{}
+}
--- /dev/null
+++ b/internal/query/history.go
@@ -0,0 +1,27 @@
+package query
+
+import (
+	"time"
+
+	"samphirestile.example/samphirestile/internal/cli"
+)
+
+// History lists recent changes, newest first.
+type History struct{}
+
+// Run prints the changes.
+func (c *History) Run(e *cli.Environment) error {
+	client, err := e.Client()
+	if err != nil {
+		return err
+	}
+	changes, err := client.GetHistory(e.Context)
+	if err != nil {
+		return err
+	}
+	t := cli.Table{Header: []string{"REVISION", "TIME", "OPERATOR", "CHANGE"}}
+	for _, x := range changes {
+		t.Add(x.Revision, x.Time.Format(time.RFC3339), x.Operator, x.ChangeID)
+	}
+	return e.Print(changes, t)
+}
--- /dev/null
+++ b/internal/query/validate.go
@@ -0,0 +1,33 @@
+package query
+
+import (
+	"samphirestile.example/samphirestile/internal/cli"
+	"samphirestile.example/samphirestile/internal/operatorapi/oas"
+)
+
+// Validate checks documents together with those in force without writing them.
+type Validate struct{ cli.DocumentArgs }
+
+// Run prints the revision that the documents were checked against.
+func (c *Validate) Run(e *cli.Environment) error {
+	documents, err := c.Load()
+	if err != nil {
+		return err
+	}
+	client, err := e.Client()
+	if err != nil {
+		return err
+	}
+	current, err := client.GetConfig(e.Context)
+	if err != nil {
+		return err
+	}
+	change := oas.Change{ChangeID: cli.NewChangeID(), ExpectedRevision: current.Revision, Documents: documents}
+	accepted, err := client.ValidateConfig(e.Context, &change)
+	if err != nil {
+		return err
+	}
+	t := cli.Table{Header: []string{"VALID", "REVISION"}}
+	t.Add(true, accepted.Revision)
+	return e.Print(map[string]any{"valid": true, "revision": accepted.Revision}, t)
+}
