--- /dev/null
+++ b/internal/emulator/process/seats.go
@@ -0,0 +1,71 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// seatRecord is the part of a seat's record in the store that the harness reads.
+type seatRecord struct {
+	Quorum []string `json:"quorum"`
+}
+
+// SmallQuorumError reports a seat whose recorded quorum does not name enough seats.
+type SmallQuorumError struct {
+	Seats  int
+	Quorum int
+	Want   int
+}
+
+func (e *SmallQuorumError) Error() string {
+	return fmt.Sprintf("store: %d seats, smallest quorum %d, want %d", e.Seats, e.Quorum, e.Want)
+}
+
+// maxQuorum is the largest quorum of the design page.
+const maxQuorum = 7
+
+// AwaitQuorums waits until every running daemon has a seat whose recorded
+// quorum names all seats. A seat that still has a quorum of its own cannot be
+// reclaimed by others, so a proof that loses a daemon waits for this first.
+func (c *Cell) AwaitQuorums(limit time.Duration) error {
+	store, err := platform.NewHTTP(platform.HTTPConfig{URL: "http://" + c.PlatformAddress})
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	want := min(len(c.Running()), maxQuorum)
+	for end := time.Now().Add(limit); ; time.Sleep(10 * pollInterval) {
+		seats, smallest, err := quorums(store)
+		if err == nil && seats >= want && smallest >= want {
+			return nil
+		}
+		if time.Now().After(end) {
+			if err != nil {
+				return err
+			}
+			return &SmallQuorumError{Seats: seats, Quorum: smallest, Want: want}
+		}
+	}
+}
+
+// quorums returns the number of seats and the size of the smallest quorum.
+func quorums(store platform.Store) (seats, smallest int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	entries, _, err := store.List(ctx, "seats/")
+	if err != nil {
+		return 0, 0, fmt.Errorf("list seats: %w", err)
+	}
+	smallest = maxQuorum
+	for _, e := range entries {
+		var r seatRecord
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return 0, 0, fmt.Errorf("record %s: %w", e.Key, err)
+		}
+		smallest = min(smallest, len(r.Quorum))
+	}
+	return len(entries), smallest, nil
+}
--- a/test/limits_test.go
+++ b/test/limits_test.go
@@ -66,6 +66,7 @@
 
 	DescribeTable("holds under failures", func(ms int, steps func(*process.Cell) []process.Step) {
 		c, l := start(withRelays()), limits()
+		Expect(c.AwaitQuorums(10 * time.Second)).To(Succeed())
 		r := run(ms, pressure(c), steps(c)...)
 		events := check(c, r, l)
 		worked(l)
