--- /dev/null
+++ b/internal/daemon/claims.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/idempotency"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+// claimMover moves the claims of idempotency keys with a seat. The table is
+// exported whole, because a claim that a successor does not need is harmless.
+type claimMover struct{ d *Daemon }
+
+var _ membership.Claims = (*claimMover)(nil)
+
+func (c *claimMover) ExportClaims(fleet.SeatID) []oas.Claim { return c.d.claims.Export() }
+
+func (c *claimMover) ImportClaims(_ fleet.SeatID, claims []oas.Claim) { c.d.claims.Import(claims) }
+
+// ClaimsMoved sends later claims on to the successor when this daemon stops. A
+// daemon that only gave one seat away goes on answering for its other seats; the
+// second home of each key prevents that it is granted in both places.
+func (c *claimMover) ClaimsMoved(peerAddress string, leaving bool) {
+	if !leaving || peerAddress == "" {
+		c.d.claims.Resume()
+		return
+	}
+	successor, err := c.d.dialPeer(peerAddress)
+	if err != nil {
+		c.d.log.WithError(err).Error("claims are not passed on to the successor")
+		return
+	}
+	c.d.claims.MoveTo(successor)
+}
+
+// learnViewHistory gets the recent views of the cell, without which no claim is
+// granted. A daemon that finds no recorded seat is the first of its cell and
+// there are no earlier views; a daemon that cannot list the seats must ask a peer.
+func (d *Daemon) learnViewHistory(ctx context.Context) {
+	if entries, _, err := d.store.List(ctx, membership.SeatPrefix); err == nil && len(entries) == 0 {
+		d.claimer.LoadHistory(nil)
+		return
+	}
+	for ctx.Err() == nil && !d.claimer.HistoryComplete() {
+		for _, address := range append(d.memberAddresses(), d.settings.Peers...) {
+			if d.fetchViewHistory(ctx, address) {
+				return
+			}
+		}
+		d.sleep(ctx, seatFetchRetry)
+	}
+}
+
+func (d *Daemon) fetchViewHistory(ctx context.Context, address string) bool {
+	if address == d.settings.AdvertisePeerAddress {
+		return false
+	}
+	client, err := d.dialPeer(address)
+	if err != nil {
+		return false
+	}
+	snapshot, err := client.Snapshot(ctx)
+	if err != nil || snapshot.Views == nil {
+		return false
+	}
+	d.claimer.LoadHistory(viewsFromWire(snapshot.Views))
+	return true
+}
+
+func viewsToWire(views []idempotency.PastView) []oas.PastView {
+	out := make([]oas.PastView, 0, len(views))
+	for _, v := range views {
+		w := oas.PastView{AgeMs: v.AgeMs, Seats: make([]string, 0, len(v.Seats))}
+		for _, seat := range v.Seats {
+			w.Seats = append(w.Seats, string(seat))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func viewsFromWire(views []oas.PastView) []idempotency.PastView {
+	out := make([]idempotency.PastView, 0, len(views))
+	for _, w := range views {
+		v := idempotency.PastView{AgeMs: w.AgeMs}
+		for _, seat := range w.Seats {
+			v.Seats = append(v.Seats, fleet.SeatID(seat))
+		}
+		out = append(out, v)
+	}
+	return out
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/forward"
 	"samphirestile.example/samphirestile/internal/gateway"
+	"samphirestile.example/samphirestile/internal/idempotency"
 	"samphirestile.example/samphirestile/internal/keys"
 	"samphirestile.example/samphirestile/internal/membership"
 	"samphirestile.example/samphirestile/internal/metrics"
@@ -57,6 +58,8 @@
 	forwarder  *forward.Forwarder
 	peerSide   *forward.Server
 	gateway    *gateway.Gateway
+	claims     *idempotency.Table
+	claimer    *idempotency.Coordinator
 	peerHTTP   *http.Client
 	peers      peerClients
 
@@ -127,7 +130,8 @@
 		Config: d.config,
 		Logger: d.log.WithField("part", "allotment"),
 	})
-	d.membership.Attach(d.allotments, nil)
+	d.claims = idempotency.NewTable(0, nil)
+	d.membership.Attach(d.allotments, &claimMover{d})
 }
 
 // buildPath builds the parts that a request passes.
@@ -144,10 +148,19 @@
 	}
 	d.forwarder = forward.New(options)
 	d.peerSide = forward.NewServer(options, 0)
+	d.claimer = idempotency.NewCoordinator(idempotency.Options{
+		Members:      d.membership,
+		Table:        d.claims,
+		Secret:       d.secret,
+		HTTP:         d.peerHTTP,
+		AwaitHistory: true,
+		Dial:         func(address string) (idempotency.Peer, error) { return d.dialPeer(address) },
+	})
 	d.gateway = gateway.New(gateway.Options{
 		Config:    d.config,
 		Verifier:  keys.NewVerifier(d.config, d.revoked),
 		Forwarder: d.forwarder,
+		Claimer:   d.claimer,
 		Observer:  &requestLog{log: d.log, scope: d.metrics.Scope()},
 	})
 }
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -60,21 +60,20 @@
 		return nil, err
 	}
 	s.Seats = h.d.membership.Seats()
+	if h.d.claimer.HistoryComplete() {
+		s.Views = viewsToWire(h.d.claimer.History())
+	}
 	return s, nil
 }
 
 func (h *peerHandler) Claim(ctx context.Context, r *oas.ClaimRequest) (*oas.ClaimReply, error) {
-	return nil, &notServedError{"claims"}
+	return h.d.claims.Claim(ctx, r)
 }
 
 func (h *peerHandler) Settle(ctx context.Context, r *oas.SettleRequest) error {
-	return &notServedError{"claims"}
+	return h.d.claims.Settle(ctx, r)
 }
 
-type notServedError struct{ what string }
-
-func (e *notServedError) Error() string { return "this daemon does not serve " + e.what }
-
 // NewError implements oas.Handler.
 func (h *peerHandler) NewError(_ context.Context, err error) *oas.FailureStatusCode {
 	status, code := http.StatusInternalServerError, "internal"
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -50,6 +50,7 @@
 	cancel()
 	d.background.Wait()
 	d.scheduler.Close()
+	d.claimer.Close()
 	return errors.Join(failure, stopErr, d.metrics.Close())
 }
 
@@ -61,6 +62,7 @@
 	d.goRun(ctx, d.followOwnership)
 	d.goRun(ctx, d.followReadiness)
 	d.goRun(ctx, d.learnSeatsFromPeers)
+	d.goRun(ctx, d.learnViewHistory)
 	d.goRun(ctx, d.reportMetrics)
 }
 
--- a/internal/idempotency/coordinator.go
+++ b/internal/idempotency/coordinator.go
@@ -136,6 +136,13 @@
 	c.history.load(views, c.options.Now())
 }
 
+// HistoryComplete reports whether this daemon knows all views of the last ten minutes.
+func (c *Coordinator) HistoryComplete() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.options.Now().Before(c.history.incompleteUntil)
+}
+
 // Claim implements Claimer. It asks the homes one after the other. requestID
 // must be different for each request that arrives, also for repeats.
 func (c *Coordinator) Claim(ctx context.Context, team fleet.TeamID, key, requestID string) (bool, Claim, error) {
--- a/internal/membership/handover.go
+++ b/internal/membership/handover.go
@@ -111,11 +111,14 @@
 		if taken {
 			m.mu.Lock()
 			r.confirmed = true
+			leaving := m.leaving
 			m.mu.Unlock()
+			m.claimsMoved(successor.address, leaving)
 			m.log.WithFields(map[string]any{"seat": seat, "successor": successor.daemon}).Info("seat handed over")
 			return nil
 		}
 		if !again {
+			m.claimsMoved("", false)
 			return err
 		}
 		tried[successor.incarnation] = true
@@ -124,10 +127,17 @@
 	m.mu.Lock()
 	r.release = true
 	m.mu.Unlock()
+	m.claimsMoved("", false)
 	m.log.WithField("seat", seat).Warn("no successor; the seat is released when its work has ended")
 	return nil
 }
 
+func (m *Membership) claimsMoved(peerAddress string, leaving bool) {
+	if m.claims != nil {
+		m.claims.ClaimsMoved(peerAddress, leaving)
+	}
+}
+
 // stopSeat ends the use of the seat by this daemon, as holder and as voter.
 func (m *Membership) stopSeat(seat fleet.SeatID) *heldSeat {
 	m.mu.Lock()
@@ -411,7 +421,7 @@
 		}
 	}
 	var missing *platform.NotFoundError
-	key := seatPrefix + string(seat)
+	key := SeatPrefix + string(seat)
 	entry, err := m.store.Get(ctx, key)
 	if err == nil {
 		err = m.store.Delete(ctx, key, entry.Version)
--- a/internal/membership/reclaim.go
+++ b/internal/membership/reclaim.go
@@ -82,7 +82,7 @@
 	ctx, cancel := m.call(ctx)
 	defer cancel()
 	began := time.Now()
-	entries, _, err := m.store.List(ctx, seatPrefix)
+	entries, _, err := m.store.List(ctx, SeatPrefix)
 	if err != nil {
 		m.log.WithError(err).Debug("seats not listed")
 		return false
@@ -92,7 +92,7 @@
 	m.lastList = time.Now()
 	listed := map[fleet.SeatID]bool{}
 	for _, e := range entries {
-		id := fleet.SeatID(e.Key[len(seatPrefix):])
+		id := fleet.SeatID(e.Key[len(SeatPrefix):])
 		listed[id] = true
 		m.observeRecord(id, e)
 	}
@@ -249,7 +249,7 @@
 func (m *Membership) markSeat(ctx context.Context, seat fleet.SeatID) {
 	ctx, cancel := m.call(ctx)
 	defer cancel()
-	entry, err := m.store.Get(ctx, seatPrefix+string(seat))
+	entry, err := m.store.Get(ctx, SeatPrefix+string(seat))
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
 		m.mu.Lock()
@@ -356,7 +356,7 @@
 	if o == nil {
 		return
 	}
-	err := m.store.Delete(ctx, seatPrefix+string(seat), o.version)
+	err := m.store.Delete(ctx, SeatPrefix+string(seat), o.version)
 	var missing *platform.NotFoundError
 	if err != nil && !errors.As(err, &missing) {
 		return
@@ -410,7 +410,7 @@
 func (m *Membership) SeatDeleted(ctx context.Context, seat fleet.SeatID) (bool, error) {
 	ctx, cancel := m.call(ctx)
 	defer cancel()
-	_, err := m.store.Get(ctx, seatPrefix+string(seat))
+	_, err := m.store.Get(ctx, SeatPrefix+string(seat))
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
 		return true, nil
--- a/internal/membership/seat.go
+++ b/internal/membership/seat.go
@@ -10,8 +10,8 @@
 	"samphirestile.example/samphirestile/internal/platform"
 )
 
-// seatPrefix is the store prefix of the seat records.
-const seatPrefix = "seats/"
+// SeatPrefix is the store prefix of the seat records.
+const SeatPrefix = "seats/"
 
 // maxQuorum bounds the voters of a seat, so that the heartbeat cost does not grow with the cell.
 const maxQuorum = 7
@@ -191,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	version, err := m.store.Put(ctx, seatPrefix+string(s.id), value, expect, 0)
+	version, err := m.store.Put(ctx, SeatPrefix+string(s.id), value, expect, 0)
 	var conflict *platform.ConflictError
 	var unavailable *platform.UnavailableError
 	switch {
@@ -242,7 +242,7 @@
 
 // readBack reads the seat's record after a write that did not apply or may have applied.
 func (m *Membership) readBack(ctx context.Context, s *heldSeat) error {
-	entry, err := m.store.Get(ctx, seatPrefix+string(s.id))
+	entry, err := m.store.Get(ctx, SeatPrefix+string(s.id))
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
 		m.loseSeat(s, "record deleted")
--- a/internal/peerapi/oas/oas_json_gen.go
+++ b/internal/peerapi/oas/oas_json_gen.go
@@ -1990,6 +1990,131 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *PastView) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *PastView) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("seats")
+		e.ArrStart()
+		for _, elem := range s.Seats {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("age_ms")
+		e.Int64(s.AgeMs)
+	}
+}
+
+var jsonFieldsNameOfPastView = [2]string{
+	0: "seats",
+	1: "age_ms",
+}
+
+// Decode decodes PastView from json.
+func (s *PastView) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode PastView to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "seats":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Seats = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Seats = append(s.Seats, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"seats\"")
+			}
+		case "age_ms":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.AgeMs = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"age_ms\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode PastView")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPastView) {
+					name = jsonFieldsNameOfPastView[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *PastView) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *PastView) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *SeatState) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2425,13 +2550,24 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		if s.Views != nil {
+			e.FieldStart("views")
+			e.ArrStart()
+			for _, elem := range s.Views {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfSnapshot = [4]string{
+var jsonFieldsNameOfSnapshot = [5]string{
 	0: "revision",
 	1: "configuration",
 	2: "seats",
 	3: "revoked",
+	4: "views",
 }
 
 // Decode decodes Snapshot from json.
@@ -2505,6 +2641,23 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"revoked\"")
 			}
+		case "views":
+			if err := func() error {
+				s.Views = make([]PastView, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem PastView
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Views = append(s.Views, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"views\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/peerapi/oas/oas_schemas_gen.go
+++ b/internal/peerapi/oas/oas_schemas_gen.go
@@ -892,6 +892,33 @@
 	return d
 }
 
+// Ref: #/components/schemas/PastView
+type PastView struct {
+	Seats []string `json:"seats"`
+	// Time since the view was replaced; 0 while it is in force.
+	AgeMs int64 `json:"age_ms"`
+}
+
+// GetSeats returns the value of Seats.
+func (s *PastView) GetSeats() []string {
+	return s.Seats
+}
+
+// GetAgeMs returns the value of AgeMs.
+func (s *PastView) GetAgeMs() int64 {
+	return s.AgeMs
+}
+
+// SetSeats sets the value of Seats.
+func (s *PastView) SetSeats(val []string) {
+	s.Seats = val
+}
+
+// SetAgeMs sets the value of AgeMs.
+func (s *PastView) SetAgeMs(val int64) {
+	s.AgeMs = val
+}
+
 // Ref: #/components/schemas/SeatState
 type SeatState struct {
 	Seat             string `json:"seat"`
@@ -1091,6 +1118,9 @@
 	Configuration []byte      `json:"configuration"`
 	Seats         []SeatState `json:"seats"`
 	Revoked       []string    `json:"revoked"`
+	// Sets of active seats under which idempotency keys may have been claimed; absent while the receiver
+	// does not know all of them.
+	Views []PastView `json:"views"`
 }
 
 // GetRevision returns the value of Revision.
@@ -1113,6 +1143,11 @@
 	return s.Revoked
 }
 
+// GetViews returns the value of Views.
+func (s *Snapshot) GetViews() []PastView {
+	return s.Views
+}
+
 // SetRevision sets the value of Revision.
 func (s *Snapshot) SetRevision(val int64) {
 	s.Revision = val
@@ -1133,6 +1168,11 @@
 	s.Revoked = val
 }
 
+// SetViews sets the value of Views.
+func (s *Snapshot) SetViews(val []PastView) {
+	s.Views = val
+}
+
 // Ref: #/components/schemas/TeamRow
 type TeamRow struct {
 	Team    string `json:"team"`
--- a/internal/peerapi/oas/oas_validators_gen.go
+++ b/internal/peerapi/oas/oas_validators_gen.go
@@ -251,6 +251,29 @@
 	return nil
 }
 
+func (s *PastView) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Seats == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "seats",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *SettleRequest) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -315,6 +338,31 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		var failures []validate.FieldError
+		for i, elem := range s.Views {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "views",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
