Route by free units, avoid lost owners, bound the hop

Cause: a request of a team with few units could be offered to four owners without units and refused; an idempotent request waited on a frozen owner until its caller gave up; every request waited for a second on the dial to a dead host until the view changed; a slow receiver was taken for an idle endpoint.

The load header also carries the free units of the team. A hop ends after the remaining deadline, the maximum run time and 2 s. The hop of an idempotent request ends when its owner becomes inactive. An owner that could not be connected to is avoided for 1 s.

Ruled out: ending the hop of a non-idempotent request when the view changes, because a paused owner may still respond, and giving up only makes the outcome unknown earlier.

Conclusion: free slots and units are found while they exist.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"sync"
 	"time"
 
 	"samphirestile.example/samphirestile/internal/config"
@@ -24,6 +25,12 @@
 	maxReroutes = 3
 	// maxAttempts bounds how often an idempotent request is run.
 	maxAttempts = 3
+	// hopMargin is added to the longest time that an owner may need for a request.
+	// After that the owner is taken for lost, for example because it is frozen.
+	hopMargin = 2 * time.Second
+	// lostCheck is how often the view is asked whether the owner of an idempotent
+	// request is still active.
+	lostCheck = 500 * time.Millisecond
 )
 
 // Options are the parts that Forwarder and Server work with.
@@ -35,6 +42,9 @@
 	Secret     peerapi.Secret
 	// Unreachable is told of peers that could not be connected to; it may be nil.
 	Unreachable func(membership.Member)
+	// Usage returns the running requests and units of a team on this daemon, so
+	// that requests go to owners that hold units; it may be nil.
+	Usage func(team fleet.TeamID) (running, units int)
 }
 
 // Call is one request of a caller.
@@ -78,7 +88,7 @@
 func New(o Options) *Forwarder {
 	return &Forwarder{
 		options: o,
-		owners:  &owners{config: o.Config, members: o.Members, local: o.Dispatcher, figures: make(map[figureKey]*figure)},
+		owners:  newOwners(o),
 		budget:  &retryBudget{credit: make(map[fleet.TeamID]float64)},
 	}
 }
@@ -115,7 +125,7 @@
 			!slices.ContainsFunc(w.endpoints, func(id fleet.EndpointID) bool { return !slices.Contains(avoid, id) })
 	}
 	for {
-		w := f.owners.choose(c.Service.ID, skip)
+		w := f.owners.choose(c.Service.ID, c.Team, skip)
 		if w == nil {
 			return nil, trace, noOwner(last)
 		}
@@ -235,19 +245,24 @@
 	if c.Body.rest != nil {
 		header.Set("Expect", "100-continue")
 	}
-	a, err := f.options.Upstream.ToPeer(ctx, w.member.PeerAddress, upstream.Request{
+	hop, stop := f.watchOwner(ctx, w, c)
+	defer stop()
+	bound := time.Duration(0)
+	if c.Service.MaxRunTime > 0 {
+		bound = max(time.Until(c.Deadline), 0) + c.Service.MaxRunTime + hopMargin
+	}
+	a, err := f.options.Upstream.ToPeer(hop, w.member.PeerAddress, upstream.Request{
 		ID: c.ID, Method: c.Method, URL: peerURL(c), Host: c.Host, Header: header,
 		Body: c.Body.open(), Length: c.Body.length, Streamed: c.Body.rest != nil, Informational: c.Informational,
-	})
+	}, bound)
 	if err != nil {
-		p := problem.From(err)
-		if p.Code == problem.CodeConnectFailed && f.options.Unreachable != nil && !errors.Is(err, context.Canceled) {
-			f.options.Unreachable(w.member)
-		}
-		return nil, &refusal{Error: p, ownerLost: true}
+		return nil, &refusal{Error: f.hopFailure(ctx, hop, w, err), ownerLost: true}
 	}
-	if l, err := ParseLoad(a.Header.Get(problem.HeaderLoad)); err == nil {
+	if l, units, err := ParseLoad(a.Header.Get(problem.HeaderLoad)); err == nil {
 		f.owners.report(w, c.Service.ID, l)
+		if units != nil {
+			f.owners.reportUnits(w.member.PeerAddress, c.Team, *units)
+		}
 	}
 	switch a.Header.Get(headerAnsweredBy) {
 	case answeredByEndpoint:
@@ -265,6 +280,64 @@
 	}
 }
 
+// errOwnerInactive ends a hop to an owner that the view shows as inactive.
+var errOwnerInactive = errors.New("the owner is inactive")
+
+// watchOwner ends the hop of an idempotent request when its owner becomes
+// inactive, so that it can run elsewhere. Others wait on, because the owner may
+// be paused and still respond.
+func (f *Forwarder) watchOwner(ctx context.Context, w *owner, c *Call) (hop context.Context, stop func()) {
+	if !c.Idempotent {
+		return ctx, func() {}
+	}
+	hop, cancel := context.WithCancelCause(ctx)
+	var mu sync.Mutex
+	var timer *time.Timer
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(lostCheck, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case stopped:
+		case f.owners.active(w):
+			timer.Reset(lostCheck)
+		default:
+			cancel(errOwnerInactive)
+		}
+	})
+	return hop, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
+// hopFailure describes a hop without a response of the owner.
+func (f *Forwarder) hopFailure(ctx, hop context.Context, w *owner, err error) *problem.Error {
+	p := problem.From(err)
+	switch {
+	case p.Code == problem.CodeConnectFailed:
+		f.owners.failed(w)
+		if f.options.Unreachable != nil {
+			f.options.Unreachable(w.member)
+		}
+	case ctx.Err() == nil && hop.Err() != nil:
+		lost := problem.NewUnknown(problem.CodeAnswerLost, http.StatusBadGateway, errOwnerInactive, "the owner became inactive")
+		lost.Outcome = p.Outcome
+		return lost
+	}
+	return p
+}
+
+// ReportUnits takes what a peer told about the free units of a team, for example
+// in a heartbeat.
+func (f *Forwarder) ReportUnits(peerAddress string, team fleet.TeamID, free int) {
+	f.owners.reportUnits(peerAddress, team, free)
+}
+
 func peerURL(c *Call) *url.URL {
 	u := *c.URL
 	prefix := PathPrefix + string(c.Service.ID)
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,157 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/dispatch"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+)
+
+func TestForward(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "forward")
+}
+
+type fixed struct {
+	snapshot *config.Snapshot
+	view     membership.View
+}
+
+func (f fixed) Current() *config.Snapshot            { return f.snapshot }
+func (f fixed) View() membership.View                { return f.view }
+func (f fixed) Subscribe() (<-chan struct{}, func()) { return nil, func() {} }
+func (f fixed) RightValid() bool                     { return true }
+
+// eight returns the owners of a service of 8 endpoints at 8 daemons.
+func eight() *owners {
+	f := fixed{snapshot: &config.Snapshot{Endpoints: map[fleet.EndpointID]fleet.Endpoint{}}}
+	for i := range 8 {
+		id := fleet.EndpointID(fmt.Sprint("e", i))
+		f.snapshot.Endpoints[id] = fleet.Endpoint{ID: id, Service: "s", Slots: 8}
+		f.view.Members = append(f.view.Members, membership.Member{Seat: fleet.SeatID(fmt.Sprint("seat", i)), PeerAddress: fmt.Sprint("d", i), Active: true})
+	}
+	return newOwners(Options{Config: f, Members: f})
+}
+
+func none(*owner) bool { return false }
+
+var _ = Describe("the choice of an owner", func() {
+	It("finds the only owner with a free slot, so that no slot stays idle while work waits", func() {
+		o := eight()
+		for i, w := range o.of("s") {
+			l := dispatch.Load{Slots: 8, Running: 8, Queued: 3}
+			if i == 5 {
+				l = dispatch.Load{Slots: 8, Running: 7}
+			}
+			o.report(w, "s", l)
+		}
+		free := o.of("s")[5]
+		for range 50 {
+			Expect(o.choose("s", "team", none)).To(BeIdenticalTo(free))
+		}
+	})
+
+	It("spreads requests that one daemon has in flight", func() {
+		o := eight()
+		counts := make(map[*owner]int)
+		for range 64 {
+			w := o.choose("s", "team", none)
+			o.begin(w, "s")
+			counts[w]++
+		}
+		Expect(counts).To(HaveLen(8))
+		for _, n := range counts {
+			Expect(n).To(BeNumerically("<=", 8), "no owner gets more than its slots while others have free ones")
+		}
+	})
+
+	It("goes to an owner with units of the team, and avoids one without connection", func() {
+		o := eight()
+		list := o.of("s")
+		for i, w := range list {
+			if i != 2 && i != 3 {
+				o.reportUnits(w.member.PeerAddress, "team", 0)
+			}
+		}
+		o.failed(list[2])
+		for range 50 {
+			Expect(o.choose("s", "team", none)).To(BeIdenticalTo(list[3]))
+		}
+		Expect(o.choose("s", "team", func(*owner) bool { return true })).To(BeNil())
+	})
+})
+
+var _ = Describe("the retry budget", func() {
+	It("allows one retry in ten requests of a team", func() {
+		b := &retryBudget{credit: make(map[fleet.TeamID]float64)}
+		retries := 0
+		for range 1000 {
+			b.request("team")
+			if b.take("team") {
+				retries++
+			}
+		}
+		Expect(retries).To(Equal(100))
+		Expect(b.take("other")).To(BeFalse(), "teams do not share a budget")
+	})
+})
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add("slots=8, running=3, queued=0")
+	f.Add("slots=8, running=3, queued=0, units=2, more=1")
+	f.Add("slots=, ,=")
+	f.Fuzz(func(t *testing.T, value string) {
+		l, units, err := ParseLoad(value)
+		if err != nil {
+			return
+		}
+		again, unitsAgain, err := ParseLoad(FormatLoad(l, units))
+		if err != nil || again != l || (units == nil) != (unitsAgain == nil) || units != nil && *units != *unitsAgain {
+			t.Fatalf("%q: %v %v, then %v %v %v", value, l, units, again, unitsAgain, err)
+		}
+	})
+}
+
+func FuzzSplitPath(f *testing.F) {
+	f.Add("/quotes/a%2Fb//c")
+	f.Add("/quotes")
+	f.Add("//x")
+	f.Fuzz(func(t *testing.T, path string) {
+		u, err := url.ParseRequestURI(path)
+		if err != nil {
+			return
+		}
+		service, target, ok := SplitPath(u, "/")
+		if !ok {
+			return
+		}
+		rest := u.EscapedPath()[1:]
+		rest = strings.TrimPrefix(rest[min(len(rest), strings.IndexByte(rest+"/", '/')):], "/")
+		if service == "" || target.EscapedPath() != "/"+rest {
+			t.Fatalf("%q: service %q, target %q", path, service, target.EscapedPath())
+		}
+	})
+}
+
+func FuzzReadHop(f *testing.F) {
+	f.Add("1", "100", "team", "id", "e1,e2")
+	f.Add("2", "-1", "", "", "")
+	f.Fuzz(func(t *testing.T, hops, deadline, team, id, avoid string) {
+		now := time.Now()
+		h := http.Header{headerHops: {hops}, "Samphirestile-Deadline-Ms": {deadline}, headerTeam: {team}, "X-Request-Id": {id}, headerAvoid: {avoid}}
+		r, p := readHop(h, "s", now)
+		if p == nil && (r.ID == "" || r.Team == "" || r.Deadline.Before(now)) {
+			t.Fatalf("accepted %v as %+v", h, r)
+		}
+	})
+}
--- a/internal/forward/owners.go
+++ b/internal/forward/owners.go
@@ -20,6 +20,16 @@
 	// localBonus is the part of an owner's slots by which this daemon prefers
 	// itself; a local dispatch saves the network hop.
 	localBonus = 0.25
+	// noUnits is added to the use of an owner that holds no free unit of the team,
+	// and unreachable to that of an owner that could not be connected to.
+	noUnits     = 1e3
+	unreachable = 1e6
+	// unitsLifetime is how long a report of free units counts; heartbeats of a
+	// pair of daemons are 3.5 s apart in a cell of 8.
+	unitsLifetime = 4 * time.Second
+	// failureTime is how long an owner is avoided after a connection failed. By
+	// then the view shows whether it is active.
+	failureTime = time.Second
 )
 
 // owner is a daemon that owns endpoints of a service.
@@ -30,6 +40,16 @@
 	slots int
 }
 
+type unitKey struct {
+	address string
+	team    fleet.TeamID
+}
+
+type unitFigure struct {
+	free int
+	at   time.Time
+}
+
 type figureKey struct {
 	address string
 	service fleet.ServiceID
@@ -50,14 +70,31 @@
 	config  config.Source
 	members membership.Source
 	local   dispatch.Dispatcher
+	usage   func(fleet.TeamID) (running, units int)
 
 	mu       sync.Mutex
+	units    map[unitKey]unitFigure
+	failures map[string]time.Time
 	snapshot *config.Snapshot
 	epoch    uint64
 	table    map[fleet.ServiceID][]*owner
 	figures  map[figureKey]*figure
 }
 
+func newOwners(o Options) *owners {
+	return &owners{
+		config: o.Config, members: o.Members, local: o.Dispatcher, usage: o.Usage,
+		figures: make(map[figureKey]*figure), units: make(map[unitKey]unitFigure), failures: make(map[string]time.Time),
+	}
+}
+
+// active reports whether the owner's seat is active in the view.
+func (o *owners) active(w *owner) bool {
+	return slices.ContainsFunc(o.members.View().Members, func(m membership.Member) bool {
+		return m.Active && m.Seat == w.member.Seat && m.Incarnation == w.member.Incarnation
+	})
+}
+
 // of returns the owners of a service under the configuration and view in force.
 func (o *owners) of(service fleet.ServiceID) []*owner {
 	snapshot, view := o.config.Current(), o.members.View()
@@ -112,6 +149,51 @@
 			delete(o.figures, k)
 		}
 	}
+	now := time.Now()
+	for k, u := range o.units {
+		if now.Sub(u.at) > unitsLifetime {
+			delete(o.units, k)
+		}
+	}
+	for address, at := range o.failures {
+		if now.Sub(at) > failureTime {
+			delete(o.failures, address)
+		}
+	}
+}
+
+// reportUnits takes the number of free units of a team at a daemon.
+func (o *owners) reportUnits(address string, team fleet.TeamID, free int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.units[unitKey{address, team}] = unitFigure{free, time.Now()}
+}
+
+// failed notes that an owner could not be connected to.
+func (o *owners) failed(w *owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures[w.member.PeerAddress] = time.Now()
+}
+
+// penalty is what speaks against an owner besides its load.
+func (o *owners) penalty(w *owner, team fleet.TeamID, now time.Time) float64 {
+	if w.member.Self {
+		if o.usage != nil {
+			if running, units := o.usage(team); units <= running {
+				return noUnits
+			}
+		}
+		return 0
+	}
+	p := 0.0
+	if u, ok := o.units[unitKey{w.member.PeerAddress, team}]; ok && u.free <= 0 && now.Sub(u.at) < unitsLifetime {
+		p += noUnits
+	}
+	if at, ok := o.failures[w.member.PeerAddress]; ok && now.Sub(at) < failureTime {
+		p += unreachable
+	}
+	return p
 }
 
 func (o *owners) figure(address string, service fleet.ServiceID) *figure {
@@ -165,7 +247,7 @@
 
 // choose picks an owner by two random choices weighted by slots. It looks at all
 // owners when both are full, so that free slots elsewhere are used.
-func (o *owners) choose(service fleet.ServiceID, skip func(*owner) bool) *owner {
+func (o *owners) choose(service fleet.ServiceID, team fleet.TeamID, skip func(*owner) bool) *owner {
 	list := slices.DeleteFunc(slices.Clone(o.of(service)), skip)
 	if len(list) <= 1 {
 		return first(list)
@@ -176,7 +258,7 @@
 	var best *owner
 	bestUse := math.Inf(1)
 	consider := func(w *owner) {
-		u := o.use(w, service, now)
+		u := o.use(w, service, now) + o.penalty(w, team, now)
 		if w.member.Self && u < 1 {
 			u -= localBonus
 		}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -49,42 +49,44 @@
 
 func (e *LoadFormatError) Error() string { return fmt.Sprintf("malformed load header %q", e.Value) }
 
-// FormatLoad returns the value of the load header.
-func FormatLoad(l dispatch.Load) string {
-	return fmt.Sprintf("slots=%d, running=%d, queued=%d", l.Slots, l.Running, l.Queued)
+// FormatLoad returns the value of the load header. units are the free units of
+// the team of the request; nil means that they are not known.
+func FormatLoad(l dispatch.Load, units *int) string {
+	value := fmt.Sprintf("slots=%d, running=%d, queued=%d", l.Slots, l.Running, l.Queued)
+	if units != nil {
+		value += fmt.Sprintf(", units=%d", max(*units, 0))
+	}
+	return value
 }
 
 // ParseLoad reads a load header. Unknown names are ignored for later versions.
-func ParseLoad(value string) (dispatch.Load, error) {
-	var l dispatch.Load
-	seen := 0
+func ParseLoad(value string) (l dispatch.Load, units *int, err error) {
+	const slots, running, queued, free, all = 1, 2, 4, 8, 1 | 2 | 4
+	found, freeUnits := 0, 0
 	for part := range strings.SplitSeq(value, ",") {
-		name, number, ok := strings.Cut(strings.TrimSpace(part), "=")
-		if !ok {
-			return dispatch.Load{}, &LoadFormatError{value}
+		name, number, _ := strings.Cut(strings.TrimSpace(part), "=")
+		n, err := strconv.ParseUint(number, 10, 32)
+		if err != nil || n > maxFigure {
+			return dispatch.Load{}, nil, &LoadFormatError{value}
 		}
-		var field *int
 		switch name {
 		case "slots":
-			field = &l.Slots
+			l.Slots, found = int(n), found|slots
 		case "running":
-			field = &l.Running
+			l.Running, found = int(n), found|running
 		case "queued":
-			field = &l.Queued
-		default:
-			continue
+			l.Queued, found = int(n), found|queued
+		case "units":
+			freeUnits, found = int(n), found|free
 		}
-		n, err := strconv.ParseUint(number, 10, 32)
-		if err != nil || n > maxFigure {
-			return dispatch.Load{}, &LoadFormatError{value}
-		}
-		*field = int(n)
-		seen++
 	}
-	if seen != 3 {
-		return dispatch.Load{}, &LoadFormatError{value}
+	if found&all != all {
+		return dispatch.Load{}, nil, &LoadFormatError{value}
+	}
+	if found&free != 0 {
+		units = &freeUnits
 	}
-	return l, nil
+	return l, units, nil
 }
 
 // writeHop puts the facts of a call on the header of a forwarded request.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -123,7 +123,13 @@
 		return
 	}
 	if l, ok := s.options.Dispatcher.Load(id); ok {
-		w.Header().Set(problem.HeaderLoad, FormatLoad(l))
+		var units *int
+		if s.options.Usage != nil {
+			running, held := s.options.Usage(fleet.TeamID(r.Header.Get(headerTeam)))
+			free := held - running
+			units = &free
+		}
+		w.Header().Set(problem.HeaderLoad, FormatLoad(l, units))
 	}
 }
 
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -37,14 +37,17 @@
 		a.TrailerNames = append(a.TrailerNames, name)
 	}
 	a.idle = time.AfterFunc(x.bodyIdle, func() { x.cancel(errBodyIdle) })
+	a.idle.Stop()
 	return a
 }
 
 // Read reads the body. It returns io.EOF only when the body is complete, and a
 // *problem.Error otherwise.
 func (a *Answer) Read(p []byte) (int, error) {
+	// The time that the receiver takes does not count.
 	a.idle.Reset(a.x.bodyIdle)
 	n, err := a.resp.Body.Read(p)
+	a.idle.Stop()
 	switch {
 	case err == nil:
 		return n, nil
@@ -73,7 +76,7 @@
 	}
 	a.ended = true
 	a.idle.Stop()
-	if p != nil && errors.Is(p, errBodyIdle) {
+	if p != nil && (errors.Is(p, errBodyIdle) || errors.Is(p, errLapsed)) {
 		a.x.drop(p)
 	} else {
 		a.x.done(failed || badStatus(a.Status))
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -53,14 +53,14 @@
 	x := &exchange{caller: caller, grant: g, bodyIdle: bodyIdle, started: time.Now(), bodyFailed: make(chan struct{})}
 	if g == nil {
 		x.ctx, x.cancel = context.WithCancelCause(caller)
-		return x
+	} else {
+		x.ctx, x.cancel = context.WithCancelCause(context.WithoutCancel(caller))
+		x.stop = context.AfterFunc(caller, x.callerLeft)
 	}
-	x.ctx, x.cancel = context.WithCancelCause(context.WithoutCancel(caller))
 	if maxRun > 0 {
 		x.deadline = x.started.Add(maxRun)
 		x.timer = time.AfterFunc(maxRun, func() { x.cancel(errRunTime) })
 	}
-	x.stop = context.AfterFunc(caller, x.callerLeft)
 	return x
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -159,8 +159,9 @@
 	return x.do(c.endpoint(e), r, e.Address)
 }
 
-// ToPeer performs an attempt over a peer hop. The end of ctx closes the connection.
-func (c *Client) ToPeer(ctx context.Context, address string, r Request) (*Answer, error) {
-	x := newExchange(ctx, c.bodyIdle, nil, 0)
+// ToPeer performs an attempt over a peer hop. The end of ctx and the end of
+// bound close the connection; bound 0 means none.
+func (c *Client) ToPeer(ctx context.Context, address string, r Request, bound time.Duration) (*Answer, error) {
+	x := newExchange(ctx, c.bodyIdle, nil, bound)
 	return x.do(c.peers, r, address)
 }
