Run a lost idempotent request again, refuse with Retry-After, stream 100 MB in tests

Cause: a refusal by a dispatcher without advice carried no Retry-After; an owner that rejects the cell secret made its caller see a rejected key; a failed write to a caller was recorded as an internal failure.

The streaming test now sends 100 MB of changing bytes in both directions, through an owner and locally, compares hashes, and bounds the bytes allocated; it replaces a test of 4 MB.

Conclusion: the cases of a lost endpoint, a lost owner, a silent owner and an unreachable owner are covered for idempotent and other requests.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -269,6 +269,10 @@
 		upstream.StripOwn(a.Header)
 		return a, nil
 	case answeredByDaemon:
+		if a.Status == http.StatusUnauthorized {
+			a.Close()
+			return nil, &refusal{Error: notOwner("the owner did not accept the cell secret")}
+		}
 		r := &refusal{Error: readRefusal(a), endpoint: fleet.EndpointID(a.Header.Get(headerEndpoint))}
 		a.Close()
 		return nil, r
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +20,8 @@
 	"samphirestile.example/samphirestile/internal/dispatch"
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/problem"
+	"samphirestile.example/samphirestile/internal/upstream"
 )
 
 func TestForward(t *testing.T) {
@@ -32,6 +39,15 @@
 func (f fixed) Subscribe() (<-chan struct{}, func()) { return nil, func() {} }
 func (f fixed) RightValid() bool                     { return true }
 
+// switched is a view that changes.
+type switched struct {
+	atomic.Pointer[membership.View]
+}
+
+func (s *switched) View() membership.View                { return *s.Load() }
+func (s *switched) Subscribe() (<-chan struct{}, func()) { return nil, func() {} }
+func (s *switched) RightValid() bool                     { return true }
+
 // eight returns the owners of a service of 8 endpoints at 8 daemons.
 func eight() *owners {
 	f := fixed{snapshot: &config.Snapshot{Endpoints: map[fleet.EndpointID]fleet.Endpoint{}}}
@@ -91,6 +107,45 @@
 	})
 })
 
+var _ = Describe("an owner that takes a request and never responds", func() {
+	It("is given up for an idempotent request when it is inactive, for others at the bound of the hop", func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(headerAnsweredBy, answeredByEndpoint)
+		}))
+		DeferCleanup(other.Close)
+		view := &switched{}
+		members := []membership.Member{
+			{Seat: "a", PeerAddress: silent.Addr().String(), Active: true},
+			{Seat: "b", PeerAddress: other.Listener.Addr().String()},
+		}
+		view.Store(&membership.View{Epoch: 1, Members: members})
+		f := New(Options{Config: fixed{snapshot: &config.Snapshot{Endpoints: map[fleet.EndpointID]fleet.Endpoint{"e": {ID: "e", Service: "s"}}}},
+			Members: view, Upstream: upstream.NewClient(0), Secret: "s"})
+		f.budget.credit["team"] = 1
+		call := &Call{ID: "id", Service: fleet.Service{ID: "s", MaxRunTime: 100 * time.Millisecond}, Team: "team", Method: "GET",
+			URL: &url.URL{Path: "/"}, Header: http.Header{}, Body: NewBody(nil, nil, 0)}
+		started := time.Now()
+		_, _, err = f.Do(context.Background(), call)
+		Expect(problem.From(err).Code).To(Equal(problem.CodeRunTimeExceeded))
+		Expect(problem.From(err).Outcome).To(Equal(problem.Unknown))
+		Expect(time.Since(started)).To(BeNumerically("<", 100*time.Millisecond+2*hopMargin))
+
+		call.Idempotent = true
+		time.AfterFunc(100*time.Millisecond, func() {
+			turned := slices.Clone(members)
+			turned[0].Active, turned[1].Active = false, true
+			view.Store(&membership.View{Epoch: 2, Members: turned})
+		})
+		resp, _, err := f.Do(context.Background(), call)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Status).To(Equal(200))
+		resp.Close()
+	})
+})
+
 var _ = Describe("the retry budget", func() {
 	It("allows one retry in ten requests of a team", func() {
 		b := &retryBudget{credit: make(map[fleet.TeamID]float64)}
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -208,6 +208,30 @@
 		Expect(string(body)).To(Equal("second"))
 	})
 
+	It("runs an idempotent request again when the endpoint's response is lost, and no other", func() {
+		c := newCell(2)
+		d := c.daemons[0]
+		for range 20 {
+			do(d.request("GET", "/quotes/", nil))
+		}
+		c.handle(func(w http.ResponseWriter, r *http.Request) {
+			if c.runs.Load() == 1 {
+				panic(http.ErrAbortHandler)
+			}
+		})
+		for _, header := range []string{"true", "false"} {
+			c.runs.Store(0)
+			resp, body := do(d.request("POST", "/quotes/", strings.NewReader("x"), "Samphirestile-Idempotent", header))
+			if header == "true" {
+				Expect(resp.StatusCode).To(Equal(200))
+				Expect(c.runs.Load()).To(Equal(int64(2)))
+				continue
+			}
+			expectProblem(resp, body, 502, problem.CodeAnswerLost, problem.Unknown)
+			Expect(c.runs.Load()).To(Equal(int64(1)))
+		}
+	})
+
 	It("offers a request to another owner when no connection can be made, whatever its method", func() {
 		c := newCell(3, true)
 		_ = c.daemons[1].peer.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -35,6 +36,8 @@
 	defaultMaxWait = 30 * time.Second
 	// notReadyRetry is the advice to callers of a daemon that takes no requests.
 	notReadyRetry = time.Second
+	// defaultRetry is the advice with a refusal for lack of capacity that names none.
+	defaultRetry = time.Second
 	// claimTimeout bounds the time in which the homes of a key must answer.
 	claimTimeout = 2 * time.Second
 	// claimSeparator stands between the request ID and the random part of a claim ID.
@@ -173,6 +176,9 @@
 }
 
 func (t *transaction) fail(p *problem.Error) {
+	if p.RetryAfter == 0 && (p.Status == http.StatusTooManyRequests || p.Status == http.StatusServiceUnavailable) {
+		p = p.After(defaultRetry)
+	}
 	t.record.Status, t.record.Code, t.record.Outcome, t.record.Reason = p.Status, p.Code, p.Outcome, p.Error()
 	if t.record.FirstByte == 0 {
 		t.record.FirstByte = time.Since(t.started)
@@ -342,9 +348,10 @@
 
 // aborted records a response that was cut after its header.
 func (t *transaction) aborted(err error) {
-	p := problem.From(err)
-	t.record.Code, t.record.Outcome, t.record.Reason = p.Code, problem.Unknown, p.Error()
-	if t.r.Context().Err() != nil {
-		t.record.Code = problem.CodeCallerGone
+	t.record.Code, t.record.Outcome, t.record.Reason = problem.CodeCallerGone, problem.Unknown, err.Error()
+	var p *problem.Error
+	// A failed write to the caller is no *problem.Error.
+	if errors.As(err, &p) && t.r.Context().Err() == nil {
+		t.record.Code = p.Code
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,15 +7,18 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -162,11 +165,12 @@
 	snapshot := &config.Snapshot{
 		Services: map[fleet.ServiceID]fleet.Service{
 			"quotes": {ID: "quotes", MaxRunTime: 2 * time.Second, MaxWait: time.Second, MaxBodyBytes: 200 << 20},
+			"bulk":   {ID: "bulk", MaxRunTime: 30 * time.Second},
 			"status": {ID: "status", Open: true, OpenTeam: "public", MaxRunTime: 2 * time.Second, MaxBodyBytes: 100},
 		},
 		Endpoints: map[fleet.EndpointID]fleet.Endpoint{},
 	}
-	for _, s := range []fleet.ServiceID{"quotes", "status"} {
+	for _, s := range []fleet.ServiceID{"quotes", "bulk", "status"} {
 		for i := range 2 {
 			id := fleet.EndpointID(fmt.Sprintf("%s-%d", s, i))
 			snapshot.Endpoints[id] = fleet.Endpoint{ID: id, Service: s, Address: c.endpoint.Listener.Addr().String(), Slots: 8, Connections: 16}
@@ -247,6 +251,21 @@
 	return resp, body
 }
 
+// pattern is a stream of changing bytes.
+type pattern struct{ at int }
+
+var patternBlock = func() []byte {
+	b := make([]byte, 1<<20-3)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(b)
+	return b
+}()
+
+func (p *pattern) Read(b []byte) (int, error) {
+	n := copy(b, patternBlock[p.at:])
+	p.at = (p.at + n) % len(patternBlock)
+	return n, nil
+}
+
 func must(b []byte, err error) int {
 	if err != nil {
 		return -1
@@ -299,22 +318,33 @@
 		}
 	})
 
-	It("streams large bodies in both directions", func() {
-		c := newCell(2)
+	It("streams 100 MB in both directions without holding them", func() {
+		c := newCell(3, true)
 		c.handle(func(w http.ResponseWriter, r *http.Request) {
 			_ = http.NewResponseController(w).EnableFullDuplex()
 			_, _ = io.Copy(w, r.Body)
 		})
-		payload := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
-		for _, d := range c.daemons {
-			for range 4 {
-				for _, source := range []io.Reader{bytes.NewReader(payload), io.MultiReader(bytes.NewReader(payload))} {
-					resp, body := do(d.request("POST", "/quotes/", source))
-					Expect(resp.StatusCode).To(Equal(http.StatusOK))
-					Expect(bytes.Equal(body, payload)).To(BeTrue(), "%d bytes", len(body))
-				}
+		const size = 100 << 20
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		// Daemon 0 sends to an owner, daemon 1 owns an endpoint itself.
+		for _, d := range c.daemons[:2] {
+			for _, length := range []int64{size, -1} {
+				sent, received := xxhash.New(), xxhash.New()
+				r := d.request("POST", "/bulk/", io.TeeReader(io.LimitReader(&pattern{}, size), sent))
+				r.ContentLength = length
+				resp, err := http.DefaultTransport.RoundTrip(r)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.StatusCode).To(Equal(http.StatusOK))
+				n, err := io.Copy(received, resp.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(n).To(Equal(int64(size)))
+				Expect(received.Sum64()).To(Equal(sent.Sum64()))
+				_ = resp.Body.Close()
 			}
 		}
+		runtime.ReadMemStats(&after)
+		Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", size/10), "bytes allocated in all")
 	})
 
 	It("answers HEAD, 204 and 304 without a body", func() {
