Check a reused connection before a request is sent on it

Cause: an endpoint that sent a second response after each one had that response delivered to the next request, when the next request started at that moment: net/http puts a connection back before it has looked for surplus bytes. In the same way a request was sent on a connection that the endpoint had just closed, which makes its outcome unknown for no reason.

A reused connection is now used only when net/http waits in a read, which means that it has no bytes left, and a look into the socket shows neither bytes nor the end of the stream. Otherwise nothing is written to it, and the attempt goes on with another connection. Bytes that arrive before the request was written end it.

Ruled out: following the framing of each response in the connection, which would be a second parser. Comparing X-Request-Id only, because most endpoints do not echo it.

Conclusion: what is left is a response that arrives between the look and the write, some microseconds.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // sealedError reports a write after the exchange was given up.
@@ -10,10 +12,20 @@
 
 func (*sealedError) Error() string { return "connection sealed: exchange was given up" }
 
-// trackedConn knows for the current exchange whether a byte was written.
+// strayError reports bytes that arrived before the request was sent.
+type strayError struct{}
+
+func (*strayError) Error() string { return "connection has a response without a request" }
+
+// trackedConn knows for the current exchange whether a byte was written, and
+// keeps a response to an earlier request from being taken for the present one.
 type trackedConn struct {
 	net.Conn
-	mu      sync.Mutex
+	mu sync.Mutex
+	// changed is signalled when reading or closed becomes true.
+	changed sync.Cond
+	reading bool
+	closed  bool
 	sealed  bool
 	writing bool
 	written int64
@@ -22,11 +34,76 @@
 	owner *exchange
 }
 
-// begin binds the connection to x; the transport serves one exchange at a time on a connection.
-func (c *trackedConn) begin(x *exchange) {
+func newTrackedConn(c net.Conn) *trackedConn {
+	t := &trackedConn{Conn: c}
+	t.changed.L = &t.mu
+	return t
+}
+
+// begin binds the connection to x; the transport serves one exchange at a time
+// on a connection. A connection that was used before is checked first, and
+// sealed if the endpoint has closed it or has sent more than its last response.
+// net/http notices both, but a request that starts at that moment is sent all
+// the same, and the surplus bytes are taken for its response.
+func (c *trackedConn) begin(x *exchange, reused bool) (usable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// net/http reads from the connection only when it has used up all earlier
+	// bytes; it closes the connection when there are some left.
+	for reused && !c.reading && !c.closed {
+		c.changed.Wait()
+	}
 	c.owner, c.base = x, c.written
+	if c.closed || reused && !c.quiet() {
+		c.sealed = true
+	}
+	return !c.sealed
+}
+
+// quiet reports whether the connection is open and no bytes wait in it.
+func (c *trackedConn) quiet() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+	})
+	return err == nil && quiet
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+
+	n, err := c.Conn.Read(p)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if n > 0 && c.owner != nil && !c.writing && c.written == c.base {
+		return 0, &strayError{}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn. It writes nothing once the connection is sealed.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -40,9 +40,12 @@
 	conn *trackedConn
 	// gone is set when the caller left before a byte was sent.
 	gone bool
+	// stale is set when conn was found unusable before a byte was sent.
+	stale bool
 
 	headerWritten atomic.Bool
 	checked       atomic.Bool
+	bodyRead      atomic.Bool
 	bodyErr       atomic.Pointer[error]
 	bodyFailed    chan struct{}
 	finished      sync.Once
@@ -81,7 +84,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	c.begin(x)
+	x.stale = !c.begin(x, info.Reused)
 	x.conn = c
 	if x.gone {
 		c.seal(x)
@@ -140,13 +143,23 @@
 
 func (x *exchange) roundTrip(t *http.Transport, r Request, address string, relay *informationalRelay) (*Answer, error) {
 	trace := &httptrace.ClientTrace{
-		GotConn:        x.gotConn,
-		WroteHeaders:   func() { x.headerWritten.Store(true) },
-		WroteRequest:   func(httptrace.WroteRequestInfo) { x.checkRight() },
+		GotConn:      x.gotConn,
+		WroteHeaders: func() { x.headerWritten.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				x.checkRight()
+			}
+		},
 		Got1xxResponse: relay.got,
 	}
-	req := x.build(r, address).WithContext(httptrace.WithClientTrace(x.ctx, trace))
-	resp, err := t.RoundTrip(req)
+	ctx := httptrace.WithClientTrace(x.ctx, trace)
+	resp, err := t.RoundTrip(x.build(r, address).WithContext(ctx))
+	for range maxStale {
+		if err == nil || !x.passOver() {
+			break
+		}
+		resp, err = t.RoundTrip(x.build(r, address).WithContext(ctx))
+	}
 	x.firstByte = time.Since(x.started)
 	if err != nil {
 		return nil, x.failed(err)
@@ -163,6 +176,19 @@
 	return newAnswer(x, resp), nil
 }
 
+// passOver reports whether the connection was stale and nothing was sent or
+// read from the body, so that the request can go out on another connection.
+func (x *exchange) passOver() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.stale || x.gone || x.ctx.Err() != nil || x.bodyRead.Load() || x.conn.seal(x) {
+		return false
+	}
+	x.conn, x.stale = nil, false
+	x.headerWritten.Store(false)
+	return true
+}
+
 // build makes the request. http.Transport sends a request again by itself when a
 // reused connection fails, unless the request has a body without GetBody.
 func (x *exchange) build(r Request, address string) *http.Request {
@@ -377,6 +403,7 @@
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
+	b.x.bodyRead.Store(true)
 	n, err := b.source.Read(p)
 	if err == nil || err == io.EOF {
 		return n, err
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,6 +30,9 @@
 	// expectTimeout exceeds every queueing time, so that a body never leaves
 	// before the owner asked for it.
 	expectTimeout = 24 * time.Hour
+	// maxStale bounds how many connections that the other side has closed are
+	// passed over in one attempt.
+	maxStale = 8
 	// unusedAfter is the time after which the connections of an unused endpoint are dropped.
 	unusedAfter = 2 * time.Minute
 )
@@ -72,7 +75,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: c}, nil
+			return newTrackedConn(c), nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -192,6 +193,52 @@
 		DeferCleanup(client.Close)
 	})
 
+	It("never takes a surplus response for that of the next request", func() {
+		// net/http alone does so when the next request starts at that moment.
+		s := newScripted(func(s *scripted, c net.Conn, r *bufio.Reader) {
+			for {
+				if _, ok := s.read(r); !ok {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"+
+					"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+			}
+		})
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for range 250 {
+					g := newGrant(s.address())
+					g.endpoint.Connections = 32
+					a, err := client.ToEndpoint(context.Background(), g, request("POST", "x"), maxRun)
+					Expect(err).NotTo(HaveOccurred())
+					body, err := io.ReadAll(a)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(string(body)).To(Equal("ok"), "a response must belong to its own request")
+				}
+			})
+		}
+		wg.Wait()
+		Expect(s.requests.Load()).To(Equal(int64(2000)))
+	})
+
+	It("passes over an idle connection that the endpoint has closed", func() {
+		closed := make(chan struct{}, 1)
+		s := newScripted(func(s *scripted, c net.Conn, r *bufio.Reader) {
+			s.read(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			_ = c.Close()
+			closed <- struct{}{}
+		})
+		for range 200 {
+			a, err := client.ToEndpoint(context.Background(), newGrant(s.address()), request("POST", "x"), maxRun)
+			Expect(err).NotTo(HaveOccurred(), "nothing was sent on the closed connection")
+			a.Close()
+			<-closed
+		}
+	})
+
 	It("frames an absent body in the way of its method", func() {
 		heads := make(chan *http.Request, 1)
 		s := newScripted(func(s *scripted, c net.Conn, r *bufio.Reader) {
