--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -18,8 +18,6 @@
 	maxBackoff = 32
 	// maxOverBackoff is the bound while the sum is over the limit and nothing may start.
 	maxOverBackoff = 4
-	// maxReserve bounds the units that an idle daemon keeps for a first request.
-	maxReserve = 4
 	// readCost is the price of a read in the budget of writes.
 	readCost = 0.25
 	// maxAttempts bounds the writes of one adjustment that meet a conflict.
@@ -233,9 +231,32 @@
 	return d
 }
 
-// reserve is the number of units that this daemon keeps for a first request. A
-// team whose limit is smaller than the number of daemons has its units at few of them.
+// reserve is the number of units that this daemon keeps without demand. All units
+// are spread over the active daemons, because none can move during an outage of
+// the store and those of a failed daemon stay locked until its seat is reclaimed.
 func (a *Allotments) reserve(id fleet.TeamID, limit int) int {
+	n, rank := a.rank(id)
+	if n == 0 {
+		return 0
+	}
+	if rank < limit%n {
+		return limit/n + 1
+	}
+	return limit / n
+}
+
+// floor is the number of units that this daemon keeps while peers have queued
+// requests and it has none, so that a failed peer does not hold all units.
+func (a *Allotments) floor(id fleet.TeamID, limit int) int {
+	if n, _ := a.rank(id); n == 0 || limit < 2*n {
+		return 0
+	}
+	return 1
+}
+
+// rank returns the number of active daemons and the place of this daemon among
+// them, which differs between teams. Without a seat it returns 0 daemons.
+func (a *Allotments) rank(id fleet.TeamID) (n, rank int) {
 	daemons := map[string]bool{}
 	self := ""
 	for _, m := range a.cfg.Seats.View().Members {
@@ -246,23 +267,15 @@
 			self = m.Incarnation
 		}
 	}
-	n := len(daemons)
-	if n == 0 || self == "" {
-		return 0
-	}
-	if limit >= n {
-		return min(max(limit/(2*n), 1), maxReserve)
+	if self == "" {
+		return 0, 0
 	}
-	rank := 0
 	for d := range daemons {
 		if score(id, d) < score(id, self) {
 			rank++
 		}
 	}
-	if rank < limit {
-		return 1
-	}
-	return 0
+	return len(daemons), rank
 }
 
 func score(id fleet.TeamID, daemon string) uint64 {
@@ -335,7 +348,7 @@
 // target returns the number of units that this daemon should have.
 func (a *Allotments) target(t *team, d demandState, limit int, peers peerDemand) int {
 	if peers.starved > 0 {
-		share := a.share(t, d.demand, limit, peers)
+		share := max(a.share(t, d.demand, limit, peers), a.floor(t.id, limit))
 		// Hysteresis saves writes while the demand of daemons changes a little.
 		if over := d.units - share; over > 0 && over <= share/4 {
 			return d.units
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -144,6 +144,7 @@
 		Upstream:    d.upstream,
 		Secret:      d.secret,
 		Units:       d.unitsOf,
+		Usage:       d.allotments.Usage,
 		Unreachable: func(m membership.Member) { d.membership.Probe(m.PeerAddress) },
 	}
 	d.forwarder = forward.New(options)
--- a/internal/forward/owners.go
+++ b/internal/forward/owners.go
@@ -20,6 +20,16 @@
 	// localBonus is the part of an owner's slots by which this daemon prefers
 	// itself; a local dispatch saves the network hop.
 	localBonus = 0.25
+	// noUnits is added to the use of an owner that holds no free unit of the team,
+	// and unreachable to that of an owner that could not be connected to.
+	noUnits     = 1e3
+	unreachable = 1e6
+	// unitsLifetime is how long a report of free units counts; heartbeats of a
+	// pair of daemons are 3.5 s apart in a cell of 8.
+	unitsLifetime = 4 * time.Second
+	// failureTime is how long an owner is avoided after a connection failed. By
+	// then the view shows whether it is active.
+	failureTime = time.Second
 )
 
 // owner is a daemon that owns endpoints of a service.
@@ -30,6 +40,16 @@
 	slots int
 }
 
+type unitKey struct {
+	address string
+	team    fleet.TeamID
+}
+
+type unitFigure struct {
+	free int
+	at   time.Time
+}
+
 type figureKey struct {
 	address string
 	service fleet.ServiceID
@@ -50,15 +70,33 @@
 	config  config.Source
 	members membership.Source
 	local   dispatch.Dispatcher
-	units   func(membership.Member, fleet.TeamID) (int, bool)
+	usage   func(fleet.TeamID) (running, units int)
+	// heartbeatUnits is Options.Units.
+	heartbeatUnits func(membership.Member, fleet.TeamID) (units int, known bool)
 
 	mu       sync.Mutex
+	units    map[unitKey]unitFigure
+	failures map[string]time.Time
 	snapshot *config.Snapshot
 	epoch    uint64
 	table    map[fleet.ServiceID][]*owner
 	figures  map[figureKey]*figure
 }
 
+func newOwners(o Options) *owners {
+	return &owners{
+		config: o.Config, members: o.Members, local: o.Dispatcher, usage: o.Usage, heartbeatUnits: o.Units,
+		figures: make(map[figureKey]*figure), units: make(map[unitKey]unitFigure), failures: make(map[string]time.Time),
+	}
+}
+
+// active reports whether the owner's seat is active in the view.
+func (o *owners) active(w *owner) bool {
+	return slices.ContainsFunc(o.members.View().Members, func(m membership.Member) bool {
+		return m.Active && m.Seat == w.member.Seat && m.Incarnation == w.member.Incarnation
+	})
+}
+
 // of returns the owners of a service under the configuration and view in force.
 func (o *owners) of(service fleet.ServiceID) []*owner {
 	snapshot, view := o.config.Current(), o.members.View()
@@ -113,6 +151,63 @@
 			delete(o.figures, k)
 		}
 	}
+	now := time.Now()
+	for k, u := range o.units {
+		if now.Sub(u.at) > unitsLifetime {
+			delete(o.units, k)
+		}
+	}
+	for address, at := range o.failures {
+		if now.Sub(at) > failureTime {
+			delete(o.failures, address)
+		}
+	}
+}
+
+// reportUnits takes the number of free units of a team at a daemon.
+func (o *owners) reportUnits(address string, team fleet.TeamID, free int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.units[unitKey{address, team}] = unitFigure{free, time.Now()}
+}
+
+// failed notes that an owner could not be connected to.
+func (o *owners) failed(w *owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures[w.member.PeerAddress] = time.Now()
+}
+
+// penalty is what speaks against an owner besides its load.
+func (o *owners) penalty(w *owner, team fleet.TeamID, now time.Time) float64 {
+	if w.member.Self {
+		if o.usage != nil {
+			if running, units := o.usage(team); units <= running {
+				return noUnits
+			}
+		}
+		return 0
+	}
+	p := 0.0
+	if o.hasNoUnit(w, team, now) {
+		p += noUnits
+	}
+	if at, ok := o.failures[w.member.PeerAddress]; ok && now.Sub(at) < failureTime {
+		p += unreachable
+	}
+	return p
+}
+
+// hasNoUnit reports whether the owner is known to have no free unit of the team.
+func (o *owners) hasNoUnit(w *owner, team fleet.TeamID, now time.Time) bool {
+	if u, ok := o.units[unitKey{w.member.PeerAddress, team}]; ok && now.Sub(u.at) < unitsLifetime {
+		return u.free <= 0
+	}
+	if o.heartbeatUnits == nil {
+		return false
+	}
+	units, known := o.heartbeatUnits(w.member, team)
+	return known && units == 0
 }
 
 func (o *owners) figure(address string, service fleet.ServiceID) *figure {
@@ -167,7 +262,7 @@
 // choose picks an owner by two random choices weighted by slots. It looks at all
 // owners when both are full, so that free slots elsewhere are used.
 func (o *owners) choose(service fleet.ServiceID, team fleet.TeamID, skip func(*owner) bool) *owner {
-	list := o.withUnits(slices.DeleteFunc(slices.Clone(o.of(service)), skip), team)
+	list := slices.DeleteFunc(slices.Clone(o.of(service)), skip)
 	if len(list) <= 1 {
 		return first(list)
 	}
@@ -177,7 +272,7 @@
 	var best *owner
 	bestUse := math.Inf(1)
 	consider := func(w *owner) {
-		u := o.use(w, service, now)
+		u := o.use(w, service, now) + o.penalty(w, team, now)
 		if w.member.Self && u < 1 {
 			u -= localBonus
 		}
@@ -200,22 +295,6 @@
 	return best
 }
 
-// withUnits drops the owners that hold no unit of the team's allotment, unless
-// none holds one. A request would wait there until units have moved.
-func (o *owners) withUnits(list []*owner, team fleet.TeamID) []*owner {
-	if o.units == nil {
-		return list
-	}
-	holders := slices.DeleteFunc(slices.Clone(list), func(w *owner) bool {
-		units, known := o.units(w.member, team)
-		return known && units == 0
-	})
-	if len(holders) == 0 {
-		return list
-	}
-	return holders
-}
-
 func first(list []*owner) *owner {
 	if len(list) == 0 {
 		return nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,6 +30,9 @@
 	// expectTimeout exceeds every queueing time, so that a body never leaves
 	// before the owner asked for it.
 	expectTimeout = 24 * time.Hour
+	// maxStale bounds how many connections that the other side has closed are
+	// passed over in one attempt.
+	maxStale = 8
 	// unusedAfter is the time after which the connections of an unused endpoint are dropped.
 	unusedAfter = 2 * time.Minute
 )
@@ -72,7 +75,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: c}, nil
+			return newTrackedConn(c), nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
@@ -159,8 +162,9 @@
 	return x.do(c.endpoint(e), r, e.Address)
 }
 
-// ToPeer performs an attempt over a peer hop. The end of ctx closes the connection.
-func (c *Client) ToPeer(ctx context.Context, address string, r Request) (*Answer, error) {
-	x := newExchange(ctx, c.bodyIdle, nil, 0)
+// ToPeer performs an attempt over a peer hop. The end of ctx and the end of
+// bound close the connection; bound 0 means none.
+func (c *Client) ToPeer(ctx context.Context, address string, r Request, bound time.Duration) (*Answer, error) {
+	x := newExchange(ctx, c.bodyIdle, nil, bound)
 	return x.do(c.peers, r, address)
 }
