Carry leaving marks to daemons that just lost the platform; add daemon declare-gone

A notice is now remembered until the next read of the list; a peer that reports the store as not visible is told of marks it does not know. An empty list of marks was sent as null and read as absent, so the last mark never went away (found by the extended test). An accepted configuration that cannot be rendered here is logged once as an error. Operators had no command for a seat whose occupant is gone for good.

Ruled out: marks in each heartbeat, because the messages are not of this package.

--- a/cmd/samphirestile/main.go
+++ b/cmd/samphirestile/main.go
@@ -36,7 +36,8 @@
 		List query.EndpointList `cmd:"" help:"List endpoints and their owners."`
 	} `cmd:"" help:"Endpoints."`
 	Daemon struct {
-		List query.DaemonList `cmd:"" help:"List seats and daemons."`
+		List        query.DaemonList    `cmd:"" help:"List seats and daemons."`
+		DeclareGone command.DeclareGone `cmd:"" help:"State that the daemon of a seat is gone for good. Never do this to a daemon that may still run: its team limits would be exceeded."`
 	} `cmd:"" help:"Daemons."`
 	Version query.Version `cmd:"" help:"Show the version of this client."`
 }
--- a/internal/config/hosts.go
+++ b/internal/config/hosts.go
@@ -20,7 +20,7 @@
 		if err == nil {
 			m.markHosts(hosts)
 		} else if ctx.Err() == nil {
-			m.log.WithError(err).Debug("host list not read")
+			m.hostsFailed(err)
 		}
 		if !sleep(ctx, max(m.config.HostsEvery-time.Since(start), 0)) {
 			return
@@ -36,14 +36,28 @@
 		}
 	}
 	m.mu.Lock()
-	m.hostsAge = time.Now()
+	m.hostsRead, m.marksNoticed = true, false
 	changed := m.setLeaving(leaving)
+	if changed {
+		m.marks++
+	}
 	m.mu.Unlock()
 	if changed {
 		m.noticeBlind()
 	}
 }
 
+func (m *Manager) hostsFailed(err error) {
+	m.mu.Lock()
+	first := m.hostsRead
+	m.hostsRead = false
+	m.mu.Unlock()
+	if first {
+		m.log.WithError(err).Warn("host list not read; the last leaving marks stay")
+	}
+	m.wantMarks()
+}
+
 // setLeaving replaces the marks and reports whether they changed. The caller holds
 // the mutex.
 func (m *Manager) setLeaving(leaving map[fleet.HostID]bool) bool {
--- a/internal/config/manager.go
+++ b/internal/config/manager.go
@@ -92,20 +92,25 @@
 	current atomic.Pointer[Snapshot]
 	visible atomic.Bool
 
-	mu       sync.Mutex
-	closed   bool
-	tasks    sync.WaitGroup
-	state    *state
-	leaving  map[fleet.HostID]bool
-	subs     map[chan struct{}]struct{}
-	peers    map[string]*peerState
-	wanted   uint64
-	catchUp  chan struct{}
-	persist  chan struct{}
-	hostsAge time.Time
-	// pulling is set while pullMarks runs, pullAgain when it must run once more.
-	pulling   bool
-	pullAgain bool
+	mu      sync.Mutex
+	closed  bool
+	tasks   sync.WaitGroup
+	state   *state
+	leaving map[fleet.HostID]bool
+	subs    map[chan struct{}]struct{}
+	peers   map[string]*peerState
+	wanted  uint64
+	catchUp chan struct{}
+	persist chan struct{}
+	// hostsRead is set while the host list can be read; marks counts its changes.
+	hostsRead bool
+	marks     uint64
+	// marksNoticed is set when a peer told of a change and the own list was not read
+	// since; pulling is set while the marks are asked for.
+	marksNoticed bool
+	pulling      bool
+	// reported is the last revision that was reported as unusable.
+	reported uint64
 }
 
 var _ Source = (*Manager)(nil)
@@ -260,6 +265,18 @@
 	return &state{head: head, documents: documents, base: base}, nil
 }
 
+// unusable reports once that an accepted configuration cannot be used here, as
+// when it was accepted by a daemon of a later version.
+func (m *Manager) unusable(head *Head, err error) {
+	m.mu.Lock()
+	first := m.reported != head.Revision
+	m.reported = head.Revision
+	m.mu.Unlock()
+	if first {
+		m.log.WithError(err).WithField("revision", head.Revision).Error("accepted configuration cannot be used")
+	}
+}
+
 // publish builds the snapshot from the configuration, the leaving marks of hosts
 // and the revoked set, and tells subscribers. The caller holds the mutex.
 func (m *Manager) publish() {
--- a/internal/config/manager_test.go
+++ b/internal/config/manager_test.go
@@ -243,13 +243,34 @@
 		report(a, b)
 		report(b, a)
 		Expect(a.Current().Endpoints["e1"].Leaving).To(BeFalse())
-		// A daemon uses the marks of others only after two reads of its own list failed.
-		time.Sleep(500 * time.Millisecond)
 		c.platform.SetHostState("h1", fleet.HostLeaving)
 		for _, d := range []*daemon{a, b} {
 			Eventually(func() bool { return d.Current().Endpoints["e1"].Leaving }, 3*time.Second).Should(BeTrue())
 		}
 		c.platform.SetHostState("h1", fleet.HostLive)
+		Eventually(func() bool { return b.Current().Endpoints["e1"].Leaving }, 3*time.Second).Should(BeFalse())
 		Eventually(func() bool { return a.Current().Endpoints["e1"].Leaving }, 3*time.Second).Should(BeFalse())
 	})
+
+	// Guards against a daemon that loses sight of the platform just before a host
+	// leaves, while its peers still count it as informed.
+	It("reach a daemon that was cut off after its last read of the list", func() {
+		c := newCell()
+		c.platform.SetHosts([]fleet.Host{{ID: "h1", State: fleet.HostLive}})
+		a, b := c.start("a", false, "b").ready(), c.start("b", false, "a").ready()
+		a.apply(base())
+		Eventually(b.Revision, inForceBound).Should(Equal(uint64(1)))
+		report(a, b)
+		report(b, a)
+		// The next reads of the list clear the notice of the change above.
+		reads := c.platform.Counters()["hosts/list"]
+		Eventually(func() int64 { return c.platform.Counters()["hosts/list"] }).Should(BeNumerically(">", reads+5))
+		b.store.cut.Store(true)
+		c.platform.SetHostState("h1", fleet.HostGone)
+		Eventually(func() bool { return a.Current().Endpoints["e1"].Leaving }, 3*time.Second).Should(BeTrue())
+		Eventually(b.StoreVisible, inForceBound).Should(BeFalse())
+		Expect(b.Current().Endpoints["e1"].Leaving).To(BeFalse())
+		report(b, a)
+		Eventually(func() bool { return b.Current().Endpoints["e1"].Leaving }, 3*time.Second).Should(BeTrue())
+	})
 })
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -29,9 +29,6 @@
 	maxSources = 4
 	// peerMemory is the time after which a silent peer outside the view is forgotten.
 	peerMemory = time.Minute
-	// hostsStale is the number of reads of the host list that must have failed before
-	// a peer's marks are used.
-	hostsStale = 2
 )
 
 // peerState is what a peer last reported.
@@ -40,6 +37,8 @@
 	revision uint64
 	visible  bool
 	revoked  int
+	// marks is the version of the leaving marks of which the peer was told.
+	marks uint64
 	// pending holds the revocations made here that the peer did not confirm.
 	pending map[string]bool
 	// delivering is set while deliverLoop sends them again.
@@ -54,7 +53,7 @@
 	m.mu.Lock()
 	p := m.peer(peerAddress)
 	p.seen, p.revision, p.visible, p.revoked = time.Now(), revision, storeVisible, revokedCount
-	behind := m.state != nil && revision < m.state.head.Revision && !storeVisible
+	behind := !storeVisible && (revision < m.revisionLocked() || p.marks < m.marks)
 	send := behind || len(p.pending) > 0 || (revokedCount < m.config.Revoked.Len() && len(m.unsavedLocked()) > 0)
 	m.mu.Unlock()
 	if send {
@@ -131,7 +130,7 @@
 	if p.seen.IsZero() {
 		p.seen = time.Now()
 	}
-	revoked := union(m.unsavedLocked(), slices.Collect(maps.Keys(p.pending)))
+	revoked, marks := union(m.unsavedLocked(), slices.Collect(maps.Keys(p.pending))), m.marks
 	n := &oas.Notice{Revision: int64(m.revisionLocked()), Revoked: revoked}
 	m.mu.Unlock()
 	if err := m.send(ctx, address, n); err != nil {
@@ -139,8 +138,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	p = m.peer(address)
+	p.marks = max(p.marks, marks)
 	for _, id := range revoked {
-		delete(m.peer(address).pending, id)
+		delete(p.pending, id)
 	}
 	return nil
 }
@@ -166,15 +167,13 @@
 func (m *Manager) Notice(_ context.Context, n *oas.Notice) error {
 	m.addRevoked(n.Revoked)
 	m.want(uint64(max(n.Revision, 0)))
+	m.mu.Lock()
+	m.marksNoticed = true
+	m.mu.Unlock()
 	m.wantMarks()
 	return nil
 }
 
-// hostsStale reports whether the own host list is too old. The caller holds the mutex.
-func (m *Manager) hostsStale() bool {
-	return time.Since(m.hostsAge) > hostsStale*m.config.HostsEvery
-}
-
 // wireSnapshot is the configuration as daemons send it to each other: the documents,
 // which the receiver checks against their hashes and renders itself.
 type wireSnapshot struct {
@@ -190,8 +189,9 @@
 	m.mu.Lock()
 	s := m.state
 	var leaving *[]fleet.HostID
-	if !m.hostsStale() {
-		hosts := slices.Sorted(maps.Keys(m.leaving))
+	if m.hostsRead {
+		// An empty list must not become null, which means that there is none.
+		hosts := append([]fleet.HostID{}, slices.Sorted(maps.Keys(m.leaving))...)
 		leaving = &hosts
 	}
 	m.mu.Unlock()
@@ -401,6 +401,7 @@
 	}
 	s, err := m.render(w.Head, documents)
 	if err != nil {
+		m.unusable(w.Head, err)
 		return &PeerDataError{Peer: address, Cause: err}
 	}
 	m.install(s)
@@ -438,37 +439,43 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.config.Hosts != nil && m.hostsStale() {
+	if m.config.Hosts != nil && !m.hostsRead {
 		m.setLeaving(leaving)
 	}
 }
 
-// wantMarks asks a peer for the leaving marks if the own host list cannot be read.
-// Several daemons send notices of one change; they cause one more request at most.
+// wantMarks asks a peer for the leaving marks if there was a notice since the own
+// host list was last read, and the list cannot be read now. Several daemons send
+// notices of one change; they cause one more request at most.
 func (m *Manager) wantMarks() {
 	m.mu.Lock()
-	stale := m.config.Hosts != nil && m.hostsStale()
-	pulling := m.pulling
-	m.pulling = pulling || stale
-	m.pullAgain = pulling && stale
+	wanted := m.config.Hosts != nil && m.marksNoticed && !m.hostsRead
+	start := wanted && !m.pulling
+	m.pulling = m.pulling || wanted
 	m.mu.Unlock()
-	if stale && !pulling {
+	if start {
 		m.spawn(m.pullMarks)
 	}
 }
 
-// pullMarks asks peers that see the store until one gives the leaving marks.
+// pullMarks asks peers that see the store until one gives the leaving marks, and
+// again when a notice arrived meanwhile.
 func (m *Manager) pullMarks(ctx context.Context) {
 	for again := true; again && ctx.Err() == nil; {
-		m.pullMarksOnce(ctx)
 		m.mu.Lock()
-		again = m.pullAgain
-		m.pulling, m.pullAgain = again, false
+		m.marksNoticed = false
+		m.mu.Unlock()
+		found := m.pullMarksOnce(ctx)
+		m.mu.Lock()
+		again = m.marksNoticed && !m.hostsRead
+		m.pulling = again
+		// The next failed read of the host list tries again.
+		m.marksNoticed = m.marksNoticed || !found
 		m.mu.Unlock()
 	}
 }
 
-func (m *Manager) pullMarksOnce(ctx context.Context) {
+func (m *Manager) pullMarksOnce(ctx context.Context) bool {
 	for _, a := range m.peerAddresses() {
 		m.mu.Lock()
 		visible := m.peers[a] != nil && m.peers[a].visible
@@ -477,7 +484,8 @@
 			continue
 		}
 		if w, err := m.ask(ctx, a); err == nil && w.Leaving != nil {
-			return
+			return true
 		}
 	}
+	return false
 }
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -113,6 +113,7 @@
 	}
 	s, err := m.render(head, documents)
 	if err != nil {
+		m.unusable(head, err)
 		return err
 	}
 	if m.install(s) {
