Record the stop of an endpoint before and after its kill

A daemon sees the connections close before the test sees the end of the process, so work started in between looked like work above the limit.

--- a/internal/emulator/process/endpoint.go
+++ b/internal/emulator/process/endpoint.go
@@ -54,10 +54,14 @@
 	return args
 }
 
-// Kill ends the endpoint at once; its running work ends with it.
+// Kill ends the endpoint at once; its running work ends with it. The stop is
+// recorded before the kill, because a daemon sees the connections close before
+// this process sees the end, and again after it for requests that came in between.
 func (e *Endpoint) Kill() {
+	stopped := history.Event{Kind: history.KindStopped, Endpoint: e.ID}
+	before := history.Stamp(stopped)
 	e.Process.Kill()
-	e.stopped = append(e.stopped, history.Stamp(history.Event{Kind: history.KindStopped, Endpoint: e.ID}))
+	e.stopped = append(e.stopped, before, history.Stamp(stopped))
 }
 
 // Restart starts a killed endpoint again on the same address.
--- a/test/service_test.go
+++ b/test/service_test.go
@@ -67,6 +67,7 @@
 		o := standard()
 		o.PeerRelays, o.StoreRelays = true, true
 		c := start(o)
+		Expect(c.AwaitQuorums(10 * time.Second)).To(Succeed())
 		near, far := caller(c, "near", "large"), caller(c, "far", "tiny")
 		near.Targets = load.Even(c.Daemons[0].ServiceURL(), c.Daemons[1].ServiceURL())
 		far.Targets = load.Even(c.Daemons[2].ServiceURL())
