--- a/internal/peerapi/oas/oas_schemas_gen.go
+++ b/internal/peerapi/oas/oas_schemas_gen.go
@@ -892,6 +892,33 @@
 	return d
 }
 
+// Ref: #/components/schemas/PastView
+type PastView struct {
+	Seats []string `json:"seats"`
+	// Time since the view was replaced; 0 while it is in force.
+	AgeMs int64 `json:"age_ms"`
+}
+
+// GetSeats returns the value of Seats.
+func (s *PastView) GetSeats() []string {
+	return s.Seats
+}
+
+// GetAgeMs returns the value of AgeMs.
+func (s *PastView) GetAgeMs() int64 {
+	return s.AgeMs
+}
+
+// SetSeats sets the value of Seats.
+func (s *PastView) SetSeats(val []string) {
+	s.Seats = val
+}
+
+// SetAgeMs sets the value of AgeMs.
+func (s *PastView) SetAgeMs(val int64) {
+	s.AgeMs = val
+}
+
 // Ref: #/components/schemas/SeatState
 type SeatState struct {
 	Seat             string `json:"seat"`
@@ -1091,6 +1118,9 @@
 	Configuration []byte      `json:"configuration"`
 	Seats         []SeatState `json:"seats"`
 	Revoked       []string    `json:"revoked"`
+	// Sets of active seats under which idempotency keys may have been claimed; absent while the receiver
+	// does not know all of them.
+	Views []PastView `json:"views"`
 }
 
 // GetRevision returns the value of Revision.
@@ -1113,6 +1143,11 @@
 	return s.Revoked
 }
 
+// GetViews returns the value of Views.
+func (s *Snapshot) GetViews() []PastView {
+	return s.Views
+}
+
 // SetRevision sets the value of Revision.
 func (s *Snapshot) SetRevision(val int64) {
 	s.Revision = val
@@ -1133,6 +1168,11 @@
 	s.Revoked = val
 }
 
+// SetViews sets the value of Views.
+func (s *Snapshot) SetViews(val []PastView) {
+	s.Views = val
+}
+
 // Ref: #/components/schemas/TeamRow
 type TeamRow struct {
 	Team    string `json:"team"`
@@ -1185,6 +1225,10 @@
 type TeamUnits struct {
 	Team  string `json:"team"`
 	Units int    `json:"units"`
+	// Limit in the team's record as the sender knows it, with its revision and the sum of units.
+	Limit    OptInt   `json:"limit"`
+	Revision OptInt64 `json:"revision"`
+	Sum      OptInt   `json:"sum"`
 }
 
 // GetTeam returns the value of Team.
@@ -1197,6 +1241,21 @@
 	return s.Units
 }
 
+// GetLimit returns the value of Limit.
+func (s *TeamUnits) GetLimit() OptInt {
+	return s.Limit
+}
+
+// GetRevision returns the value of Revision.
+func (s *TeamUnits) GetRevision() OptInt64 {
+	return s.Revision
+}
+
+// GetSum returns the value of Sum.
+func (s *TeamUnits) GetSum() OptInt {
+	return s.Sum
+}
+
 // SetTeam sets the value of Team.
 func (s *TeamUnits) SetTeam(val string) {
 	s.Team = val
@@ -1207,6 +1266,21 @@
 	s.Units = val
 }
 
+// SetLimit sets the value of Limit.
+func (s *TeamUnits) SetLimit(val OptInt) {
+	s.Limit = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *TeamUnits) SetRevision(val OptInt64) {
+	s.Revision = val
+}
+
+// SetSum sets the value of Sum.
+func (s *TeamUnits) SetSum(val OptInt) {
+	s.Sum = val
+}
+
 // Ref: #/components/schemas/Vouch
 type Vouch struct {
 	Voter string `json:"voter"`
