--- a/internal/emulator/process/process_test.go
+++ b/internal/emulator/process/process_test.go
@@ -81,7 +81,7 @@
 			stops++
 		}
 	}
-	if err != nil || starts < 3 || stops != 1 {
+	if err != nil || starts < 3 || stops != 2 {
 		t.Errorf("%d starts and %d stops recorded, %v", starts, stops, err)
 	}
 	if err := (&Cell{}).AwaitConfiguration(time.Second); err == nil {
@@ -140,8 +140,8 @@
 		t.Fatal(err)
 	}
 	seen := make(chan string, 1)
-	r, err := c.relayTo(target.Address, func(a net.Addr) string {
-		name := c.sourceOf(a)
+	r, err := c.relayTo(target.Address, func(a, b net.Addr) string {
+		name := c.sourceOf(a, b)
 		seen <- name
 		return name
 	})
--- a/test/endpoints_test.go
+++ b/test/endpoints_test.go
@@ -29,7 +29,7 @@
 		k := caller(c, "k", "large")
 		k.Concurrency = 6
 		leaving := c.Endpoints[0]
-		r := run(6000, []load.Caller{k}, at(1000, func() error { return c.MarkLeaving(leaving) }))
+		r := run(7000, []load.Caller{k}, at(2000, func() error { return c.MarkLeaving(leaving) }))
 		events := check(c, r, limits(), history.NewLeaving(3*time.Second), history.NewWholeResponses(false))
 		Expect(starts(events)[leaving.ID]).To(BeNumerically(">", 5), "work before the mark")
 	})
@@ -103,8 +103,10 @@
 		k.Concurrency, k.NonIdempotent, k.BodyBytes = 6, true, 500
 		k.Balancer = load.NewBalancer(30*time.Millisecond, c.ServiceURLs()...)
 		defer k.Balancer.Close()
-		Expect(prepare(c)).To(Succeed())
-		r := run(14000, []load.Caller{k}, at(500, func() error { return c.ReplaceAll(k.Balancer) }))
+		Expect(c.AwaitQuorums(10 * time.Second)).To(Succeed())
+		r := run(14000, []load.Caller{k},
+			at(1500, func() error { return prepare(c) }),
+			at(2000, func() error { return c.ReplaceAll(k.Balancer) }))
 		check(c, r, limits(), history.NewWholeResponses(false))
 		t := r.Total()
 		Expect(t.Unknown+t.Broken+t.Failed+t.Refused).To(BeZero(), "%+v", t)
