--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -199,10 +199,7 @@
 func (a *Allotments) spend(n float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	a.tokens += float64(now.Sub(a.refilled)) / float64(a.cfg.WriteInterval)
-	a.tokens = min(a.tokens, float64(a.cfg.WriteBurst))
-	a.refilled = now
+	a.refill(time.Now())
 	if a.tokens < n {
 		return false
 	}
@@ -210,6 +207,20 @@
 	return true
 }
 
+// hasSpareBudget reports whether half of the burst of writes is left. Moves that
+// no request waits for must not delay those that some request waits for.
+func (a *Allotments) hasSpareBudget(now time.Time) bool {
+	a.refill(now)
+	return a.tokens >= float64(a.cfg.WriteBurst)/2
+}
+
+// refill adds what the budget of writes gained since the last call.
+func (a *Allotments) refill(now time.Time) {
+	a.tokens += float64(now.Sub(a.refilled)) / float64(a.cfg.WriteInterval)
+	a.tokens = min(a.tokens, float64(a.cfg.WriteBurst))
+	a.refilled = now
+}
+
 // peerRows sums the peers' rows of one team.
 func (a *Allotments) peerRows(id fleet.TeamID) peerDemand {
 	d := peerDemand{demand: map[string]int{}}
@@ -306,6 +317,9 @@
 	}
 	d := a.demand(t, held, now)
 	want := a.target(t, d, limit, peers)
+	if peers.starved == 0 && d.demand <= d.units && !a.hasSpareBudget(now) {
+		return nil, false
+	}
 	return a.prepareTarget(t, held, d, want, limit, peers, now)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -121,7 +121,7 @@
 	f.budget.request(c.Team)
 	var trace Trace
 	var avoid []fleet.EndpointID
-	var last *problem.Error
+	var last, unknown *problem.Error
 	excluded := make(map[string]bool)
 	skip := func(w *owner) bool {
 		return excluded[w.member.PeerAddress] ||
@@ -130,7 +130,7 @@
 	for {
 		w := f.owners.choose(c.Service.ID, c.Team, skip)
 		if w == nil {
-			return nil, trace, noOwner(last)
+			return nil, trace, truthful(noOwner(last), unknown)
 		}
 		trace.Owner = w.member.Daemon
 		resp, r := f.attempt(ctx, w, c, avoid)
@@ -140,9 +140,10 @@
 		}
 		if r.Outcome == problem.Unknown {
 			trace.Attempts++
+			unknown = r.Error
 		}
 		if ctx.Err() != nil || !f.again(c, r, &trace) {
-			return nil, trace, final(r.Error)
+			return nil, trace, truthful(final(r.Error), unknown)
 		}
 		last = r.Error
 		if r.endpoint != "" {
@@ -155,6 +156,18 @@
 	}
 }
 
+// truthful keeps a refusal of a later attempt from saying "not run" after an
+// earlier attempt had an unknown outcome.
+func truthful(p, unknown *problem.Error) *problem.Error {
+	if unknown == nil || p.Outcome == problem.Unknown {
+		return p
+	}
+	c := *unknown
+	c.RetryAfter = p.RetryAfter
+	c.Reroute = false
+	return &c
+}
+
 // again decides whether the call may be offered to an owner once more.
 func (f *Forwarder) again(c *Call, r *refusal, t *Trace) bool {
 	if !c.Body.reusable() {
