Ask peers at once when the store fails at start; compare unknown keys in equal time

Cause: a starting daemon waited 300 ms for the store also when the store had refused already. The comparison of an unknown key ID ended early, because the lengths differed. A view that names only this daemon hid the configured peers.

Ruled out: a cache of parsed documents.

--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -84,6 +84,21 @@
 	}
 }
 
+// Guards against a daemon that asks nobody because its view names only itself.
+func TestPeerAddresses(t *testing.T) {
+	view := []string{"self"}
+	m := New(Config{Revoked: noRevoked{}, Self: "self", Peers: []string{"b", "self"}, Members: func() []string { return view }})
+	if got := m.peerAddresses(); !reflect.DeepEqual(got, []string{"b"}) {
+		t.Errorf("alone: %v", got)
+	}
+	view = []string{"self", "c"}
+	m.Observe("d", 0, true, 0)
+	m.Observe("self", 0, true, 0)
+	if got := m.peerAddresses(); !reflect.DeepEqual(got, []string{"c", "d"}) {
+		t.Errorf("with a view: %v", got)
+	}
+}
+
 type noRevoked struct{}
 
 func (noRevoked) Add(...string) []string { return nil }
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -73,11 +73,11 @@
 }
 
 // peerAddresses returns all peers: those of the view, or the configured ones while
-// the view names none, and those that reported lately.
+// the view names no other daemon, and those that reported lately.
 func (m *Manager) peerAddresses() []string {
 	var addresses []string
 	if m.config.Members != nil {
-		addresses = m.config.Members()
+		addresses = slices.DeleteFunc(slices.Clone(m.config.Members()), func(a string) bool { return a == m.config.Self || a == "" })
 	}
 	if len(addresses) == 0 {
 		addresses = m.config.Peers
@@ -264,7 +264,11 @@
 // catchUpLoop gets wanted revisions, and the first configuration while the store
 // is down.
 func (m *Manager) catchUpLoop(ctx context.Context) {
-	if !sleep(ctx, startGrace) {
+	// A failure of the store ends the grace early.
+	select {
+	case <-m.catchUp:
+	case <-time.After(startGrace):
+	case <-ctx.Done():
 		return
 	}
 	retry, failures := retryFirst, 0
--- a/internal/config/revoke_test.go
+++ b/internal/config/revoke_test.go
@@ -77,6 +77,15 @@
 		Eventually(func() bool { return b.works(text) }, inForceBound).Should(BeFalse())
 	})
 
+	// Guards against a revocation that is lost because the daemon that took it never sees the store.
+	It("made on a daemon that cannot see the store is recorded by a peer", func() {
+		r, err := b.Revoke(ctx, id)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r).To(Equal(config.Revocation{Durable: false, Reached: 1, Peers: 1}))
+		Expect(a.works(text)).To(BeFalse())
+		Eventually(func() bool { return a.Durable(id) }, 3*time.Second).Should(BeTrue())
+	})
+
 	// Guards against a key that works again after every daemon that knew of its
 	// revocation was replaced during a store outage.
 	It("survives the replacement of all daemons while the store is down", func() {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -47,6 +47,9 @@
 	return prefix + id + "_" + secret, fleet.Key{ID: id, Team: team, Hash: hash(secret)}
 }
 
+// noHash has the length of a hash and is the hash of no secret: it is not hexadecimal.
+var noHash = strings.Repeat("-", 2*sha256.Size)
+
 // hash returns the hex SHA-256 of the secret part.
 func hash(secret string) string {
 	sum := sha256.Sum256([]byte(secret))
@@ -109,7 +112,11 @@
 		return "", rejected()
 	}
 	k, known := snapshot.Keys[id]
-	// The comparison runs for unknown IDs too, so that its time tells nothing.
+	if !known {
+		// An unknown ID is compared as long as a known one, so that the time does not
+		// tell which IDs exist.
+		k.Hash = noHash
+	}
 	same := subtle.ConstantTimeCompare([]byte(hash(secret)), []byte(k.Hash)) == 1
 	if !known || !same || k.Revoked || v.revoked.Has(id) {
 		return "", rejected()
