--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -288,6 +288,9 @@
 		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
 	}
 	limit, _ := a.effectiveLimit(t)
+	if !a.withinLimit(t) && t.stale {
+		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
+	}
 	if !a.withinLimit(t) && (t.record.Limit > limit || t.record.sum() > limit) {
 		return a.prepareOver(t, held, limit, now)
 	}
@@ -520,7 +523,7 @@
 		})
 		a.mu.Lock()
 		t := a.team(id)
-		t.record, t.readAt = p.next, time.Now()
+		t.record, t.readAt, t.stale = p.next, time.Now(), false
 		a.mu.Unlock()
 		return true
 	case errors.As(err, &unavailable):
--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -63,7 +63,11 @@
 	record *record
 	// readAt is when the record was last read or written.
 	readAt time.Time
-	queued int
+	// revision is the newest configuration seen; stale is set when one in between was
+	// skipped, which may have raised the limit and the entries of others.
+	revision uint64
+	stale    bool
+	queued   int
 	// missed is set when a request found no unit since the last adjustment.
 	missed bool
 	// peak is the largest demand since peakSince, lastPeak that of the idle time before.
@@ -333,6 +337,13 @@
 // bounds every raise, so after a lowered limit nothing starts before the record
 // carries the lower one: a daemon that has not yet learned of it could still raise.
 func (a *Allotments) withinLimit(t *team) bool {
+	if rev := a.revision(); rev != t.revision {
+		t.stale = t.stale || (t.revision != 0 && rev > t.revision+1)
+		t.revision = rev
+	}
+	if t.stale && a.cfg.Seats.StoreVisible() {
+		return false
+	}
 	limit, ok := a.effectiveLimit(t)
 	return ok && t.record != nil && t.record.Limit <= limit && t.record.sum() <= limit
 }
--- a/internal/allotment/record.go
+++ b/internal/allotment/record.go
@@ -101,7 +101,7 @@
 	if t.record != nil && r.version < t.record.version {
 		return
 	}
-	t.record, t.readAt = r, now
+	t.record, t.readAt, t.stale = r, now, false
 	for s, u := range t.seats {
 		if u.exported {
 			continue
--- a/internal/membership/seat.go
+++ b/internal/membership/seat.go
@@ -259,7 +259,7 @@
 		m.loseSeat(s, "marked for reclaim")
 		return nil
 	}
-	if rec.Incarnation != m.cfg.Incarnation && rec.Moves >= s.moves {
+	if rec.Moves > s.moves || (rec.Incarnation != m.cfg.Incarnation && rec.Moves == s.moves) {
 		m.loseSeat(s, "occupied by another daemon")
 		return nil
 	}
@@ -268,7 +268,8 @@
 		m.mu.Unlock()
 		return nil
 	}
-	if s.pending != nil && rec.Incarnation == m.cfg.Incarnation && rec.Renewal == s.pending.Renewal {
+	if s.pending != nil && rec.Incarnation == m.cfg.Incarnation && rec.Moves == s.moves &&
+		rec.Renewal == s.pending.Renewal {
 		sent := s.pendingAt
 		m.mu.Unlock()
 		m.confirm(s, rec, entry.Version, sent)
