Bound the control traffic of suspicions and of queued teams

Cause: a heartbeat named every peer that was being probed, also on hearsay, so that daemons kept each other probing; each queued team asked peers for units without a bound.

--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -31,6 +31,7 @@
 	// demand counts running and queued requests of each peer, starved those without a unit.
 	demand  map[string]int
 	starved int
+	units   int
 	// spare lists peers with unused units.
 	spare []string
 }
@@ -224,6 +225,7 @@
 				continue
 			}
 			d.demand[p.Incarnation] = r.Running + r.Queued
+			d.units += r.Units
 			d.starved += max(0, r.Running+r.Queued-r.Units)
 			if r.Units > r.Running+r.Queued {
 				d.spare = append(d.spare, p.Incarnation)
@@ -301,8 +303,11 @@
 
 // delay moves the team's next vain attempt back; it always returns true.
 func (a *Allotments) delay(t *team, now time.Time, bound time.Duration) bool {
+	if now.Sub(t.tryAfter) > maxBackoff*a.cfg.RetryInterval {
+		t.backoff = 0
+	}
 	t.backoff = min(max(t.backoff*2, a.cfg.RetryInterval), bound*a.cfg.RetryInterval)
-	t.tryAfter = now.Add(t.backoff)
+	t.tryAfter, t.triedAt = now.Add(t.backoff), now
 	return true
 }
 
@@ -440,8 +445,10 @@
 	if want > d.units {
 		free := limit - next.sum()
 		if free <= 0 && d.demand > d.units {
-			if now.After(t.tryAfter) {
-				a.cfg.askSpare(peers.spare)
+			// The peers' rows may show free or unused units before the next attempt is due.
+			hopeful := len(peers.spare) > 0 || peers.units+d.units < limit
+			if now.After(t.tryAfter) || (hopeful && now.Sub(t.triedAt) > a.cfg.WriteInterval) {
+				a.askSpare(peers.spare, now)
 				return nil, a.delay(t, now, maxBackoff)
 			}
 			return a.checkPlan(t, p), false
@@ -457,16 +464,21 @@
 			}
 		}
 	}
-	if raised || d.demand <= d.units {
-		t.backoff, t.tryAfter = 0, time.Time{}
+	if raised {
+		t.backoff, t.tryAfter = 0, now
 	}
 	return a.checkPlan(t, p), false
 }
 
-// askSpare lets peers with unused units learn of the queued requests at once.
-func (c *Config) askSpare(peers []string) {
-	const most = 2
-	c.Seats.HeartbeatNow(peers[:min(len(peers), most)]...)
+// askSpare lets a peer with unused units learn of the queued requests at once. One
+// extra heartbeat in each write interval, for all teams, bounds its cost.
+func (a *Allotments) askSpare(peers []string, now time.Time) {
+	if len(peers) == 0 || now.Sub(a.askedAt) < a.cfg.WriteInterval {
+		return
+	}
+	a.askedAt = now
+	a.cfg.Seats.HeartbeatNow(peers[a.asked%len(peers)])
+	a.asked++
 }
 
 func (a *Allotments) newPlan(t *team, next *record, limit int) *plan {
--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -73,8 +73,9 @@
 	// peak is the largest demand since peakSince, lastPeak that of the idle time before.
 	peak, lastPeak int
 	peakSince      time.Time
-	// tryAfter and backoff space the attempts that gain nothing.
+	// tryAfter and backoff space the attempts that gain nothing; triedAt is the last one.
 	tryAfter time.Time
+	triedAt  time.Time
 	backoff  time.Duration
 }
 
@@ -90,6 +91,9 @@
 	tokens   float64
 	refilled time.Time
 	wake     chan struct{}
+	// askedAt and asked are the time and number of the heartbeats sent to get spare units.
+	askedAt time.Time
+	asked   int
 }
 
 var _ Limiter = (*Allotments)(nil)
--- a/internal/membership/cell_test.go
+++ b/internal/membership/cell_test.go
@@ -323,19 +323,7 @@
 	c.nodes[n.name] = n
 	c.mu.Unlock()
 	n.client = &storeClient{memoryStore: c.store, node: n, rng: rand.New(rand.NewPCG(c.seed, uint64(c.next)))}
-	quiet := logrus.New()
-	quiet.SetOutput(io.Discard)
-	n.Membership = membership.New(membership.Config{
-		Daemon: n.name, Incarnation: "i-" + n.name, PeerAddress: n.name, Store: n.client, Config: c.settings,
-		Dial:   func(address string) (membership.Peer, error) { return &link{from: n, to: address}, nil },
-		Logger: quiet, Lease: lease, VouchLifetime: lease, Margin: margin, HeartbeatInterval: interval,
-		FailureTime: failure, RenewalInterval: renewal, ListInterval: lease,
-	})
-	n.units = allotment.New(allotment.Config{
-		Seats: n.Membership, Store: n.client, Config: c.settings, Logger: quiet, WriteInterval: interval,
-		IdleTime: 5 * interval, RetryInterval: interval / 4, CallTimeout: interval,
-	})
-	n.Attach(n.units, nil)
+	n.assemble(n.client, n.name, func(address string) (membership.Peer, error) { return &link{from: n, to: address}, nil })
 	for _, f := range setup {
 		f(n)
 	}
@@ -351,6 +339,23 @@
 	return n
 }
 
+// assemble builds the daemon over a store and a transport.
+func (n *node) assemble(store platform.Store, address string, dial func(string) (membership.Peer, error)) {
+	c := n.cell
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n.Membership = membership.New(membership.Config{
+		Daemon: n.name, Incarnation: "i-" + n.name, PeerAddress: address, Store: store, Config: c.settings,
+		Dial: dial, Logger: quiet, Lease: lease, VouchLifetime: lease, Margin: margin, HeartbeatInterval: interval,
+		FailureTime: failure, RenewalInterval: renewal, ListInterval: lease,
+	})
+	n.units = allotment.New(allotment.Config{
+		Seats: n.Membership, Store: store, Config: c.settings, Logger: quiet, WriteInterval: interval,
+		IdleTime: 5 * interval, RetryInterval: interval / 4, CallTimeout: interval,
+	})
+	n.Attach(n.units, nil)
+}
+
 func (c *cell) startAll(count int, setup ...func(*node)) []*node {
 	var out []*node
 	for range count {
--- a/internal/membership/handover.go
+++ b/internal/membership/handover.go
@@ -17,7 +17,7 @@
 // report tells the successor of an exported seat which units are still in use here.
 type report struct {
 	msg       *oas.Handover
-	successor *peer
+	successor successorID
 	confirmed bool
 	// abandoned is set when nothing more can be done for the seat here.
 	abandoned bool
@@ -25,6 +25,11 @@
 	release bool
 }
 
+// successorID names the process that takes a seat.
+type successorID struct {
+	daemon, incarnation, address string
+}
+
 // Leave hands over all seats of this daemon. New work must no longer be sent to
 // it: its seats start nothing from the call on. It returns when each successor
 // has confirmed or ctx ends. Work that still runs is reported until Drained returns.
@@ -105,20 +110,22 @@
 	defer m.goRun(func(ctx context.Context) { m.reportLoop(ctx, seat, r) })
 	tried := map[string]bool{}
 	for successor != nil {
-		r.successor = successor
-		r.msg.ID, r.msg.Successor = newID(), oas.NewOptString(successor.incarnation)
+		m.mu.Lock()
+		r.successor = successorID{successor.daemon, successor.incarnation, successor.address}
+		m.mu.Unlock()
+		r.msg.ID, r.msg.Successor = newID(), oas.NewOptString(r.successor.incarnation)
 		taken, again, err := m.deliver(ctx, r)
 		if taken {
 			m.mu.Lock()
 			r.confirmed = true
 			m.mu.Unlock()
-			m.log.WithFields(map[string]any{"seat": seat, "successor": successor.daemon}).Info("seat handed over")
+			m.log.WithFields(map[string]any{"seat": seat, "successor": r.successor.daemon}).Info("seat handed over")
 			return nil
 		}
 		if !again {
 			return err
 		}
-		tried[successor.incarnation] = true
+		tried[r.successor.incarnation] = true
 		successor = m.successor(ctx, tried)
 	}
 	m.mu.Lock()
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -32,10 +32,13 @@
 	leaving     bool
 	active      bool
 	probing     bool
-	lastSeen    time.Time
-	lastBeat    time.Time
-	rows        map[string]oas.TeamRow
-	sent        map[string]sentRow
+	// suspect is set while this daemon's own last exchange with the peer failed. Only such
+	// peers are named to others: hearsay would keep all daemons probing each other.
+	suspect  bool
+	lastSeen time.Time
+	lastBeat time.Time
+	rows     map[string]oas.TeamRow
+	sent     map[string]sentRow
 }
 
 type sentRow struct {
@@ -231,6 +234,7 @@
 		for _, r := range msg.Teams {
 			delete(p.sent, r.Team)
 		}
+		p.suspect = true
 		m.mu.Unlock()
 		return err
 	}
@@ -295,7 +299,7 @@
 		}
 	}
 	for _, q := range m.peers {
-		if (q.probing || !q.active) && q != p && m.occupies(q.incarnation) {
+		if (q.suspect || !q.active) && q != p && m.occupies(q.incarnation) {
 			h.Inactive = append(h.Inactive, q.incarnation)
 		}
 	}
@@ -393,7 +397,7 @@
 		m.peers[h.Incarnation] = p
 	}
 	p.daemon, p.address, p.zone = h.Daemon, h.PeerAddress, fleet.AvailabilityZone(h.AvailabilityZone)
-	p.active, p.lastSeen, p.leaving = true, now, h.Leaving.Or(false)
+	p.active, p.suspect, p.lastSeen, p.leaving = true, false, now, h.Leaving.Or(false)
 	for _, q := range m.peers {
 		// One address serves one process: an earlier incarnation there has ended.
 		if q != p && q.address == p.address {
@@ -413,7 +417,7 @@
 		}
 	}
 	for _, i := range h.Inactive {
-		if q := m.peers[i]; q != nil && q.active && !q.probing {
+		if q := m.peers[i]; q != nil && q.active && !q.probing && now.Sub(q.lastBeat) >= m.cfg.HeartbeatInterval {
 			m.goProbe(q)
 		}
 	}
--- /dev/null
+++ b/internal/membership/traffic_test.go
@@ -0,0 +1,178 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/peerapi"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+// peerHandler serves the messages of one daemon over HTTP.
+type peerHandler struct {
+	oas.UnimplementedHandler
+	n *node
+}
+
+func (h peerHandler) Heartbeat(ctx context.Context, q *oas.Heartbeat) (*oas.HeartbeatReply, error) {
+	return h.n.Heartbeat(ctx, q)
+}
+
+func (h peerHandler) Consent(ctx context.Context, q *oas.ConsentRequest) (*oas.ConsentReply, error) {
+	return h.n.Consent(ctx, q)
+}
+
+func (h peerHandler) Handover(ctx context.Context, q *oas.Handover) (*oas.HandoverReply, error) {
+	return h.n.Handover(ctx, q)
+}
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.n}, nil
+}
+
+// storeOverhead is the size of request line and headers of a store call and of
+// its reply, as net/http writes them for a JSON body with a bearer token.
+const storeOverhead = 400
+
+// countedStore adds the size of each call to the daemon's bytes.
+type countedStore struct {
+	platform.Store
+	n     *atomic.Int64
+	calls *atomic.Int64
+}
+
+func (s countedStore) add(n int) {
+	s.n.Add(int64(n) + storeOverhead)
+	s.calls.Add(1)
+}
+
+func (s countedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	e, err := s.Store.Get(ctx, key)
+	s.add(len(e.Key) + len(e.Value)*4/3)
+	return e, err
+}
+
+func (s countedStore) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
+	es, rev, err := s.Store.List(ctx, prefix)
+	size := 0
+	for _, e := range es {
+		size += len(e.Key) + len(e.Value)*4/3 + 40
+	}
+	s.add(size)
+	return es, rev, err
+}
+
+func (s countedStore) Put(
+	ctx context.Context, key string, value []byte, expect uint64, lease platform.LeaseID,
+) (uint64, error) {
+	v, err := s.Store.Put(ctx, key, value, expect, lease)
+	s.add(len(key) + len(value)*4/3)
+	return v, err
+}
+
+// traffic starts 8 daemons that talk over HTTP and returns the mean bytes in and out of a
+// daemon in one heartbeat interval, which stands for one second of the design.
+func traffic(s *scenario, seed uint64, load func(c *cell, nodes []*node)) float64 {
+	c := s.cell(seed, map[fleet.TeamID]int{"a": 20, "b": 12, "c": 40, "d": 30, "e": 8, "f": 3})
+	secret := peerapi.Secret("0123456789abcdef0123456789abcdef")
+	var total, calls atomic.Int64
+	nodes := c.startAll(8, func(n *node) {
+		transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{conn, &total}, nil
+		}}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		s.Expect(err).NotTo(HaveOccurred())
+		server, err := oas.NewServer(peerHandler{n: n}, secret)
+		s.Expect(err).NotTo(HaveOccurred())
+		serving := &http.Server{Handler: server, ReadHeaderTimeout: time.Second}
+		go func() { _ = serving.Serve(countedListener{listener, &total}) }()
+		s.cleanups = append(s.cleanups, func() { _ = serving.Close(); transport.CloseIdleConnections() })
+		n.assemble(countedStore{n.client, &total, &calls}, listener.Addr().String(),
+			func(address string) (membership.Peer, error) {
+				return peerapi.NewClient(address, secret, &http.Client{Transport: transport})
+			})
+	})
+	load(c, nodes)
+	// Eight intervals pass before the first bursts of writes have ended.
+	time.Sleep(8 * interval)
+	before, callsBefore, began := total.Load(), calls.Load(), time.Now()
+	time.Sleep(40 * interval)
+	intervals := float64(time.Since(began)) / float64(interval)
+	perDaemon := float64(total.Load()-before) / intervals / 8
+	// An HTTP connection between two daemons is counted at both ends, as each daemon's own.
+	fmt.Fprintf(GinkgoWriter, "control traffic: %.0f bytes and %.2f store calls per daemon and interval\n",
+		perDaemon, float64(calls.Load()-callsBefore)/intervals/8)
+	s.Expect(c.worst()).To(BeNumerically("<=", 0))
+	return perDaemon
+}
+
+// controlBudget is the design's bound of control traffic in bytes per second, in and out together.
+const controlBudget = 4096
+
+var _ = Describe("control traffic of 8 daemons", func() {
+	scenarioIt("guards against a steady load that exceeds the budget", func(s *scenario) {
+		s.Expect(traffic(s, 31, func(_ *cell, nodes []*node) {
+			for _, n := range nodes {
+				n.workers.Go(func() {
+					for s.ctx.Err() == nil {
+						for _, t := range []fleet.TeamID{"a", "c", "d"} {
+							n.begin(t, maxRun/2)
+						}
+						time.Sleep(2 * interval)
+					}
+				})
+			}
+		})).To(BeNumerically("<=", controlBudget))
+	})
+
+	scenarioIt("guards against an overload of all teams that exceeds the budget", func(s *scenario) {
+		s.Expect(traffic(s, 32, func(_ *cell, nodes []*node) {
+			for i, n := range nodes {
+				for j, t := range []fleet.TeamID{"a", "b", "c", "d", "e", "f"} {
+					n.load(s.ctx, t, (i+j)%5, maxRun)
+				}
+			}
+		})).To(BeNumerically("<=", controlBudget))
+	})
+})
