--- /dev/null
+++ b/internal/allotment/allotment_test.go
@@ -0,0 +1,437 @@
+package allotment_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/allotment"
+	"samphirestile.example/samphirestile/internal/config"
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/platform"
+)
+
+func TestAllotment(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "allotment")
+}
+
+const (
+	team = fleet.TeamID("quotes")
+	tick = 10 * time.Millisecond
+	self = fleet.SeatID("s1")
+)
+
+// fakeStore holds records; hook sees each write and may apply it, drop it or fail it.
+type fakeStore struct {
+	platform.Store
+	mu       sync.Mutex
+	records  map[string]platform.Entry
+	revision uint64
+	down     bool
+	hook     func(apply func() (uint64, error)) (uint64, error)
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Entry{}, &platform.UnavailableError{}
+	}
+	e, ok := s.records[key]
+	if !ok {
+		return e, &platform.NotFoundError{Key: key}
+	}
+	return e, nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) (out []platform.Entry, _ uint64, _ error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, e := range s.records {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, s.revision, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, expect uint64, _ platform.LeaseID) (uint64, error) {
+	s.mu.Lock()
+	hook, down := s.hook, s.down
+	s.mu.Unlock()
+	if down {
+		return 0, &platform.UnavailableError{}
+	}
+	apply := func() (uint64, error) { return s.apply(key, value, expect) }
+	if hook != nil {
+		return hook(apply)
+	}
+	return apply()
+}
+
+func (s *fakeStore) apply(key string, value []byte, expect uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v := s.records[key].Version; v != expect {
+		return 0, &platform.ConflictError{Key: key, Expect: expect, Current: v}
+	}
+	s.revision++
+	s.records[key] = platform.Entry{Key: key, Value: value, Version: s.revision}
+	return s.revision, nil
+}
+
+// record is the stored form of the team's allotments.
+type record struct {
+	Limit    int            `json:"limit"`
+	Revision uint64         `json:"revision"`
+	Holders  map[string]int `json:"holders"`
+}
+
+func (s *fakeStore) record() (r record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.Unmarshal(s.records["allotments/quotes"].Value, &r)
+	return r
+}
+
+// write stores a record as another daemon does.
+func (s *fakeStore) write(r record) {
+	value, _ := json.Marshal(r)
+	s.mu.Lock()
+	v := s.records["allotments/quotes"].Version
+	s.mu.Unlock()
+	_, err := s.apply("allotments/quotes", value, v)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// fakeSeats is the membership of a daemon with settable seats, rights and peers.
+type fakeSeats struct {
+	mu      sync.Mutex
+	held    []fleet.SeatID
+	noRight map[fleet.SeatID]bool
+	members int
+	peers   []membership.PeerRows
+	store   *fakeStore
+}
+
+func (f *fakeSeats) HeldSeats() []fleet.SeatID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held
+}
+
+func (f *fakeSeats) SeatMayStart(s fleet.SeatID) bool { return f.SeatRight(s) }
+
+func (f *fakeSeats) SeatRight(s fleet.SeatID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.noRight[s]
+}
+
+func (f *fakeSeats) SeatDeleted(_ context.Context, s fleet.SeatID) (bool, error) {
+	return s == "deleted", nil
+}
+
+func (f *fakeSeats) StoreVisible() bool {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return !f.store.down
+}
+
+func (f *fakeSeats) View() membership.View {
+	v := membership.View{Members: []membership.Member{{Seat: self, Incarnation: "i1", Active: true, Self: true}}}
+	for i := 1; i < f.members; i++ {
+		id := string(rune('1' + i))
+		v.Members = append(v.Members, membership.Member{Seat: fleet.SeatID("s" + id), Incarnation: "i" + id, Active: true})
+	}
+	return v
+}
+
+func (f *fakeSeats) PeerTeamRows() []membership.PeerRows {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peers
+}
+
+func (f *fakeSeats) SubscribeRows() (<-chan struct{}, func()) { return make(chan struct{}), func() {} }
+func (f *fakeSeats) HeartbeatNow(...string)                   {}
+
+func (f *fakeSeats) peer(units, running, queued int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers = []membership.PeerRows{{Incarnation: "i2", Active: true, Rows: []oas.TeamRow{
+		{Team: string(team), Units: units, Running: running, Queued: queued},
+	}}}
+}
+
+type fakeConfig struct {
+	mu       sync.Mutex
+	snapshot *config.Snapshot
+}
+
+func (c *fakeConfig) Current() *config.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.snapshot
+}
+
+func (c *fakeConfig) Subscribe() (<-chan struct{}, func()) { return make(chan struct{}), func() {} }
+
+func (c *fakeConfig) set(revision uint64, limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.snapshot = &config.Snapshot{Revision: revision, Teams: map[fleet.TeamID]fleet.Team{team: {ID: team, Limit: limit}}}
+}
+
+var _ = Describe("allotments of one daemon", func() {
+	var (
+		store *fakeStore
+		seats *fakeSeats
+		conf  *fakeConfig
+		a     *allotment.Allotments
+	)
+	BeforeEach(func() {
+		store = &fakeStore{records: map[string]platform.Entry{}}
+		seats = &fakeSeats{held: []fleet.SeatID{self}, noRight: map[fleet.SeatID]bool{}, members: 4, store: store}
+		conf = &fakeConfig{}
+		conf.set(1, 8)
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		a = allotment.New(allotment.Config{
+			Seats: seats, Store: store, Config: conf, Logger: quiet,
+			WriteInterval: tick, IdleTime: 8 * tick, RetryInterval: tick, CallTimeout: 5 * tick,
+		})
+	})
+	run := func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = a.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done })
+	}
+	units := func() int { _, n := a.Usage(team); return n }
+	entry := func() int { return store.record().Holders[string(self)] }
+	acquireAll := func() (releases []func()) {
+		for {
+			release, ok := a.TryAcquire(team)
+			if !ok {
+				return releases
+			}
+			releases = append(releases, release)
+		}
+	}
+
+	It("guards against a first request that waits for a write", func() {
+		run()
+		Eventually(units).Should(BeNumerically(">=", 1))
+		store.setDown(true)
+		_, ok := a.TryAcquire(team)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("guards against units beyond the limit when others hold the rest", func() {
+		store.write(record{Limit: 8, Revision: 1, Holders: map[string]int{"s2": 5}})
+		a.SetDemand(team, 20)
+		run()
+		Eventually(units).Should(Equal(3))
+		Consistently(func() int { return len(acquireAll()) + units() }, 10*tick).Should(BeNumerically("<=", 6))
+		Expect(entry()).To(Equal(3))
+	})
+
+	It("guards against the use of a raise whose answer was lost before it is read back", func() {
+		blocked := make(chan struct{})
+		var once sync.Once
+		store.hook = func(apply func() (uint64, error)) (uint64, error) {
+			_, _ = apply()
+			once.Do(func() { close(blocked) })
+			store.setDown(true)
+			return 0, &platform.UnknownOutcomeError{}
+		}
+		a.SetDemand(team, 4)
+		run()
+		<-blocked
+		Consistently(units, 5*tick).Should(Equal(0))
+		store.mu.Lock()
+		store.hook = nil
+		store.mu.Unlock()
+		store.setDown(false)
+		Eventually(units).Should(BeNumerically(">=", 4))
+		Expect(units()).To(Equal(entry()))
+	})
+
+	It("guards against the use of units whose lowering may still apply later", func() {
+		a.SetDemand(team, 8)
+		run()
+		Eventually(units).Should(Equal(8))
+		late := make(chan func() (uint64, error), 1)
+		store.mu.Lock()
+		store.hook = func(apply func() (uint64, error)) (uint64, error) {
+			select {
+			case late <- apply:
+			default:
+			}
+			return 0, &platform.UnknownOutcomeError{}
+		}
+		store.mu.Unlock()
+		seats.peer(0, 0, 8)
+		a.SetDemand(team, 0)
+		var apply func() (uint64, error)
+		Eventually(late).Should(Receive(&apply))
+		// The record still says 8 and the peer no longer asks; the write is under way.
+		seats.peer(0, 0, 0)
+		a.SetDemand(team, 8)
+		Consistently(func() int { return len(acquireAll()) }, 5*tick).Should(BeNumerically("<", 8))
+		_, _ = apply()
+		Expect(units()).To(BeNumerically("<=", entry()))
+	})
+
+	It("guards against starts after a lowered limit before the sum fits", func() {
+		store.write(record{Limit: 8, Revision: 1, Holders: map[string]int{"s2": 3}})
+		a.SetDemand(team, 8)
+		run()
+		Eventually(units).Should(Equal(5))
+		releases := acquireAll()
+		Expect(releases).To(HaveLen(5))
+		conf.set(2, 4)
+		releases[0]()
+		releases[1]()
+		// Three run here and the other daemon holds three: nobody starts.
+		Consistently(acquireAll, 5*tick).Should(BeEmpty())
+		Eventually(entry).Should(Equal(3))
+		Expect(store.record().Limit).To(Equal(4))
+		store.write(record{Limit: 4, Revision: 2, Holders: map[string]int{string(self): 3}})
+		Eventually(func() int { return len(acquireAll()) }).Should(Equal(1))
+	})
+
+	It("guards against starts by a daemon that skipped the revision in which others raised", func() {
+		run()
+		Eventually(units).Should(BeNumerically(">=", 1))
+		store.write(record{Limit: 20, Revision: 2, Holders: map[string]int{string(self): entry(), "s2": 15}})
+		conf.set(3, 8)
+		Consistently(acquireAll, 5*tick).Should(BeEmpty())
+	})
+
+	It("guards against a raise with an older configuration above a newer limit", func() {
+		store.write(record{Limit: 2, Revision: 9, Holders: map[string]int{}})
+		a.SetDemand(team, 8)
+		run()
+		Eventually(units).Should(Equal(2))
+		Consistently(entry, 10*tick).Should(Equal(2))
+	})
+
+	It("guards against idle units that are kept from daemons with queued requests", func() {
+		a.SetDemand(team, 8)
+		run()
+		Eventually(entry).Should(Equal(8))
+		a.SetDemand(team, 0)
+		seats.peer(0, 0, 6)
+		Eventually(entry, 20*tick).Should(BeNumerically("<=", 2))
+	})
+
+	It("guards against lowering below running work", func() {
+		a.SetDemand(team, 8)
+		run()
+		Eventually(units).Should(Equal(8))
+		releases := acquireAll()
+		a.SetDemand(team, 0)
+		seats.peer(0, 0, 30)
+		Consistently(entry, 10*tick).Should(Equal(8))
+		for _, r := range releases[:5] {
+			r()
+		}
+		Consistently(entry, 10*tick).Should(BeNumerically(">=", 3))
+		Eventually(entry).Should(Equal(3))
+	})
+
+	It("guards against caps that stay when the store fails while units are being moved", func() {
+		a.SetDemand(team, 8)
+		run()
+		Eventually(units).Should(Equal(8))
+		releases := acquireAll()
+		seats.peer(0, 0, 30)
+		time.Sleep(5 * tick)
+		store.setDown(true)
+		time.Sleep(5 * tick)
+		for _, r := range releases {
+			r()
+		}
+		Eventually(func() int { return len(acquireAll()) + entry() - units() }).Should(BeNumerically(">=", 1))
+	})
+
+	It("guards against the use of imported units that the leaver still needs", func() {
+		store.write(record{Limit: 8, Revision: 1, Holders: map[string]int{"s9": 4, "s2": 4}})
+		seats.mu.Lock()
+		seats.held = []fleet.SeatID{"s9"}
+		seats.mu.Unlock()
+		a.ImportSeat("s9", []oas.TeamUnits{{Team: string(team), Units: 4}},
+			[]oas.TeamUnits{{Team: string(team), Units: 3}}, 12*tick)
+		run()
+		a.SetDemand(team, 8)
+		var got []func()
+		Eventually(func() int { got = append(got, acquireAll()...); return len(got) }).Should(Equal(1))
+		Consistently(acquireAll, 4*tick).Should(BeEmpty())
+		a.UpdateRunning("s9", []oas.TeamUnits{{Team: string(team), Units: 2}})
+		Eventually(acquireAll, 4*tick).Should(HaveLen(1))
+		a.UpdateRunning("s9", []oas.TeamUnits{{Team: string(team), Units: 3}})
+		// The leaver died: its work ends within the hold time.
+		Eventually(func() int { got = append(got, acquireAll()...); return len(got) }, 30*tick).Should(Equal(3))
+	})
+
+	It("guards against starts under an exported seat and lost reports of its work", func() {
+		a.SetDemand(team, 4)
+		run()
+		Eventually(units).Should(BeNumerically(">=", 4))
+		release, ok := a.TryAcquire(team)
+		Expect(ok).To(BeTrue())
+		exported, running := a.ExportSeat(self)
+		Expect(exported).To(HaveLen(1))
+		Expect(running).To(Equal([]oas.TeamUnits{{Team: string(team), Units: 1}}))
+		Expect(acquireAll()).To(BeEmpty())
+		release()
+		release()
+		Expect(a.SeatRunning(self)).To(BeEmpty())
+	})
+
+	It("guards against work that goes on after the right to its seat ended", func() {
+		run()
+		Eventually(units).Should(BeNumerically(">=", 1))
+		unit, ok := a.TryAcquireUnit(team)
+		Expect(ok).To(BeTrue())
+		Expect(unit.StillValid()).To(BeTrue())
+		seats.mu.Lock()
+		seats.noRight[self] = true
+		seats.mu.Unlock()
+		Expect(unit.StillValid()).To(BeFalse())
+		Expect(a.StillValid(team)).To(BeFalse())
+		Expect(acquireAll()).To(BeEmpty())
+	})
+
+	It("guards against units lost to an entry of a deleted seat", func() {
+		store.write(record{Limit: 8, Revision: 1, Holders: map[string]int{"deleted": 8}})
+		a.SetDemand(team, 3)
+		run()
+		Eventually(units, "2s").Should(BeNumerically(">=", 3))
+	})
+
+	It("guards against entries that stay after a reclaim", func() {
+		store.write(record{Limit: 8, Revision: 1, Holders: map[string]int{"s2": 3, "s3": 2}})
+		Expect(a.ReclaimSeat(context.Background(), "s2")).To(Succeed())
+		Expect(store.record().Holders).To(Equal(map[string]int{"s3": 2}))
+	})
+})
