--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -55,6 +55,10 @@
 }
 
 func (d *Daemon) start(ctx context.Context) {
+	if d.isFirstOfCell(ctx) {
+		// There are no earlier views under which a key could have been claimed.
+		d.claimer.LoadHistory(nil)
+	}
 	d.goRun(ctx, d.config.Run)
 	d.goRun(ctx, func(ctx context.Context) { _ = d.membership.Run(ctx) })
 	d.goRun(ctx, func(ctx context.Context) { _ = d.allotments.Run(ctx) })
