--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -11,7 +11,7 @@
 const (
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 60 * time.Second
-	// waitMargin multiplies the expected wait at admission. Without it the queue
+	// waitMargin is the smallest ratio of the deadline to the expected wait at admission. Without it the queue
 	// settles at the deadline and every second fluctuation of the service time
 	// lets accepted requests expire.
 	waitMargin = 1.3
@@ -21,12 +21,11 @@
 // started before its deadline, or nil.
 func (s *serviceQueue) admit(w *waiter, now time.Time) *problem.Error {
 	wait, limited := s.expectedWait(w, now)
-	wait = time.Duration(waitMargin * float64(wait))
-	remaining := w.deadline.Sub(now)
-	if wait <= remaining {
+	longest := time.Duration(float64(w.deadline.Sub(now)) / waitMargin)
+	if wait <= longest {
 		return nil
 	}
-	return s.refusal(w, limited).After(retryAfter(wait - remaining))
+	return s.refusal(w, limited).After(retryAfter(wait - longest))
 }
 
 func retryAfter(d time.Duration) time.Duration {
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -28,8 +28,8 @@
 	// MaxQueued bounds the queued requests of a service; 0 means 20,000.
 	MaxQueued int
 	// FreeElsewhere returns how many requests of the team other owners of the
-	// service could start now. At most that many queued requests are refused with
-	// Reroute set, twenty times a second. nil disables rerouting.
+	// service could start now. At most that many queued requests of the service are
+	// refused with Reroute set, twenty times a second. nil disables rerouting.
 	FreeElsewhere func(service fleet.ServiceID, team fleet.TeamID) int
 }
 
--- a/internal/dispatch/housekeeping.go
+++ b/internal/dispatch/housekeeping.go
@@ -47,28 +47,39 @@
 // keepHouse performs the periodic tasks of the service.
 func (s *serviceQueue) keepHouse() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.tick(time.Now())
-	s.mu.Unlock()
-	s.unitsChanged()
+	s.unblockAll()
+	if s.queued > 0 {
+		s.dispatch(time.Now())
+	}
 }
 
 // unitsChanged starts requests of teams that the limiter held back.
 func (s *serviceQueue) unitsChanged() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queued > 0 {
-		for _, t := range s.teams {
-			s.unblock(t)
-		}
+	if s.unblockAll() {
 		s.dispatch(time.Now())
 	}
 }
 
+// unblockAll lets all teams ask the limiter again and reports whether one was blocked.
+func (s *serviceQueue) unblockAll() bool {
+	any := false
+	for _, t := range s.teams {
+		any = any || t.blocked
+		s.unblock(t)
+	}
+	return any
+}
+
 // reroute refuses queued requests that another owner could start now.
 func (s *Scheduler) reroute(id fleet.ServiceID, q *serviceQueue) {
+	moved := 0
 	for _, team := range q.waitingTeams() {
-		if n := s.config.FreeElsewhere(id, team); n > 0 {
-			q.reroute(team, n, time.Now())
+		if n := s.config.FreeElsewhere(id, team) - moved; n > 0 {
+			moved += q.reroute(team, n, time.Now())
 		}
 	}
 }
@@ -86,24 +97,25 @@
 }
 
 // reroute refuses at most n requests of the team that have waited for a while,
-// urgent ones first and then the oldest.
-func (s *serviceQueue) reroute(team fleet.TeamID, n int, now time.Time) {
+// urgent ones first and then the oldest, and returns their number.
+func (s *serviceQueue) reroute(team fleet.TeamID, n int, now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.teams[team]
+	t, moved := s.teams[team], 0
 	for c := range classes {
-		for w := t.lists[c].head; w != nil && n > 0; {
+		for w := t.lists[c].head; w != nil && moved < n; {
 			next := w.next
 			if !w.NoReroute && now.Sub(w.enqueued) >= rerouteAfter {
 				e := problem.New(problem.CodeOverloaded, http.StatusServiceUnavailable,
 					"another owner of service %s has a free slot", w.Service).After(minRetryAfter)
 				e.Reroute = true
 				s.refuse(w, e)
-				n--
+				moved++
 			}
 			w = next
 		}
 	}
+	return moved
 }
 
 // demand counts the queued requests of each team over all services and reports
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -96,6 +96,9 @@
 		for id, t := range q.teams {
 			team, ok := teams[id]
 			t.weight = weightOf(team, ok)
+			if !ok && t.queued+t.running == 0 {
+				delete(q.teams, id)
+			}
 		}
 		q.mu.Unlock()
 	}
@@ -252,7 +255,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	s.refuseAll(problem.New(problem.CodeNotReady, http.StatusServiceUnavailable, "the daemon is stopping").After(minRetryAfter))
+	e := problem.New(problem.CodeNotReady, http.StatusServiceUnavailable, "the daemon is stopping").After(minRetryAfter)
+	e.Reroute = true
+	s.refuseAll(e)
 }
 
 func notOwner(service fleet.ServiceID) *problem.Error {
