Scan only teams with queued requests when dispatching

While an experiment leaves slots to urgent requests only, each team was passed over in turn, and every pass scanned the map of all teams.

Ruled out: a heap of teams, because virtual times change while requests run, and the limiter can hold back the first team.

A test samples the slots each millisecond and guards against free slots while requests wait.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -25,7 +25,14 @@
 	if wait <= longest {
 		return nil
 	}
-	return s.refusal(w, limited).After(retryAfter(wait - longest))
+	// One more start makes room for the request itself.
+	return s.refusal(w, limited).After(retryAfter(wait - longest + s.slotGap()))
+}
+
+// slotGap returns the mean time between two slots becoming free when all are busy.
+func (s *serviceQueue) slotGap() time.Duration {
+	total, _ := s.capacity()
+	return seconds(s.slotTime.Value() / math.Max(1, float64(total)))
 }
 
 func retryAfter(d time.Duration) time.Duration {
@@ -78,14 +85,14 @@
 	ahead := float64(s.ahead(w)) * cost
 	turn := t.vtime + ahead/t.weight
 	work := ahead
-	for _, o := range s.teams {
-		if o != t && o.queued > 0 && !o.blocked {
+	for _, o := range s.waiting {
+		if o != t && !o.blocked {
 			work += math.Min(float64(o.queued)*s.cost(o, false), o.weight*math.Max(0, turn-o.vtime))
 		}
 	}
 	bySlots := work/float64(total) + math.Max(0, s.firstEnd.Sub(now).Seconds())
 	if w.Urgent && s.hasUrgentCredit(t) {
-		bySlots = math.Min(bySlots, s.urgentWait(total))
+		bySlots = math.Min(bySlots, s.urgentWait())
 	}
 	byUnits := 0.0
 	if running, units := s.limiter.Usage(t.id); units > 0 && running >= units {
@@ -96,13 +103,12 @@
 
 // urgentWait estimates the time until an urgent request starts ahead of its
 // team's turn, in seconds.
-func (s *serviceQueue) urgentWait(total int) float64 {
+func (s *serviceQueue) urgentWait() float64 {
 	urgent := 0
-	for _, t := range s.teams {
+	for _, t := range s.waiting {
 		urgent += t.urgentQueued()
 	}
-	gap := s.slotTime.Value() / float64(total)
-	return urgentPatience.Seconds() + float64(urgent)*gap
+	return urgentPatience.Seconds() + float64(urgent)*s.slotGap().Seconds()
 }
 
 // ahead returns how many requests of the team start before the newest one of its class.
@@ -127,8 +133,8 @@
 		return
 	}
 	var worst *teamQueue
-	for _, t := range s.teams {
-		if t.queued > 0 && (worst == nil || s.demand(t)/t.weight > s.demand(worst)/worst.weight) {
+	for _, t := range s.waiting {
+		if worst == nil || s.demand(t)/t.weight > s.demand(worst)/worst.weight {
 			worst = t
 		}
 	}
--- a/internal/dispatch/housekeeping.go
+++ b/internal/dispatch/housekeeping.go
@@ -67,7 +67,7 @@
 // unblockAll lets all teams ask the limiter again and reports whether one was blocked.
 func (s *serviceQueue) unblockAll() bool {
 	any := false
-	for _, t := range s.teams {
+	for _, t := range s.waiting {
 		any = any || t.blocked
 		s.unblock(t)
 	}
@@ -88,10 +88,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ids []fleet.TeamID
-	for id, t := range s.teams {
-		if t.queued > 0 {
-			ids = append(ids, id)
-		}
+	for _, t := range s.waiting {
+		ids = append(ids, t.id)
 	}
 	return ids
 }
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing/synctest"
 	"time"
 
@@ -82,6 +84,20 @@
 		both.Cancel()
 	}))
 
+	It("serves the queue of a team that gains a unit while it has none waiting", bubble(func() {
+		h := newHarness(map[fleet.TeamID]int{"a": 0}, dispatch.Config{}, endpoints(1, 1))
+		defer h.Close()
+		_, p := h.acquire("a", 10*time.Millisecond)
+		Expect(p).NotTo(BeNil())
+		h.limiter.mu.Lock()
+		h.limiter.limits["a"] = 1
+		h.limiter.mu.Unlock()
+		began := time.Now()
+		_, p = h.acquire("a", time.Second)
+		Expect(p).To(BeNil())
+		Expect(time.Since(began)).To(BeZero())
+	}))
+
 	It("removes cancelled requests and reports demand to the limiter", bubble(func() {
 		h := newHarness(nil, dispatch.Config{}, endpoints(1, 1))
 		defer h.Close()
@@ -147,3 +163,48 @@
 		Expect(time.Since(began)).To(Equal(700 * time.Millisecond))
 	}))
 })
+
+var _ = Describe("use of slots", func() {
+	It("leaves no free slot while a request waits", bubble(func() {
+		h := newHarness(nil, dispatch.Config{}, endpoints(3, 4))
+		defer h.Close()
+		r := rand.New(rand.NewPCG(3, 3))
+		for range 60 {
+			h.wait.Go(func() {
+				for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+					q := dispatch.Request{Team: fleet.TeamID(fmt.Sprint(r.IntN(5))), Deadline: time.Now().Add(time.Second)}
+					if r.IntN(4) == 0 {
+						q.Avoid = []fleet.EndpointID{fleet.EndpointID(fmt.Sprint("e", r.IntN(3)))}
+					}
+					time.Sleep(time.Duration(r.ExpFloat64() * 100 * float64(time.Millisecond)))
+					if g, p := h.do(context.Background(), q); p == nil {
+						time.Sleep(time.Duration(r.ExpFloat64() * 50 * float64(time.Millisecond)))
+						if r.IntN(10) == 0 {
+							g.Cancel()
+						} else {
+							g.Done(dispatch.Result{})
+						}
+					}
+				}
+			})
+		}
+		waited := 0
+		for range 19_000 {
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+			s := h.Stats()[service]
+			free := 0
+			for _, e := range s.Endpoints {
+				free += max(0, e.Learned-e.InFlight-e.Held)
+			}
+			// Requests that avoid the only endpoint with a free slot may wait.
+			plain := s.Queued - s.Avoiding
+			if plain > 0 {
+				waited++
+				Expect(free).To(BeZero())
+			}
+		}
+		Expect(waited).To(BeNumerically(">", 1000), "requests did wait")
+		h.wait.Wait()
+	}))
+})
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,8 +47,10 @@
 	config    fleet.Service
 	endpoints []*slots
 	teams     map[fleet.TeamID]*teamQueue
-	queued    int
-	running   []*grant
+	// waiting holds the teams with queued requests.
+	waiting []*teamQueue
+	queued  int
+	running []*grant
 	// vtime is the virtual time of the service: the largest start tag served.
 	vtime float64
 	// clock is the time during which requests waited for a slot, in seconds.
@@ -107,6 +110,9 @@
 func (s *serviceQueue) enqueue(w *waiter) {
 	if w.team.queued == 0 {
 		s.limitCredit(w.team)
+		w.team.blocked = false
+		w.team.index = len(s.waiting)
+		s.waiting = append(s.waiting, w.team)
 	}
 	w.team.push(w)
 	s.queued++
@@ -137,8 +143,17 @@
 }
 
 func (s *serviceQueue) dequeue(w *waiter) {
-	w.team.remove(w)
+	t := w.team
+	t.remove(w)
 	s.queued--
+	if t.queued > 0 {
+		return
+	}
+	last := len(s.waiting) - 1
+	s.waiting[t.index] = s.waiting[last]
+	s.waiting[t.index].index = t.index
+	s.waiting[last] = nil
+	s.waiting = s.waiting[:last]
 }
 
 // refuse removes a queued request and tells its caller why.
@@ -152,23 +167,21 @@
 func (s *serviceQueue) dispatch(now time.Time) {
 	s.advance(now)
 	s.round++
-	for s.queued > 0 && s.hasFreeSlot() && s.dispatchOne(now) {
-	}
-	s.contended = false
-	for _, t := range s.teams {
-		if t.queued > 0 && !t.blocked {
-			s.contended = true
-			return
-		}
+	for s.queued > 0 && s.dispatchOne(now) {
 	}
+	s.contended = slices.ContainsFunc(s.waiting, func(t *teamQueue) bool { return !t.blocked })
 }
 
 // dispatchOne starts the request that is next and reports whether there was one.
 func (s *serviceQueue) dispatchOne(now time.Time) bool {
+	if !s.hasFreeSlot(true) {
+		return false
+	}
+	urgentOnly := !s.hasFreeSlot(false)
 	for {
 		t := s.overdueUrgent(now)
 		if t == nil {
-			t = s.nextTeam()
+			t = s.nextTeam(urgentOnly)
 		}
 		if t == nil {
 			return false
@@ -180,13 +193,17 @@
 }
 
 func (s *serviceQueue) eligible(t *teamQueue) bool {
-	return t.queued > 0 && !t.blocked && t.passedOver != s.round
+	return !t.blocked && t.passedOver != s.round
 }
 
-// nextTeam returns the team with the smallest virtual time that may start a request.
-func (s *serviceQueue) nextTeam() *teamQueue {
+// nextTeam returns the team with the smallest virtual time that may start a
+// request; with urgentOnly, only teams with urgent requests are considered.
+func (s *serviceQueue) nextTeam(urgentOnly bool) *teamQueue {
 	var best *teamQueue
-	for _, t := range s.teams {
+	for _, t := range s.waiting {
+		if urgentOnly && t.urgentQueued() == 0 {
+			continue
+		}
 		if s.eligible(t) && (best == nil || t.vtime < best.vtime) {
 			best = t
 		}
@@ -202,7 +219,7 @@
 func (s *serviceQueue) overdueUrgent(now time.Time) *teamQueue {
 	var best *teamQueue
 	oldest := now.Add(-urgentPatience)
-	for _, t := range s.teams {
+	for _, t := range s.waiting {
 		if t.urgentQueued() == 0 || !s.eligible(t) || !s.hasUrgentCredit(t) {
 			continue
 		}
--- a/internal/dispatch/sharing_test.go
+++ b/internal/dispatch/sharing_test.go
@@ -199,6 +199,25 @@
 		Expect(refused).To(BeNumerically(">", 100))
 	}))
 
+	It("derives Retry-After from the time in which the queue drains", bubble(func() {
+		h := newHarness(nil, dispatch.Config{}, endpoints(1, 1))
+		work := func(deadline time.Duration) { h.one(traffic{team: "a", deadline: deadline}, 100*time.Millisecond) }
+		work(time.Second)
+		for range 50 {
+			h.wait.Go(func() { work(time.Minute) })
+		}
+		synctest.Wait()
+		_, p := h.acquire("a", 1300*time.Millisecond)
+		Expect(p.RetryAfter).To(BeNumerically("~", 4000*time.Millisecond, 200*time.Millisecond))
+		time.Sleep(p.RetryAfter)
+		began := time.Now()
+		g, p := h.acquire("a", 1300*time.Millisecond)
+		Expect(p).To(BeNil())
+		Expect(time.Since(began)).To(BeNumerically(">", 800*time.Millisecond), "the advice is not too long")
+		g.Cancel()
+		h.drain()
+	}))
+
 	It("makes room in a full queue at the cost of the team furthest above its share", bubble(func() {
 		h := newHarness(nil, dispatch.Config{MaxQueued: 10}, endpoints(1, 1))
 		defer h.Close()
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -83,8 +83,8 @@
 	return slots, running
 }
 
-func (s *serviceQueue) hasFreeSlot() bool {
-	return slices.ContainsFunc(s.endpoints, func(e *slots) bool { return e.usable() && e.free(true) > 0 })
+func (s *serviceQueue) hasFreeSlot(urgent bool) bool {
+	return slices.ContainsFunc(s.endpoints, func(e *slots) bool { return e.usable() && e.free(urgent) > 0 })
 }
 
 // setEndpoints replaces the owned endpoints. An endpoint that is no longer owned
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -11,6 +11,8 @@
 // ServiceStats is the state of one service.
 type ServiceStats struct {
 	Load
+	// Avoiding counts the queued requests that avoid an endpoint.
+	Avoiding int
 	// MeanSlotSeconds is the mean time that a request occupies a slot.
 	MeanSlotSeconds float64
 	Teams           map[fleet.TeamID]TeamStats
@@ -53,6 +55,7 @@
 	r.Slots, r.Running = s.capacity()
 	r.Queued = s.queued
 	for id, t := range s.teams {
+		r.Avoiding += t.counts[urgentAvoiding] + t.counts[normalAvoiding]
 		r.Teams[id] = TeamStats{
 			Queued: t.queued, Running: t.running, Granted: t.granted, Refused: t.refused, ChargedSeconds: t.slotSeconds,
 		}
--- a/internal/dispatch/team.go
+++ b/internal/dispatch/team.go
@@ -27,6 +27,8 @@
 	running int
 	// blocked is set when the limiter refused a unit, until it may have one.
 	blocked bool
+	// index is the position in serviceQueue.waiting.
+	index int
 	// passedOver is the last dispatch round in which no free slot suited the team.
 	passedOver uint64
 	// slotTime is the mean time that urgent and other requests of the team occupy
