Limit the slots that experiments cost

Cause: a service that bursts for 5 s of each 20 s (50 ms requests, three times the capacity) kept 94.7 % of its slots busy, because an experiment at a smaller limit ran in every burst. Experiments also began with the smaller limit, so that a burst of 1 s requests could be over before the larger one was used.

Ruled out: periods of the smaller limit in proportion to it; twice the real capacity was then kept for most of the run (mean limit 1.91 times the real one with exponential times).

Experiments begin with the larger limit, and the time between them is at least 60 times the time spent at the smaller one (15 before).

Conclusion: a capacity that halves is found within 60 s of load, not sooner.

--- a/internal/endpoint/concurrency.go
+++ b/internal/endpoint/concurrency.go
@@ -16,9 +16,11 @@
 	// doubles while experiments change nothing.
 	minRecheck = 2 * time.Second
 	maxRecheck = 30 * time.Second
-	// recheckCost is the smallest ratio of the time between experiments to the
-	// length of an experiment. It bounds the capacity lost by measuring to about 2 %.
-	recheckCost = 15
+	// recheckCost is the smallest ratio of the time between experiments to the time
+	// spent with an experiment at a smaller limit, also when it was given up. It
+	// bounds the capacity lost by measuring to about 1 %, or 3 % of short bursts:
+	// with 15, a service that bursts for 5 s of each 20 s ran one in every burst.
+	recheckCost = 60
 	// servedBeforeExperiment is how many successes, in multiples of the limit, come
 	// before an experiment, so that it does not start on a few requests.
 	servedBeforeExperiment = 2
@@ -89,7 +91,7 @@
 	if c.experiment == nil {
 		return sampleID{}
 	}
-	return sampleID{experiment: c.experiments, arm: c.experiment.start(running)}
+	return sampleID{experiment: c.experiments, arm: c.experiment.start(now, running)}
 }
 
 func (c *concurrency) experimentDue(now time.Time) bool {
@@ -171,7 +173,6 @@
 	case noExcess:
 		c.limit = e.hi
 	}
-	length := now.Sub(e.began)
 	switch {
 	case c.limit < before:
 		c.lower.now(now)
@@ -180,7 +181,7 @@
 		c.raise.now(now)
 		c.lower.restart(now)
 	case e.hi == before:
-		c.lower.after(now, recheckCost*length)
+		c.lower.after(now, recheckCost*e.lowTime(now))
 	default:
 		// A larger limit costs no capacity.
 		c.raise.after(now, 0)
@@ -227,9 +228,9 @@
 		c.endSlowStart(now)
 	}
 	if c.experiment != nil && c.experiment.stalled(now, typical) {
-		c.experiment = nil
-		c.lower.after(now, 0)
+		c.lower.after(now, recheckCost*c.experiment.lowTime(now))
 		c.raise.after(now, 0)
+		c.experiment = nil
 	}
 }
 
--- a/internal/endpoint/experiment.go
+++ b/internal/endpoint/experiment.go
@@ -23,7 +23,8 @@
 	maxPeriods = 64
 	// periodFactor is the length of a period in multiples of the larger limit.
 	// Requests at the end of a period are partly served in the next one; with 3
-	// the difference between the arms was too small for exponential service times.
+	// the difference between the arms was too small for exponential service times,
+	// and with multiples of the arm's own limit too.
 	periodFactor = 6
 	// stallTime ends an experiment without samples, because the load has gone; it
 	// is extended for endpoints with long requests.
@@ -62,13 +63,24 @@
 	started int
 	periods int
 	arms    [highArm + 1]arm
-	began   time.Time
+	// lowBegan is when the smaller limit was first used; zero before that.
+	lowBegan time.Time
 	// last is when a request ended.
 	last time.Time
 }
 
+// newExperiment returns an experiment that begins with the larger limit, so that
+// a burst shorter than a period loses no capacity.
 func newExperiment(lo, hi int, now time.Time) *experiment {
-	return &experiment{lo: lo, hi: hi, active: lowArm, began: now, last: now}
+	return &experiment{lo: lo, hi: hi, active: highArm, last: now}
+}
+
+// lowTime returns the time since the smaller limit was first used.
+func (e *experiment) lowTime(now time.Time) time.Duration {
+	if e.lowBegan.IsZero() {
+		return 0
+	}
+	return now.Sub(e.lowBegan)
 }
 
 // level returns the limit of the active arm.
@@ -80,13 +92,16 @@
 }
 
 // start counts a request and returns the arm that its latency belongs to.
-func (e *experiment) start(running int) int {
+func (e *experiment) start(now time.Time, running int) int {
 	arm, level := e.active, e.level()
 	e.started++
 	settling := e.started <= level
 	if e.started >= level+max(periodFactor*e.hi, minSamples) {
 		e.started, e.active = 0, lowArm+highArm-e.active
 		e.periods++
+		if e.lowBegan.IsZero() {
+			e.lowBegan = now
+		}
 		e.close(lowArm + highArm - e.active)
 	}
 	if settling || running > level || 4*running < 3*level {
