Pass over up to 64 unusable connections in one attempt

Ruled out: a fault of the check itself. Every attempt that failed had passed over 8 spoilt connections (trial with a print in passOver).

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,9 +30,10 @@
 	// expectTimeout exceeds every queueing time, so that a body never leaves
 	// before the owner asked for it.
 	expectTimeout = 24 * time.Hour
-	// maxStale bounds how many connections that the other side has closed are
-	// passed over in one attempt.
-	maxStale = 8
+	// maxStale bounds how many unusable connections are passed over in one
+	// attempt. A value of 8 was reached when 8 requests at a time went to an
+	// endpoint that spoils every connection.
+	maxStale = 64
 	// unusedAfter is the time after which the connections of an unused endpoint are dropped.
 	unusedAfter = 2 * time.Minute
 )
