--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/operatorapi"
+	"samphirestile.example/samphirestile/internal/operatorapi/commands"
+	"samphirestile.example/samphirestile/internal/operatorapi/oas"
+	"samphirestile.example/samphirestile/internal/operatorapi/queries"
+	"samphirestile.example/samphirestile/internal/ownership"
+)
+
+// seatCommands passes operators' statements on to membership.
+type seatCommands struct{ d *Daemon }
+
+// DeclareGone implements commands.Seats.
+func (s seatCommands) DeclareGone(_ context.Context, seat fleet.SeatID) error {
+	return s.d.membership.DeclareGone(seat)
+}
+
+func (d *Daemon) operatorHandler() (http.Handler, error) {
+	h, err := operatorapi.NewServer(&operatorapi.Handler{
+		Commands: &commands.Commands{Configuration: d.config, Seats: seatCommands{d}},
+		Queries: &queries.Queries{
+			Configuration: d.config, View: d.membership, Usage: d.allotments, Loads: d.scheduler, Owners: d.assignment,
+		},
+		Log: d.log.WithField("part", "operator"),
+	}, operatorapi.Tokens(d.settings.OperatorTokens))
+	if err != nil {
+		return nil, fmt.Errorf("operator interface: %w", err)
+	}
+	return h, nil
+}
+
+func (d *Daemon) assignment() ownership.Assignment {
+	snapshot := d.config.Current()
+	if snapshot == nil {
+		return nil
+	}
+	return ownership.Assign(snapshot.Endpoints, d.membership.View().Members)
+}
+
+// requireOperator protects handlers that the generated server does not cover.
+func (d *Daemon) requireOperator(h http.Handler) http.Handler {
+	tokens := operatorapi.Tokens(d.settings.OperatorTokens)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if _, err := tokens.HandleOperatorToken(r.Context(), "", oas.OperatorToken{Token: token}); err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -40,6 +40,9 @@
 	Dispatcher dispatch.Dispatcher
 	Upstream   *upstream.Client
 	Secret     peerapi.Secret
+	// Units returns the units of a team's allotment at a member from its last
+	// heartbeat; it may be nil. It is used for owners that reported no figure lately.
+	Units func(m membership.Member, team fleet.TeamID) (units int, known bool)
 	// Unreachable is told of peers that could not be connected to; it may be nil.
 	Unreachable func(membership.Member)
 	// Usage returns the running requests and units of a team on this daemon, so
--- a/internal/forward/owners.go
+++ b/internal/forward/owners.go
@@ -71,6 +71,8 @@
 	members membership.Source
 	local   dispatch.Dispatcher
 	usage   func(fleet.TeamID) (running, units int)
+	// heartbeatUnits is Options.Units.
+	heartbeatUnits func(membership.Member, fleet.TeamID) (units int, known bool)
 
 	mu       sync.Mutex
 	units    map[unitKey]unitFigure
@@ -83,7 +85,7 @@
 
 func newOwners(o Options) *owners {
 	return &owners{
-		config: o.Config, members: o.Members, local: o.Dispatcher, usage: o.Usage,
+		config: o.Config, members: o.Members, local: o.Dispatcher, usage: o.Usage, heartbeatUnits: o.Units,
 		figures: make(map[figureKey]*figure), units: make(map[unitKey]unitFigure), failures: make(map[string]time.Time),
 	}
 }
@@ -187,7 +189,7 @@
 		return 0
 	}
 	p := 0.0
-	if u, ok := o.units[unitKey{w.member.PeerAddress, team}]; ok && u.free <= 0 && now.Sub(u.at) < unitsLifetime {
+	if o.hasNoUnit(w, team, now) {
 		p += noUnits
 	}
 	if at, ok := o.failures[w.member.PeerAddress]; ok && now.Sub(at) < failureTime {
@@ -196,6 +198,18 @@
 	return p
 }
 
+// hasNoUnit reports whether the owner is known to have no free unit of the team.
+func (o *owners) hasNoUnit(w *owner, team fleet.TeamID, now time.Time) bool {
+	if u, ok := o.units[unitKey{w.member.PeerAddress, team}]; ok && now.Sub(u.at) < unitsLifetime {
+		return u.free <= 0
+	}
+	if o.heartbeatUnits == nil {
+		return false
+	}
+	units, known := o.heartbeatUnits(w.member, team)
+	return known && units == 0
+}
+
 func (o *owners) figure(address string, service fleet.ServiceID) *figure {
 	k := figureKey{address, service}
 	f, ok := o.figures[k]
