Start daemons one after the other unless a proof asks for a common start

Daemons that list the seats before each other's seat exists stay unknown to each other until the next listing, 10 s later, so the verdict of other proofs depended on this race. One proof starts five daemons at once.

--- a/internal/emulator/process/cell.go
+++ b/internal/emulator/process/cell.go
@@ -30,6 +30,9 @@
 	// one between each daemon and the platform.
 	PeerRelays  bool
 	StoreRelays bool
+	// Together starts all daemons at the same time. Otherwise each one is ready
+	// before the next starts, so that every daemon finds its predecessors.
+	Together bool
 }
 
 // Cell is a running set of daemons, endpoints and the platform emulator.
@@ -98,6 +101,12 @@
 		if _, err := c.AddDaemon(); err != nil {
 			return err
 		}
+		if c.Together {
+			continue
+		}
+		if err := c.AwaitReady(startLimit); err != nil {
+			return err
+		}
 	}
 	if err := c.AwaitReady(startLimit); err != nil {
 		return err
--- a/test/service_test.go
+++ b/test/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"math"
 	"net"
@@ -48,6 +49,19 @@
 })
 
 var _ = Describe("service", func() {
+	It("is divided among daemons that start at the same time within 3 s", func() {
+		o := standard()
+		o.Together, o.Daemons = true, 5
+		c := start(o)
+		for _, d := range c.Daemons {
+			Eventually(func(g Gomega) {
+				seats, err := d.Operator.ListDaemons(context.Background())
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(seats).To(HaveLen(5), d.ID)
+			}, "3s", "50ms").Should(Succeed())
+		}
+	})
+
 	It("continues through an outage of the store that is longer than every lease", func() {
 		o := standard()
 		o.StoreRelays = true
