Release spare seats and let starved daemons tell holders

Cause: with the store up each replaced daemon created a seat and left one behind, so that the number of seats grew with every replacement. A spare seat is released when every daemon has one. A daemon far below its share now sends one heartbeat to a holder at once.

--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -32,8 +32,8 @@
 	demand  map[string]int
 	starved int
 	units   int
-	// spare lists peers with unused units.
-	spare []string
+	// spare lists peers with unused units, holders all with units, the largest first.
+	spare, holders []string
 }
 
 // plan is one intended change of a team's record.
@@ -216,6 +216,7 @@
 // peerRows sums the peers' rows of one team.
 func (a *Allotments) peerRows(id fleet.TeamID) peerDemand {
 	d := peerDemand{demand: map[string]int{}}
+	held := map[string]int{}
 	for _, p := range a.cfg.Seats.PeerTeamRows() {
 		if !p.Active || p.Leaving {
 			continue
@@ -226,12 +227,17 @@
 			}
 			d.demand[p.Incarnation] = r.Running + r.Queued
 			d.units += r.Units
+			if r.Units > 0 {
+				held[p.Incarnation] = r.Units
+				d.holders = append(d.holders, p.Incarnation)
+			}
 			d.starved += max(0, r.Running+r.Queued-r.Units)
 			if r.Units > r.Running+r.Queued {
 				d.spare = append(d.spare, p.Incarnation)
 			}
 		}
 	}
+	slices.SortFunc(d.holders, func(x, y string) int { return cmp.Or(held[y]-held[x], cmp.Compare(x, y)) })
 	return d
 }
 
@@ -448,7 +454,12 @@
 			// The peers' rows may show free or unused units before the next attempt is due.
 			hopeful := len(peers.spare) > 0 || peers.units+d.units < limit
 			if now.After(t.tryAfter) || (hopeful && now.Sub(t.triedAt) > a.cfg.WriteInterval) {
-				a.askSpare(peers.spare, now)
+				ask := peers.spare
+				if len(ask) == 0 && want > 2*d.units {
+					// Far below its share, this daemon lets the holders know before their turn.
+					ask = peers.holders
+				}
+				a.askSpare(ask, now)
 				return nil, a.delay(t, now, maxBackoff)
 			}
 			return a.checkPlan(t, p), false
@@ -470,7 +481,7 @@
 	return a.checkPlan(t, p), false
 }
 
-// askSpare lets a peer with unused units learn of the queued requests at once. One
+// askSpare lets a peer learn of the queued requests at once. One
 // extra heartbeat in each write interval, for all teams, bounds its cost.
 func (a *Allotments) askSpare(peers []string, now time.Time) {
 	if len(peers) == 0 || now.Sub(a.askedAt) < a.cfg.WriteInterval {
--- a/internal/membership/cell_test.go
+++ b/internal/membership/cell_test.go
@@ -119,7 +119,9 @@
 	// percentages of the writes: applied with a lost answer, and applied after a while.
 	cut                      bool
 	loseAnswers, delayWrites int
-	rng                      *rand.Rand
+	// cutAfter selects a write whose answer is lost; the store is cut from then on.
+	cutAfter func(value []byte) bool
+	rng      *rand.Rand
 }
 
 var errLink = errors.New("link is cut")
@@ -191,6 +193,11 @@
 		return 0, &platform.UnknownOutcomeError{Key: key, Cause: errLink}
 	}
 	version, err := apply()
+	c.mu.Lock()
+	if c.cutAfter != nil && c.cutAfter(value) {
+		c.cut, lose = true, true
+	}
+	c.mu.Unlock()
 	if gone := c.node.gate(ctx); gone != nil || lose {
 		return 0, &platform.UnknownOutcomeError{Key: key, Cause: errLink}
 	}
--- a/internal/membership/handover.go
+++ b/internal/membership/handover.go
@@ -423,11 +423,20 @@
 	if err == nil {
 		err = m.store.Delete(ctx, key, entry.Version)
 	}
-	return err == nil || errors.As(err, &missing)
+	if err != nil && !errors.As(err, &missing) {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forgetSeat(seat)
+	m.changed()
+	return true
 }
 
 // balanceStep hands a spare seat to a daemon that has none, so that a rolling
-// replacement without the store does not gather the seats on few daemons.
+// replacement without the store does not gather the seats on few daemons. When
+// every daemon has a seat, the spare one is released: each replaced daemon creates
+// a seat and leaves one behind while the store is up.
 func (m *Membership) balanceStep(ctx context.Context) {
 	m.mu.Lock()
 	var ids []fleet.SeatID
@@ -447,17 +456,41 @@
 		}
 	}
 	m.mu.Unlock()
-	if to == nil {
+	if !due {
 		return
 	}
 	sortSeats(ids)
+	spare := ids[len(ids)-1]
+	if to == nil {
+		if m.store.visible() {
+			m.release(spare)
+		}
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.FailureTime)
 	defer cancel()
-	if err := m.handOver(ctx, ids[len(ids)-1], to); err != nil {
+	if err := m.handOver(ctx, spare, to); err != nil {
 		m.log.WithError(err).Info("spare seat not handed over")
 	}
 }
 
+// release stops the use of a seat and deletes it when its work has ended. Claims
+// stay with this daemon.
+func (m *Membership) release(seat fleet.SeatID) {
+	if m.stopSeat(seat) == nil {
+		return
+	}
+	if m.allotments != nil {
+		m.allotments.ExportSeat(seat)
+	}
+	r := &report{release: true, msg: &oas.Handover{}}
+	m.mu.Lock()
+	m.reports[seat] = r
+	m.mu.Unlock()
+	m.log.WithField("seat", seat).Info("spare seat released")
+	m.goRun(func(ctx context.Context) { m.reportLoop(ctx, seat, r) })
+}
+
 func seatStrings(ids []fleet.SeatID) []string {
 	out := make([]string, 0, len(ids))
 	for _, id := range ids {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -52,12 +52,14 @@
 	subs     notifier
 	rowSubs  notifier
 	// lastContact is the time of the last answer of the store or exchange with a peer.
-	lastContact  time.Time
-	leaving      bool
-	beats        int
-	runTimes     runTimes
-	observed     map[fleet.SeatID]*observation
-	gone         map[fleet.SeatID]bool
+	lastContact time.Time
+	leaving     bool
+	beats       int
+	runTimes    runTimes
+	observed    map[fleet.SeatID]*observation
+	gone        map[fleet.SeatID]bool
+	// deleted holds seats that no longer exist and may still be in a quorum.
+	deleted      map[fleet.SeatID]bool
 	reports      map[fleet.SeatID]*report
 	background   sync.WaitGroup
 	lastBalanced time.Time
@@ -79,7 +81,7 @@
 		cfg: cfg, log: cfg.Logger.WithField("daemon", cfg.Daemon),
 		held: map[fleet.SeatID]*heldSeat{}, exported: map[fleet.SeatID]*heldSeat{},
 		known: map[fleet.SeatID]*knownSeat{}, peers: map[string]*peer{}, clients: map[string]Peer{},
-		observed: map[fleet.SeatID]*observation{}, gone: map[fleet.SeatID]bool{},
+		observed: map[fleet.SeatID]*observation{}, gone: map[fleet.SeatID]bool{}, deleted: map[fleet.SeatID]bool{},
 		reports: map[fleet.SeatID]*report{}, handovers: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
@@ -175,9 +177,7 @@
 	now := time.Now()
 	var due []*heldSeat
 	for _, s := range m.held {
-		// A larger quorum is written at once: the first daemon of a cell has only itself to consent.
-		grows := s.created() && len(s.quorum) < maxQuorum && len(m.chooseQuorum(s)) > len(s.quorum)
-		if grows || now.Sub(s.renewedAt) >= m.cfg.RenewalInterval-m.cfg.HeartbeatInterval/2 {
+		if m.quorumOutdated(s) || now.Sub(s.renewedAt) >= m.cfg.RenewalInterval-m.cfg.HeartbeatInterval/2 {
 			due = append(due, s)
 		}
 	}
--- /dev/null
+++ b/internal/membership/protocol_test.go
@@ -0,0 +1,126 @@
+package membership_test
+
+import (
+	"context"
+	"regexp"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+var _ = Describe("the messages between daemons", func() {
+	const other = "seat-of-another"
+	vouches := func(s *scenario, n *node, renewal int64) []oas.Vouch {
+		reply, err := n.Heartbeat(context.Background(), &oas.Heartbeat{
+			Daemon: "x", Incarnation: "i-x", PeerAddress: "x",
+			Seats: []oas.SeatState{{Seat: other, Renewal: renewal}},
+		})
+		s.Expect(err).NotTo(HaveOccurred())
+		return reply.Vouched
+	}
+	consents := func(s *scenario, n *node, renewal int64) []string {
+		reply, err := n.Consent(context.Background(), &oas.ConsentRequest{Seat: other, Renewal: renewal})
+		s.Expect(err).NotTo(HaveOccurred())
+		if len(reply.Voters) == 0 {
+			s.Expect(reply.WaitMs).To(BeNumerically(">", 0))
+		}
+		return reply.Voters
+	}
+
+	scenarioIt("guards against a consent while a vouch lasts and a vouch after a consent", func(s *scenario) {
+		n := s.cell(41, limits(4)).startAll(1)[0]
+		s.Expect(vouches(s, n, 7)).To(HaveLen(1))
+		s.Expect(consents(s, n, 7)).To(BeEmpty())
+		time.Sleep(lease)
+		s.Expect(consents(s, n, 7)).To(BeEmpty())
+		time.Sleep(margin)
+		s.Expect(consents(s, n, 7)).To(HaveLen(1))
+		// A holder that does not know whether its write applied still names the counter before.
+		s.Expect(vouches(s, n, 6)).To(BeEmpty())
+		s.Expect(vouches(s, n, 7)).To(BeEmpty())
+		s.Expect(vouches(s, n, 8)).To(HaveLen(1))
+	})
+
+	scenarioIt("guards against promises that are forgotten in a handover", func(s *scenario) {
+		c := s.cell(42, limits(4))
+		nodes := c.startAll(2)
+		voter := string(nodes[0].HeldSeats()[0])
+		s.Expect(vouches(s, nodes[0], 7)).To(HaveLen(1))
+		s.Expect(nodes[0].Leave(s.ctx)).To(Succeed())
+		s.Expect(consents(s, nodes[1], 7)).NotTo(ContainElement(voter))
+		s.Eventually(func() []string { return consents(s, nodes[1], 7) }, 20*interval, interval/4).Should(ContainElement(voter))
+	})
+
+	scenarioIt("guards against a seat taken by a process that the leaver did not choose or taken twice", func(s *scenario) {
+		c := s.cell(43, limits(4))
+		nodes := c.startAll(2)
+		msg := &oas.Handover{
+			ID: "h1", Successor: oas.NewOptString("i-earlier"), Renewal: 3, RecordVersion: oas.NewOptInt64(99),
+			Seat: oas.SeatState{Seat: other, Daemon: "x", Incarnation: "i-x", PeerAddress: "x", Renewal: 3},
+		}
+		take := func(n *node) bool {
+			reply, err := n.Handover(context.Background(), msg)
+			s.Expect(err).NotTo(HaveOccurred())
+			return reply.Taken
+		}
+		c.setStore(true)
+		s.Expect(take(nodes[0])).To(BeFalse())
+		msg.Successor = oas.NewOptString("i-" + nodes[0].name)
+		s.Expect(take(nodes[0])).To(BeTrue())
+		s.Expect(nodes[0].HeldSeats()).To(ContainElement(fleet.SeatID(other)))
+		s.Expect(nodes[0].Leave(s.ctx)).To(Succeed())
+		s.Expect(nodes[1].HeldSeats()).To(ContainElement(fleet.SeatID(other)))
+		s.Expect(take(nodes[0])).To(BeTrue())
+		s.Expect(nodes[0].HeldSeats()).To(BeEmpty())
+		// A leaving daemon refuses for good.
+		msg.ID = "h2"
+		s.Expect(take(nodes[0])).To(BeFalse())
+	})
+
+	scenarioIt("guards against a right by the old quorum when the write of a new one may have applied", func(s *scenario) {
+		c := s.cell(44, limits(4))
+		first := c.startAll(1)[0]
+		first.setFaults(func(f *storeClient) {
+			f.cutAfter = func(v []byte) bool { return regexp.MustCompile(`"quorum":\["\w+",`).Match(v) }
+		})
+		c.start()
+		s.Eventually(first.StoreVisible, 20*interval, interval/8).Should(BeFalse())
+		c.isolate(first)
+		s.Eventually(first.RightValid, 14*interval, interval/4).Should(BeFalse())
+		s.Consistently(first.RightValid, 5*interval, interval/4).Should(BeFalse())
+	})
+
+	scenarioIt("guards against units that reach the daemon with the demand too late", func(s *scenario) {
+		c := s.cell(45, limits(16))
+		nodes := c.startAll(8)
+		for i, n := range nodes[:3] {
+			n.load(s.ctx, team, 6+i, maxRun)
+		}
+		time.Sleep(20 * interval)
+		moved := time.Now()
+		nodes[7].load(s.ctx, team, 16, maxRun)
+		s.Eventually(func() int { return c.startsOf(nodes[7]) }, 40*interval, interval/16).Should(BeNumerically(">", 0))
+		first := time.Since(moved)
+		s.Eventually(func() int { return unitsOf(team, nodes[7]) }, 40*interval, interval/16).Should(BeNumerically(">=", 4))
+		GinkgoWriter.Printf("units at the new daemon: first after %.1f, four after %.1f heartbeat intervals\n",
+			float64(first)/float64(interval), float64(time.Since(moved))/float64(interval))
+		s.Expect(c.worst()).To(BeNumerically("<=", 0))
+	})
+
+	scenarioIt("guards against a killed daemon that stays active after a forward could not connect", func(s *scenario) {
+		c := s.cell(46, limits(16))
+		nodes := c.startAll(8)
+		nodes[0].kill()
+		began := time.Now()
+		nodes[1].Probe(nodes[0].name)
+		s.Eventually(func() bool { return activeAt(nodes[1], nodes[0]) }, failure+interval, interval/8).Should(BeFalse())
+		for _, n := range nodes[2:] {
+			s.Eventually(func() bool { return activeAt(n, nodes[0]) }, 12*interval, interval/8).Should(BeFalse())
+		}
+		GinkgoWriter.Printf("inactive at all daemons after %.1f heartbeat intervals\n", float64(time.Since(began))/float64(interval))
+	})
+})
--- a/internal/membership/reclaim.go
+++ b/internal/membership/reclaim.go
@@ -17,6 +17,9 @@
 // interval; the interval grows with larger cells, so that the bytes per second stay the same.
 const listScale = 8
 
+// maxDeleted bounds the memory of deleted seats; they matter until the next renewal.
+const maxDeleted = 256
+
 // observation is what the store said about one seat record. Its times are taken
 // after the answer, so that they are never earlier than the write of the version.
 type observation struct {
@@ -109,6 +112,10 @@
 	delete(m.known, id)
 	delete(m.observed, id)
 	delete(m.gone, id)
+	if len(m.deleted) >= maxDeleted {
+		clear(m.deleted)
+	}
+	m.deleted[id] = true
 }
 
 // observeRecord takes a record that was just read; it returns nil for one that cannot be read.
--- a/internal/membership/seat.go
+++ b/internal/membership/seat.go
@@ -308,7 +308,7 @@
 	daemons := map[string]bool{m.cfg.Incarnation: true}
 	in := map[fleet.SeatID]bool{s.id: true}
 	add := func(k *knownSeat) {
-		if !in[k.id] && len(quorum) < maxQuorum {
+		if !in[k.id] && !m.deleted[k.id] && len(quorum) < maxQuorum {
 			quorum = append(quorum, k.id)
 			in[k.id] = true
 			daemons[k.incarnation] = true
@@ -334,3 +334,20 @@
 	}
 	return quorum
 }
+
+// quorumOutdated reports whether the quorum is to be written before the renewal is
+// due: the first daemon of a cell has only itself to consent, and a deleted seat cannot vote.
+func (m *Membership) quorumOutdated(s *heldSeat) bool {
+	if !s.created() {
+		return false
+	}
+	if len(s.quorum) < maxQuorum && len(m.chooseQuorum(s)) > len(s.quorum) {
+		return true
+	}
+	for _, v := range s.quorum {
+		if m.deleted[v] {
+			return true
+		}
+	}
+	return false
+}
