Charge a small cost before any duration is known

Cause: with a cost of 0 at the start, one team got all free slots of a service until the first request ended (the new test then shows 0 instead of 2 slots for the team of weight 1).

Health is judged only when most recent attempts failed, and changed slot declarations keep the numbering of experiments.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -69,7 +69,7 @@
 
 // demand returns the slot time of the team's queued and running requests, in seconds.
 func (s *serviceQueue) demand(t *teamQueue) float64 {
-	return float64(t.queued+t.running) * math.Max(s.cost(t, false), 1e-6)
+	return float64(t.queued+t.running) * s.cost(t, false)
 }
 
 // expectedWait estimates the time until a queued request starts if no further
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -29,6 +29,9 @@
 	// maxFirstEnd is the longest expected time until the first running request
 	// ends that needs no reserved slot. It covers requests that started together.
 	maxFirstEnd = 800 * time.Millisecond
+	// minCost is the smallest slot time charged at the start of a request, in
+	// seconds. With 0, before anything is known, one team would get all free slots.
+	minCost = 0.001
 	// chargeInterval bounds how often the overtime of running requests is charged.
 	chargeInterval = 10 * time.Millisecond
 )
@@ -132,13 +135,13 @@
 func (s *serviceQueue) cost(t *teamQueue, urgent bool) float64 {
 	switch m := t.duration(urgent); {
 	case m.Known():
-		return m.Value()
+		return math.Max(m.Value(), minCost)
 	case t.slotTime.Known():
-		return t.slotTime.Value()
+		return math.Max(t.slotTime.Value(), minCost)
 	case s.slotTime.Known():
-		return s.slotTime.Value()
+		return math.Max(s.slotTime.Value(), minCost)
 	default:
-		return s.meanAge
+		return math.Max(s.meanAge, minCost)
 	}
 }
 
--- a/internal/dispatch/sharing_test.go
+++ b/internal/dispatch/sharing_test.go
@@ -80,6 +80,25 @@
 			"d": 200 * time.Millisecond, "e": 50 * time.Millisecond}, 2, 8),
 	)
 
+	It("divides the first free slots by weight, before any duration is known", bubble(func() {
+		h := newHarness(nil, dispatch.Config{}, endpoints(1, 1))
+		h.SetTeams(weights(map[fleet.TeamID]float64{"a": 1, "b": 3}))
+		g, _ := h.acquire("c", time.Second)
+		for range 8 {
+			for _, team := range []fleet.TeamID{"a", "b"} {
+				h.wait.Go(func() { h.one(traffic{team: team, deadline: time.Minute}, time.Hour) })
+			}
+		}
+		synctest.Wait()
+		h.SetEndpoints(fleet.Service{ID: service}, endpoints(9, 1))
+		synctest.Wait()
+		Expect(h.Stats()[service].Teams["a"].Running).To(Equal(2))
+		Expect(h.Stats()[service].Teams["b"].Running).To(Equal(6))
+		g.Cancel()
+		h.Close()
+		h.wait.Wait()
+	}))
+
 	It("lends an unused share and returns it within 1 s", bubble(func() {
 		w := map[fleet.TeamID]float64{"lender": 3, "borrower": 1}
 		h := newHarness(nil, dispatch.Config{}, endpoints(1, 8))
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -38,7 +38,9 @@
 // SetDeclared changes the declared slots, the upper bound of Limit.
 func (t *Tracker) SetDeclared(slots int, now time.Time) {
 	if slots != t.concurrency.declared {
+		experiments := t.concurrency.experiments
 		t.concurrency = newConcurrency(slots, now)
+		t.concurrency.experiments = experiments
 	}
 }
 
--- a/internal/endpoint/health.go
+++ b/internal/endpoint/health.go
@@ -88,20 +88,24 @@
 		return false
 	}
 	failed := 0
-	last := map[string]bool{}
 	for _, a := range h.recent {
-		last[a.signature] = a.failed
 		if a.failed {
 			failed++
 		}
 	}
-	failing := 0
+	if failed*2 <= len(h.recent) {
+		return false
+	}
+	last, failing := map[string]bool{}, 0
+	for _, a := range h.recent {
+		last[a.signature] = a.failed
+	}
 	for _, f := range last {
 		if f {
 			failing++
 		}
 	}
-	return failed*2 > len(h.recent) && failing >= minFailingSignatures && failing*2 > len(last)
+	return failing >= minFailingSignatures && failing*2 > len(last)
 }
 
 func (h *health) eject(now time.Time) {
