--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -31,6 +31,10 @@
 	// service could start now. At most that many queued requests of the service are
 	// refused with Reroute set, twenty times a second. nil disables rerouting.
 	FreeElsewhere func(service fleet.ServiceID, team fleet.TeamID) int
+	// RerouteRefusals sets Reroute on the refusals of admission, except for requests
+	// with NoReroute. Another owner may have a smaller queue of the team, or units
+	// of its limit. In overload most refused requests then visit several owners.
+	RerouteRefusals bool
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -70,7 +70,7 @@
 	s.mu.Lock()
 	q := s.services[service.ID]
 	if q == nil {
-		q = newServiceQueue(s.config.Limiter, s.config.MaxQueued)
+		q = newServiceQueue(s.config)
 		s.services[service.ID] = q
 	}
 	s.mu.Unlock()
@@ -180,6 +180,7 @@
 		return w, nil
 	}
 	if e := s.admit(w, now); e != nil {
+		e.Reroute = s.rerouteRefusals && !w.NoReroute
 		s.refuse(w, e)
 		return w, nil
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -45,6 +45,8 @@
 type serviceQueue struct {
 	limiter   allotment.Limiter
 	maxQueued int
+	// rerouteRefusals is Config.RerouteRefusals.
+	rerouteRefusals bool
 
 	mu        sync.Mutex
 	config    fleet.Service
@@ -73,10 +75,11 @@
 	closed     bool
 }
 
-func newServiceQueue(l allotment.Limiter, maxQueued int) *serviceQueue {
+func newServiceQueue(c Config) *serviceQueue {
 	now := time.Now()
 	return &serviceQueue{
-		limiter: l, maxQueued: maxQueued, teams: map[fleet.TeamID]*teamQueue{}, advanced: now, charged: now,
+		limiter: c.Limiter, maxQueued: c.MaxQueued, rerouteRefusals: c.RerouteRefusals,
+		teams: map[fleet.TeamID]*teamQueue{}, advanced: now, charged: now,
 	}
 }
 
--- a/internal/dispatch/sharing_test.go
+++ b/internal/dispatch/sharing_test.go
@@ -244,8 +244,8 @@
 		Expect(refused).To(BeNumerically(">", 100))
 	}))
 
-	It("derives Retry-After from the time in which the queue drains", bubble(func() {
-		h := newHarness(nil, dispatch.Config{}, endpoints(1, 1))
+	It("derives Retry-After from the time in which the queue drains, and may name other owners", bubble(func() {
+		h := newHarness(nil, dispatch.Config{RerouteRefusals: true}, endpoints(1, 1))
 		work := func(deadline time.Duration) { h.one(traffic{team: "a", deadline: deadline}, 100*time.Millisecond) }
 		work(time.Second)
 		for range 50 {
@@ -253,6 +253,7 @@
 		}
 		synctest.Wait()
 		_, p := h.acquire("a", 1300*time.Millisecond)
+		Expect(p.Reroute).To(BeTrue())
 		Expect(p.RetryAfter).To(BeNumerically("~", 4000*time.Millisecond, 200*time.Millisecond))
 		time.Sleep(p.RetryAfter)
 		began := time.Now()
