Keep waiting for an owner in a planned stop

Cause: the hop of an idempotent request ended when the seat of its owner had another occupant. That is how a planned handover looks, so a rolling replacement would have interrupted requests that the leaving owner was about to finish.

Ruled out: asking the peer whether it is alive, because the view already tells.

Figures: the new test covers five views; the two of a handover and the one of a removed seat counted as lost before.

Conclusion: only an owner that the view shows as inactive in its own incarnation is given up.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -308,10 +308,10 @@
 		defer mu.Unlock()
 		switch {
 		case stopped:
-		case f.owners.active(w):
-			timer.Reset(lostCheck)
-		default:
+		case f.owners.lost(w):
 			cancel(errOwnerInactive)
+		default:
+			timer.Reset(lostCheck)
 		}
 	})
 	return hop, func() {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -146,6 +146,28 @@
 	})
 })
 
+var _ = Describe("an owner in a planned stop", func() {
+	It("is not given up after it handed its seat over or left", func() {
+		// Giving it up would interrupt requests that it is about to finish.
+		view := &switched{}
+		o := newOwners(Options{Members: view})
+		w := &owner{member: membership.Member{Seat: "a", Incarnation: "1", Active: true}}
+		for _, c := range []struct {
+			members []membership.Member
+			lost    bool
+		}{
+			{[]membership.Member{{Seat: "a", Incarnation: "1", Active: true}}, false},
+			{[]membership.Member{{Seat: "a", Incarnation: "2", Active: true}}, false},
+			{[]membership.Member{{Seat: "a", Incarnation: "2"}}, false},
+			{nil, false},
+			{[]membership.Member{{Seat: "a", Incarnation: "1"}}, true},
+		} {
+			view.Store(&membership.View{Members: c.members})
+			Expect(o.lost(w)).To(Equal(c.lost), "%v", c.members)
+		}
+	})
+})
+
 var _ = Describe("the retry budget", func() {
 	It("allows one retry in ten requests of a team", func() {
 		b := &retryBudget{credit: make(map[fleet.TeamID]float64)}
--- a/internal/forward/owners.go
+++ b/internal/forward/owners.go
@@ -103,10 +103,11 @@
 	}
 }
 
-// active reports whether the owner's seat is active in the view.
-func (o *owners) active(w *owner) bool {
+// lost reports whether the view shows the owner as failed. An owner that has
+// handed its seat over or left still finishes the requests that it took.
+func (o *owners) lost(w *owner) bool {
 	return slices.ContainsFunc(o.members.View().Members, func(m membership.Member) bool {
-		return m.Active && m.Seat == w.member.Seat && m.Incarnation == w.member.Incarnation
+		return !m.Active && m.Seat == w.member.Seat && m.Incarnation == w.member.Incarnation
 	})
 }
 
