--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -29,6 +29,7 @@
 	// demand counts running and queued requests of each peer, starved those without a unit.
 	demand  map[string]int
 	starved int
+	units   int
 	// spare lists peers with unused units.
 	spare []string
 }
@@ -199,10 +200,7 @@
 func (a *Allotments) spend(n float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	a.tokens += float64(now.Sub(a.refilled)) / float64(a.cfg.WriteInterval)
-	a.tokens = min(a.tokens, float64(a.cfg.WriteBurst))
-	a.refilled = now
+	a.refill(time.Now())
 	if a.tokens < n {
 		return false
 	}
@@ -210,6 +208,20 @@
 	return true
 }
 
+// hasSpareBudget reports whether half of the burst of writes is left. Moves that
+// no request waits for must not delay those that some request waits for.
+func (a *Allotments) hasSpareBudget(now time.Time) bool {
+	a.refill(now)
+	return a.tokens >= float64(a.cfg.WriteBurst)/2
+}
+
+// refill adds what the budget of writes gained since the last call.
+func (a *Allotments) refill(now time.Time) {
+	a.tokens += float64(now.Sub(a.refilled)) / float64(a.cfg.WriteInterval)
+	a.tokens = min(a.tokens, float64(a.cfg.WriteBurst))
+	a.refilled = now
+}
+
 // peerRows sums the peers' rows of one team.
 func (a *Allotments) peerRows(id fleet.TeamID) peerDemand {
 	d := peerDemand{demand: map[string]int{}}
@@ -222,6 +234,7 @@
 				continue
 			}
 			d.demand[p.Incarnation] = r.Running + r.Queued
+			d.units += r.Units
 			d.starved += max(0, r.Running+r.Queued-r.Units)
 			if r.Units > r.Running+r.Queued {
 				d.spare = append(d.spare, p.Incarnation)
@@ -301,18 +314,27 @@
 		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
 	}
 	limit, _ := a.effectiveLimit(t)
+	if !a.withinLimit(t) && t.stale {
+		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
+	}
 	if !a.withinLimit(t) && (t.record.Limit > limit || t.record.sum() > limit) {
 		return a.prepareOver(t, held, limit, now)
 	}
 	d := a.demand(t, held, now)
 	want := a.target(t, d, limit, peers)
+	if peers.starved == 0 && d.demand <= d.units && !a.hasSpareBudget(now) {
+		return nil, false
+	}
 	return a.prepareTarget(t, held, d, want, limit, peers, now)
 }
 
 // delay moves the team's next vain attempt back; it always returns true.
 func (a *Allotments) delay(t *team, now time.Time, bound time.Duration) bool {
+	if now.Sub(t.tryAfter) > maxBackoff*a.cfg.RetryInterval {
+		t.backoff = 0
+	}
 	t.backoff = min(max(t.backoff*2, a.cfg.RetryInterval), bound*a.cfg.RetryInterval)
-	t.tryAfter = now.Add(t.backoff)
+	t.tryAfter, t.triedAt = now.Add(t.backoff), now
 	return true
 }
 
@@ -450,8 +472,10 @@
 	if want > d.units {
 		free := limit - next.sum()
 		if free <= 0 && d.demand > d.units {
-			if now.After(t.tryAfter) {
-				a.cfg.askSpare(peers.spare)
+			// The peers' rows may show free or unused units before the next attempt is due.
+			hopeful := len(peers.spare) > 0 || peers.units+d.units < limit
+			if now.After(t.tryAfter) || (hopeful && now.Sub(t.triedAt) > a.cfg.WriteInterval) {
+				a.askSpare(peers.spare, now)
 				return nil, a.delay(t, now, maxBackoff)
 			}
 			return a.checkPlan(t, p), false
@@ -467,16 +491,21 @@
 			}
 		}
 	}
-	if raised || d.demand <= d.units {
-		t.backoff, t.tryAfter = 0, time.Time{}
+	if raised {
+		t.backoff, t.tryAfter = 0, now
 	}
 	return a.checkPlan(t, p), false
 }
 
-// askSpare lets peers with unused units learn of the queued requests at once.
-func (c *Config) askSpare(peers []string) {
-	const most = 2
-	c.Seats.HeartbeatNow(peers[:min(len(peers), most)]...)
+// askSpare lets a peer with unused units learn of the queued requests at once. One
+// extra heartbeat in each write interval, for all teams, bounds its cost.
+func (a *Allotments) askSpare(peers []string, now time.Time) {
+	if len(peers) == 0 || now.Sub(a.askedAt) < a.cfg.WriteInterval {
+		return
+	}
+	a.askedAt = now
+	a.cfg.Seats.HeartbeatNow(peers[a.asked%len(peers)])
+	a.asked++
 }
 
 func (a *Allotments) newPlan(t *team, next *record, limit int) *plan {
@@ -533,7 +562,7 @@
 		})
 		a.mu.Lock()
 		t := a.team(id)
-		t.record, t.readAt = p.next, time.Now()
+		t.record, t.readAt, t.stale = p.next, time.Now(), false
 		a.mu.Unlock()
 		return true
 	case errors.As(err, &unavailable):
--- a/internal/membership/cell_test.go
+++ b/internal/membership/cell_test.go
@@ -41,7 +41,7 @@
 }
 
 // parallelScenarios bounds the scenarios that run at the same time.
-const parallelScenarios = 4
+const parallelScenarios = 6
 
 var scenarios []*scenario
 
@@ -269,6 +269,10 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	cuts  map[string]bool
+	// loseReplies and repeat are percentages of the messages: taken with a lost
+	// reply, and delivered once more later.
+	loseReplies, repeat int
+	rng                 *rand.Rand
 	// running counts the work of each team at the endpoints, over all daemons.
 	running   map[fleet.TeamID]int
 	limits    map[fleet.TeamID]int
@@ -297,7 +301,7 @@
 		Gomega:   s.Gomega,
 		store:    &memoryStore{records: map[string]platform.Entry{}},
 		settings: &settings{maxRun: maxRun}, seed: seed, nodes: map[string]*node{}, cuts: map[string]bool{},
-		running: map[fleet.TeamID]int{}, starts: map[string]int{},
+		running: map[fleet.TeamID]int{}, starts: map[string]int{}, rng: rand.New(rand.NewPCG(seed, 9)),
 	}
 	c.setLimits(limits)
 	s.cleanups = append(s.cleanups, c.close)
@@ -319,19 +323,7 @@
 	c.nodes[n.name] = n
 	c.mu.Unlock()
 	n.client = &storeClient{memoryStore: c.store, node: n, rng: rand.New(rand.NewPCG(c.seed, uint64(c.next)))}
-	quiet := logrus.New()
-	quiet.SetOutput(io.Discard)
-	n.Membership = membership.New(membership.Config{
-		Daemon: n.name, Incarnation: "i-" + n.name, PeerAddress: n.name, Store: n.client, Config: c.settings,
-		Dial:   func(address string) (membership.Peer, error) { return &link{from: n, to: address}, nil },
-		Logger: quiet, Lease: lease, VouchLifetime: lease, Margin: margin, HeartbeatInterval: interval,
-		FailureTime: failure, RenewalInterval: renewal, ListInterval: lease,
-	})
-	n.units = allotment.New(allotment.Config{
-		Seats: n.Membership, Store: n.client, Config: c.settings, Logger: quiet, WriteInterval: interval,
-		IdleTime: 5 * interval, RetryInterval: interval / 4, CallTimeout: interval,
-	})
-	n.Attach(n.units, nil)
+	n.assemble(n.client, n.name, func(address string) (membership.Peer, error) { return &link{from: n, to: address}, nil })
 	for _, f := range setup {
 		f(n)
 	}
@@ -347,6 +339,23 @@
 	return n
 }
 
+// assemble builds the daemon over a store and a transport.
+func (n *node) assemble(store platform.Store, address string, dial func(string) (membership.Peer, error)) {
+	c := n.cell
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n.Membership = membership.New(membership.Config{
+		Daemon: n.name, Incarnation: "i-" + n.name, PeerAddress: address, Store: store, Config: c.settings,
+		Dial: dial, Logger: quiet, Lease: lease, VouchLifetime: lease, Margin: margin, HeartbeatInterval: interval,
+		FailureTime: failure, RenewalInterval: renewal, ListInterval: lease,
+	})
+	n.units = allotment.New(allotment.Config{
+		Seats: n.Membership, Store: store, Config: c.settings, Logger: quiet, WriteInterval: interval,
+		IdleTime: 5 * interval, RetryInterval: interval / 4, CallTimeout: interval,
+	})
+	n.Attach(n.units, nil)
+}
+
 func (c *cell) startAll(count int, setup ...func(*node)) []*node {
 	var out []*node
 	for range count {
@@ -409,7 +418,9 @@
 func (n *node) freeze() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.frozen = make(chan struct{})
+	if n.frozen == nil {
+		n.frozen = make(chan struct{})
+	}
 }
 
 func (n *node) thaw() {
@@ -498,6 +509,7 @@
 	c := l.from.cell
 	c.mu.Lock()
 	to, cut := c.nodes[l.to], c.cuts[l.from.name+l.to]
+	lost, again := c.rng.IntN(100) < c.loseReplies, c.rng.IntN(100) < c.repeat
 	c.mu.Unlock()
 	if to == nil || cut || to.dead() {
 		return nil, errLink
@@ -517,7 +529,16 @@
 			return
 		}
 		r, err := handle(to, copied)
-		done <- result{r, err}
+		if again {
+			time.AfterFunc(6*interval, func() {
+				if to.gate(context.Background()) == nil {
+					_, _ = handle(to, copied)
+				}
+			})
+		}
+		if !lost {
+			done <- result{r, err}
+		}
 	}()
 	select {
 	case <-ctx.Done():
