--- a/internal/emulator/process/seats.go
+++ b/internal/emulator/process/seats.go
@@ -69,3 +69,25 @@
 	}
 	return len(entries), smallest, nil
 }
+
+// StoreRecords returns the seats and allotments in the store as text, for the
+// report of a failed proof.
+func (c *Cell) StoreRecords() string {
+	store, err := platform.NewHTTP(platform.HTTPConfig{URL: "http://" + c.PlatformAddress})
+	if err != nil {
+		return err.Error()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	text := ""
+	for _, prefix := range []string{"seats/", "allotments/"} {
+		entries, _, err := store.List(ctx, prefix)
+		if err != nil {
+			return err.Error()
+		}
+		for _, e := range entries {
+			text += fmt.Sprintf("%s %s\n", e.Key, e.Value)
+		}
+	}
+	return text
+}
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -66,6 +66,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
 		if CurrentSpecReport().Failed() {
+			AddReportEntry("store", c.StoreRecords())
 			AddReportEntry("logs", c.LogTails())
 		}
 		c.Close()
