--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -35,14 +35,16 @@
 	c.d.claims.MoveTo(successor)
 }
 
-// learnViewHistory gets the recent views of the cell, without which no claim is
-// granted. A daemon that finds no recorded seat is the first of its cell and
-// there are no earlier views; a daemon that cannot list the seats must ask a peer.
+// isFirstOfCell reports whether the store holds no seat. It must be asked before
+// this daemon creates one.
+func (d *Daemon) isFirstOfCell(ctx context.Context) bool {
+	entries, _, err := d.store.List(ctx, membership.SeatPrefix)
+	return err == nil && len(entries) == 0
+}
+
+// learnViewHistory gets the recent views of the cell from a peer; without them no
+// claim is granted.
 func (d *Daemon) learnViewHistory(ctx context.Context) {
-	if entries, _, err := d.store.List(ctx, membership.SeatPrefix); err == nil && len(entries) == 0 {
-		d.claimer.LoadHistory(nil)
-		return
-	}
 	for ctx.Err() == nil && !d.claimer.HistoryComplete() {
 		for _, address := range append(d.memberAddresses(), d.settings.Peers...) {
 			if d.fetchViewHistory(ctx, address) {
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -10,12 +10,10 @@
 	"samphirestile.example/samphirestile/internal/membership"
 	"samphirestile.example/samphirestile/internal/ownership"
 	"samphirestile.example/samphirestile/internal/peerapi/oas"
+	"samphirestile.example/samphirestile/internal/settings"
 )
 
 const (
-	// isolationLimit is the time without contact after which a daemon refuses
-	// requests, because it could not learn of a revoked key.
-	isolationLimit = 3 * time.Second
 	readinessCheck = 100 * time.Millisecond
 	seatFetchRetry = time.Second
 )
@@ -102,10 +100,11 @@
 	return slices.ContainsFunc(d.membership.View().Members, func(m membership.Member) bool { return m.Active })
 }
 
-// isolated reports that neither the store nor any other recorded daemon answered lately.
+// isolated reports that neither the store nor any other recorded daemon answered
+// within the failure time. Such a daemon could not learn of a revoked key.
 func (d *Daemon) isolated() bool {
 	others := slices.ContainsFunc(d.membership.View().Members, func(m membership.Member) bool { return !m.Self })
-	return others && time.Since(d.membership.LastContact()) > isolationLimit
+	return others && time.Since(d.membership.LastContact()) > settings.Duration(d.settings.FailureMS)
 }
 
 // memberAddresses returns the peer addresses of other daemons.
