Scale seat renewal and listing with the lease

Cause: with a lease of 2 s the renewal interval stayed at 4 s, so that rights lapsed between renewals and a killed daemon's seat was not reclaimed within 8 s. Renewal is now a third of the lease and listing half of it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,10 @@
 const (
 	// peerCallTimeout bounds one control message between daemons.
 	peerCallTimeout = time.Second
+	// renewalsPerLease lets two renewals fail before a lease ends. listsPerLease
+	// lets a reclaimer notice an unrenewed seat within a lease.
+	renewalsPerLease = 3
+	listsPerLease    = 2
 	// peerIdleTimeout is longer than a heartbeat round of eight daemons, so that
 	// heartbeats seldom open a connection.
 	peerIdleTimeout = 30 * time.Second
@@ -123,6 +127,8 @@
 		Margin:            settings.Duration(s.MarginMS),
 		HeartbeatInterval: settings.Duration(s.HeartbeatMS),
 		FailureTime:       settings.Duration(s.FailureMS),
+		RenewalInterval:   settings.Duration(s.LeaseMS) / renewalsPerLease,
+		ListInterval:      settings.Duration(s.LeaseMS) / listsPerLease,
 	})
 	d.allotments = allotment.New(allotment.Config{
 		Seats:  d.membership,
