Choose owners by the units and load of the team, not by a free-unit flag

Cause: an owner reported only whether units were free. Ruled out: the records, which held all 8 units. Owners now report units and load of the team, and the entry daemon adds its own requests in flight.

--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -252,6 +252,16 @@
 	return running, units
 }
 
+// Queued returns the queued requests of the team on this daemon.
+func (a *Allotments) Queued(id fleet.TeamID) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t := a.teams[id]; t != nil {
+		return t.queued
+	}
+	return 0
+}
+
 // usage counts running requests of this daemon, also of exported seats, and the
 // units that its own requests may use.
 func (t *team) usage(now time.Time) (running, units int) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -150,7 +150,7 @@
 		Upstream:    d.upstream,
 		Secret:      d.secret,
 		Units:       d.unitsOf,
-		Usage:       d.allotments.Usage,
+		Usage:       d.teamLoad,
 		Unreachable: func(m membership.Member) { d.membership.Probe(m.PeerAddress) },
 	}
 	d.forwarder = forward.New(options)
--- a/internal/daemon/units.go
+++ b/internal/daemon/units.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/forward"
 	"samphirestile.example/samphirestile/internal/membership"
 	"samphirestile.example/samphirestile/internal/ownership"
 	"samphirestile.example/samphirestile/internal/peerapi/oas"
@@ -20,6 +21,12 @@
 	return row.Units, known
 }
 
+// teamLoad returns the state of a team on this daemon.
+func (d *Daemon) teamLoad(team fleet.TeamID) forward.TeamLoad {
+	running, units := d.allotments.Usage(team)
+	return forward.TeamLoad{Units: units, Load: running + d.allotments.Queued(team)}
+}
+
 // teamRows holds the last row of each team from each peer, by incarnation. A
 // copy is kept, because it is read for each request.
 type teamRows map[string]map[fleet.TeamID]oas.TeamRow
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -45,9 +45,9 @@
 	Units func(m membership.Member, team fleet.TeamID) (units int, known bool)
 	// Unreachable is told of peers that could not be connected to; it may be nil.
 	Unreachable func(membership.Member)
-	// Usage returns the running requests and units of a team on this daemon, so
-	// that requests go to owners that hold units; it may be nil.
-	Usage func(team fleet.TeamID) (running, units int)
+	// Usage returns the state of a team on this daemon, so that requests go to
+	// owners with free units; it may be nil.
+	Usage func(team fleet.TeamID) TeamLoad
 }
 
 // Call is one request of a caller.
@@ -202,7 +202,7 @@
 }
 
 func (f *Forwarder) attempt(ctx context.Context, w *owner, c *Call, avoid []fleet.EndpointID) (*Response, *refusal) {
-	end := f.owners.begin(w, c.Service.ID)
+	end := f.owners.begin(w, c.Service.ID, c.Team)
 	var a *upstream.Answer
 	var r *refusal
 	if w.member.Self {
@@ -274,10 +274,10 @@
 	if err != nil {
 		return nil, &refusal{Error: f.hopFailure(ctx, hop, w, err), ownerLost: true}
 	}
-	if l, units, err := ParseLoad(a.Header.Get(problem.HeaderLoad)); err == nil {
+	if l, team, err := ParseLoad(a.Header.Get(problem.HeaderLoad)); err == nil {
 		f.owners.report(w, c.Service.ID, l)
-		if units != nil {
-			f.owners.reportUnits(w.member.PeerAddress, c.Team, *units)
+		if team != nil {
+			f.owners.reportTeam(w.member.PeerAddress, c.Team, *team)
 		}
 	}
 	switch a.Header.Get(headerAnsweredBy) {
@@ -352,12 +352,6 @@
 	return p
 }
 
-// ReportUnits takes what a peer told about the free units of a team, for example
-// in a heartbeat.
-func (f *Forwarder) ReportUnits(peerAddress string, team fleet.TeamID, free int) {
-	f.owners.reportUnits(peerAddress, team, free)
-}
-
 func peerURL(c *Call) *url.URL {
 	u := *c.URL
 	prefix := PathPrefix + string(c.Service.ID)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -82,7 +82,7 @@
 		counts := make(map[*owner]int)
 		for range 64 {
 			w := o.choose("s", "team", none)
-			o.begin(w, "s")
+			o.begin(w, "s", "team")
 			counts[w]++
 		}
 		Expect(counts).To(HaveLen(8))
@@ -91,12 +91,29 @@
 		}
 	})
 
+	It("follows the units of a team, so that none stays idle while requests wait elsewhere", func() {
+		o := eight()
+		held := []int{3, 3, 2, 0, 0, 0, 0, 0}
+		counts := make([]int, len(held))
+		for i, w := range o.of("s") {
+			o.reportTeam(w.member.PeerAddress, "team", TeamLoad{Units: held[i]})
+		}
+		for range 40 {
+			w := o.choose("s", "team", none)
+			o.begin(w, "s", "team")
+			counts[slices.Index(o.of("s"), w)]++
+		}
+		for i, n := range counts {
+			Expect(n).To(BeNumerically("~", 5*held[i], 2), "requests at owner %d: %v", i, counts)
+		}
+	})
+
 	It("goes to an owner with units of the team, and avoids one without connection", func() {
 		o := eight()
 		list := o.of("s")
 		for i, w := range list {
 			if i != 2 && i != 3 {
-				o.reportUnits(w.member.PeerAddress, "team", 0)
+				o.reportTeam(w.member.PeerAddress, "team", TeamLoad{})
 			}
 		}
 		o.failed(list[2])
@@ -185,7 +202,7 @@
 
 func FuzzParseLoad(f *testing.F) {
 	f.Add("slots=8, running=3, queued=0")
-	f.Add("slots=8, running=3, queued=0, units=2, more=1")
+	f.Add("slots=8, running=3, queued=0, units=2, load=1, more=1")
 	f.Add("slots=, ,=")
 	f.Fuzz(func(t *testing.T, value string) {
 		l, units, err := ParseLoad(value)
--- a/internal/forward/owners.go
+++ b/internal/forward/owners.go
@@ -21,13 +21,13 @@
 	// localBonus is the part of an owner's slots by which this daemon prefers
 	// itself; a local dispatch saves the network hop.
 	localBonus = 0.25
-	// noUnits is added to the use of an owner that holds no free unit of the team,
-	// and unreachable to that of an owner that could not be connected to.
+	// noUnits is the use of an owner that holds no unit of the team, and
+	// unreachable is added to that of an owner that could not be connected to.
 	noUnits     = 1e3
 	unreachable = 1e6
-	// unitsLifetime is how long a report of free units counts; heartbeats of a
+	// teamLifetime is how long the report of a team's units counts; heartbeats of a
 	// pair of daemons are 3.5 s apart in a cell of 8.
-	unitsLifetime = 4 * time.Second
+	teamLifetime = 4 * time.Second
 	// failureTime is how long an owner is avoided after a connection failed. By
 	// then the view shows whether it is active.
 	failureTime = time.Second
@@ -41,16 +41,6 @@
 	slots int
 }
 
-type unitKey struct {
-	address string
-	team    fleet.TeamID
-}
-
-type unitFigure struct {
-	free int
-	at   time.Time
-}
-
 type figureKey struct {
 	address string
 	service fleet.ServiceID
@@ -82,12 +72,12 @@
 	config  config.Source
 	members membership.Source
 	local   dispatch.Dispatcher
-	usage   func(fleet.TeamID) (running, units int)
+	usage   func(fleet.TeamID) TeamLoad
 	// heartbeatUnits is Options.Units.
 	heartbeatUnits func(membership.Member, fleet.TeamID) (units int, known bool)
 
 	mu       sync.Mutex
-	units    map[unitKey]unitFigure
+	teams    map[teamKey]*teamFigure
 	failures map[string]time.Time
 	figures  map[figureKey]*figure
 
@@ -99,7 +89,7 @@
 func newOwners(o Options) *owners {
 	return &owners{
 		config: o.Config, members: o.Members, local: o.Dispatcher, usage: o.Usage, heartbeatUnits: o.Units,
-		figures: make(map[figureKey]*figure), units: make(map[unitKey]unitFigure), failures: make(map[string]time.Time),
+		figures: make(map[figureKey]*figure), teams: make(map[teamKey]*teamFigure), failures: make(map[string]time.Time),
 	}
 }
 
@@ -185,11 +175,7 @@
 		}
 	}
 	now := time.Now()
-	for k, u := range o.units {
-		if now.Sub(u.at) > unitsLifetime {
-			delete(o.units, k)
-		}
-	}
+	o.dropTeams(now)
 	for address, at := range o.failures {
 		if now.Sub(at) > failureTime {
 			delete(o.failures, address)
@@ -197,13 +183,6 @@
 	}
 }
 
-// reportUnits takes the number of free units of a team at a daemon.
-func (o *owners) reportUnits(address string, team fleet.TeamID, free int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.units[unitKey{address, team}] = unitFigure{free, time.Now()}
-}
-
 // failed notes that an owner could not be connected to.
 func (o *owners) failed(w *owner) {
 	o.mu.Lock()
@@ -212,35 +191,11 @@
 }
 
 // penalty is what speaks against an owner besides its load.
-func (o *owners) penalty(w *owner, team fleet.TeamID, now time.Time) float64 {
-	if w.member.Self {
-		if o.usage != nil {
-			if running, units := o.usage(team); units <= running {
-				return noUnits
-			}
-		}
-		return 0
-	}
-	p := 0.0
-	if o.hasNoUnit(w, team, now) {
-		p += noUnits
-	}
-	if at, ok := o.failures[w.member.PeerAddress]; ok && now.Sub(at) < failureTime {
-		p += unreachable
-	}
-	return p
-}
-
-// hasNoUnit reports whether the owner is known to have no free unit of the team.
-func (o *owners) hasNoUnit(w *owner, team fleet.TeamID, now time.Time) bool {
-	if u, ok := o.units[unitKey{w.member.PeerAddress, team}]; ok && now.Sub(u.at) < unitsLifetime {
-		return u.free <= 0
-	}
-	if o.heartbeatUnits == nil {
-		return false
+func (o *owners) penalty(w *owner, now time.Time) float64 {
+	if at, ok := o.failures[w.member.PeerAddress]; ok && !w.member.Self && now.Sub(at) < failureTime {
+		return unreachable
 	}
-	units, known := o.heartbeatUnits(w.member, team)
-	return known && units == 0
+	return 0
 }
 
 func (o *owners) figure(address string, service fleet.ServiceID) *figure {
@@ -254,14 +209,17 @@
 }
 
 // begin counts a request at an owner until the returned function is called.
-func (o *owners) begin(w *owner, service fleet.ServiceID) (end func()) {
+func (o *owners) begin(w *owner, service fleet.ServiceID, team fleet.TeamID) (end func()) {
 	o.mu.Lock()
 	f := o.figure(w.member.PeerAddress, service)
+	t := o.teamFigure(w.member.PeerAddress, team)
 	f.inFlight++
+	t.inFlight++
 	o.mu.Unlock()
 	return sync.OnceFunc(func() {
 		o.mu.Lock()
 		f.inFlight--
+		t.inFlight--
 		o.mu.Unlock()
 	})
 }
@@ -305,7 +263,7 @@
 	var best *owner
 	bestUse := math.Inf(1)
 	consider := func(w *owner) {
-		u := o.use(w, service, now) + o.penalty(w, team, now)
+		u := max(o.use(w, service, now), o.teamUse(w, team, now)) + o.penalty(w, now)
 		if w.member.Self && u < 1 {
 			u -= localBonus
 		}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -51,18 +51,20 @@
 
 // FormatLoad returns the value of the load header. units are the free units of
 // the team of the request; nil means that they are not known.
-func FormatLoad(l dispatch.Load, units *int) string {
+func FormatLoad(l dispatch.Load, team *TeamLoad) string {
 	value := fmt.Sprintf("slots=%d, running=%d, queued=%d", l.Slots, l.Running, l.Queued)
-	if units != nil {
-		value += fmt.Sprintf(", units=%d", max(*units, 0))
+	if team != nil {
+		value += fmt.Sprintf(", units=%d, load=%d", max(team.Units, 0), max(team.Load, 0))
 	}
 	return value
 }
 
 // ParseLoad reads a load header. Unknown names are ignored for later versions.
-func ParseLoad(value string) (l dispatch.Load, units *int, err error) {
-	const slots, running, queued, free, all = 1, 2, 4, 8, 1 | 2 | 4
-	found, freeUnits := 0, 0
+func ParseLoad(value string) (l dispatch.Load, team *TeamLoad, err error) {
+	const slots, running, queued, all = 1, 2, 4, 1 | 2 | 4
+	const units, load, allOfTeam = 8, 16, 8 | 16
+	var t TeamLoad
+	found := 0
 	for part := range strings.SplitSeq(value, ",") {
 		name, number, _ := strings.Cut(strings.TrimSpace(part), "=")
 		n, err := strconv.ParseUint(number, 10, 32)
@@ -77,16 +79,18 @@
 		case "queued":
 			l.Queued, found = int(n), found|queued
 		case "units":
-			freeUnits, found = int(n), found|free
+			t.Units, found = int(n), found|units
+		case "load":
+			t.Load, found = int(n), found|load
 		}
 	}
 	if found&all != all {
 		return dispatch.Load{}, nil, &LoadFormatError{value}
 	}
-	if found&free != 0 {
-		units = &freeUnits
+	if found&allOfTeam == allOfTeam {
+		team = &t
 	}
-	return l, units, nil
+	return l, team, nil
 }
 
 // writeHop puts the facts of a call on the header of a forwarded request.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -123,13 +123,12 @@
 		return
 	}
 	if l, ok := s.options.Dispatcher.Load(id); ok {
-		var units *int
+		var team *TeamLoad
 		if s.options.Usage != nil {
-			running, held := s.options.Usage(fleet.TeamID(r.Header.Get(headerTeam)))
-			free := held - running
-			units = &free
+			t := s.options.Usage(fleet.TeamID(r.Header.Get(headerTeam)))
+			team = &t
 		}
-		w.Header().Set(problem.HeaderLoad, FormatLoad(l, units))
+		w.Header().Set(problem.HeaderLoad, FormatLoad(l, team))
 	}
 }
 
