Grant idempotency claims only with a majority of the recorded seats

Only one side can see more than half of the recorded seats. The planned stop keeps the peer listener open for the failure time, so that peers with an older view find an answer, and requests refused before a handler are logged.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,7 @@
 	forwarder  *forward.Forwarder
 	peerSide   *forward.Server
 	gateway    *gateway.Gateway
+	requestLog *requestLog
 	claims     *idempotency.Table
 	claimer    *idempotency.Coordinator
 	peerHTTP   *http.Client
@@ -163,12 +164,13 @@
 		AwaitHistory: true,
 		Dial:         func(address string) (idempotency.Peer, error) { return d.dialPeer(address) },
 	})
+	d.requestLog = &requestLog{log: d.log, scope: d.metrics.Scope()}
 	d.gateway = gateway.New(gateway.Options{
 		Config:    d.config,
 		Verifier:  keys.NewVerifier(d.config, d.revoked),
 		Forwarder: d.forwarder,
 		Claimer:   d.claimer,
-		Observer:  &requestLog{log: d.log, scope: d.metrics.Scope()},
+		Observer:  d.requestLog,
 	})
 }
 
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	l := &listeners{
-		service:  gateway.NewServer(d.gateway, gateway.ServerOptions{}),
+		service:  gateway.NewServer(d.gateway, gateway.ServerOptions{Observer: d.requestLog}),
 		peer:     controlServer(d.peerSide.Wrap(peerAPI)),
 		operator: controlServer(d.operatorMux(operator)),
 		failed:   make(chan error, 3),
@@ -147,17 +147,19 @@
 	if err := d.membership.Leave(limit); err != nil {
 		problems = append(problems, fmt.Errorf("leave: %w", err))
 	}
-	for _, s := range []*http.Server{l.service, l.peer} {
-		if err := s.Shutdown(limit); err != nil {
-			problems = append(problems, fmt.Errorf("shutdown: %w", err))
+	step := func(what string, err error) {
+		if err != nil {
+			problems = append(problems, fmt.Errorf("%s: %w", what, err))
 		}
 	}
-	if err := d.membership.Drained(limit); err != nil {
-		problems = append(problems, fmt.Errorf("drain: %w", err))
-	}
-	if err := l.operator.Shutdown(limit); err != nil {
-		problems = append(problems, fmt.Errorf("shutdown: %w", err))
-	}
+	step("shut down the service listener", l.service.Shutdown(limit))
+	step("drain", d.membership.Drained(limit))
+	// Peers with an older view still forward requests here; they must find an
+	// answer and not a closed connection.
+	d.sleep(limit, settings.Duration(d.settings.FailureMS+d.settings.HeartbeatMS))
+	step("shut down the peer listener", l.peer.Shutdown(limit))
+	step("drain", d.membership.Drained(limit))
+	step("shut down the operator listener", l.operator.Shutdown(limit))
 	d.log.WithField("problems", len(problems)).Info("planned stop ended")
 	return errors.Join(problems...)
 }
--- a/internal/idempotency/coordinator.go
+++ b/internal/idempotency/coordinator.go
@@ -143,6 +143,13 @@
 	return !c.options.Now().Before(c.history.incompleteUntil)
 }
 
+// hasMajority reports whether more than half of the recorded seats are active.
+// When peers are partitioned, each side may keep one home of a key; only the side
+// with the majority may grant claims.
+func hasMajority(v membership.View) bool {
+	return 2*len(activeSeats(v)) > len(v.Members)
+}
+
 // Claim implements Claimer. It asks the homes one after the other. requestID
 // must be different for each request that arrives, also for repeats.
 func (c *Coordinator) Claim(ctx context.Context, team fleet.TeamID, key, requestID string) (bool, Claim, error) {
@@ -153,6 +160,10 @@
 	if p != nil {
 		return false, Claim{}, p
 	}
+	if !hasMajority(view) {
+		return false, Claim{}, problem.New(problem.CodeIdempotencyUnknown, http.StatusServiceUnavailable,
+			"this daemon sees less than half of the recorded seats and cannot rule out that another one runs the request").After(homeRetry)
+	}
 	request := &oas.ClaimRequest{Team: string(team), Key: key, RequestID: requestID}
 	for i, seat := range homes {
 		reply, err := c.ask(ctx, view, seat, request)
--- a/internal/idempotency/idempotency_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -293,6 +293,33 @@
 		c.mustClaim(entry, "k", "c")
 	})
 
+	It("guards against a grant on both sides of a partition that separates the homes of a key", func() {
+		c := newCell(5)
+		homes := c.homes("key")
+		minority := map[int]bool{homes[0]: true, (homes[0] + 1) % 5: true}
+		if minority[homes[1]] {
+			delete(minority, homes[1])
+			minority[(homes[0]+2)%5] = true
+		}
+		granted := 0
+		for _, far := range []bool{true, false} {
+			c.inactive = map[int]bool{}
+			for i := range 5 {
+				c.links[i].cut.Store(minority[i] != far)
+				c.inactive[i] = minority[i] != far
+			}
+			for i := range 5 {
+				if minority[i] == far {
+					c.spread(i)
+					if ok, _, _ := c.claim(i, "key", fmt.Sprintf("request-%d", i)); ok {
+						granted++
+					}
+				}
+			}
+		}
+		Expect(granted).To(Equal(1))
+	})
+
 	It("settles in the background when a home is away for a while", func() {
 		c := newCell(8)
 		homes := c.homes("k")
