State the safety argument and start no work after Run has ended

Cause: a peer's message that arrived while Run ended could start background work during its final wait; the race detector reported it. The rows of peers are summed once for all teams instead of once for each. A daemon asks holders out of turn only when it has no unit.

Ruled out: keeping one unit over the share as hysteresis.

--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
 	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
 	"samphirestile.example/samphirestile/internal/platform"
 )
 
@@ -31,9 +33,11 @@
 	// demand counts running and queued requests of each peer, starved those without a unit.
 	demand  map[string]int
 	starved int
-	units   int
-	// spare lists peers with unused units, holders all with units, the largest first.
-	spare, holders []string
+	// units is the sum of the peers' units, held those of each peer.
+	units int
+	held  map[string]int
+	// spare lists peers with unused units.
+	spare []string
 }
 
 // plan is one intended change of a team's record.
@@ -85,11 +89,16 @@
 		return
 	}
 	a.dropLostSeats()
+	peers := a.peerDemands()
 	for _, id := range a.byUrgency() {
 		if ctx.Err() != nil {
 			return
 		}
-		a.adjust(ctx, id)
+		d := peers[id]
+		if d == nil {
+			d = &peerDemand{}
+		}
+		a.adjust(ctx, id, d)
 	}
 }
 
@@ -161,14 +170,14 @@
 }
 
 // adjust brings the entries of this daemon's seats for one team in line with demand.
-func (a *Allotments) adjust(ctx context.Context, id fleet.TeamID) {
+func (a *Allotments) adjust(ctx context.Context, id fleet.TeamID, peers *peerDemand) {
 	for range maxAttempts {
-		p, read := a.prepare(id)
+		p, read := a.prepare(id, peers)
 		if read {
 			if !a.read(ctx, id) {
 				return
 			}
-			p, _ = a.prepare(id)
+			p, _ = a.prepare(id, peers)
 		}
 		if p == nil {
 			break
@@ -213,32 +222,43 @@
 	return true
 }
 
-// peerRows sums the peers' rows of one team.
-func (a *Allotments) peerRows(id fleet.TeamID) peerDemand {
-	d := peerDemand{demand: map[string]int{}}
-	held := map[string]int{}
+// peerDemands sums the peers' rows by team. It is computed once for all teams,
+// because the rows of all peers are many at the design size.
+func (a *Allotments) peerDemands() map[fleet.TeamID]*peerDemand {
+	out := map[fleet.TeamID]*peerDemand{}
 	for _, p := range a.cfg.Seats.PeerTeamRows() {
 		if !p.Active || p.Leaving {
 			continue
 		}
 		for _, r := range p.Rows {
-			if r.Team != string(id) {
-				continue
-			}
-			d.demand[p.Incarnation] = r.Running + r.Queued
-			d.units += r.Units
-			if r.Units > 0 {
-				held[p.Incarnation] = r.Units
-				d.holders = append(d.holders, p.Incarnation)
-			}
-			d.starved += max(0, r.Running+r.Queued-r.Units)
-			if r.Units > r.Running+r.Queued {
-				d.spare = append(d.spare, p.Incarnation)
+			d := out[fleet.TeamID(r.Team)]
+			if d == nil {
+				d = &peerDemand{demand: map[string]int{}, held: map[string]int{}}
+				out[fleet.TeamID(r.Team)] = d
 			}
+			d.add(p.Incarnation, r)
 		}
 	}
-	slices.SortFunc(d.holders, func(x, y string) int { return cmp.Or(held[y]-held[x], cmp.Compare(x, y)) })
-	return d
+	return out
+}
+
+func (d *peerDemand) add(peer string, r oas.TeamRow) {
+	d.demand[peer] = r.Running + r.Queued
+	d.units += r.Units
+	d.starved += max(0, r.Running+r.Queued-r.Units)
+	if r.Units > 0 {
+		d.held[peer] = r.Units
+	}
+	if r.Units > r.Running+r.Queued {
+		d.spare = append(d.spare, peer)
+	}
+}
+
+// holders lists the peers with units, the largest first.
+func (d *peerDemand) holders() []string {
+	return slices.SortedFunc(maps.Keys(d.held), func(x, y string) int {
+		return cmp.Or(d.held[y]-d.held[x], cmp.Compare(x, y))
+	})
 }
 
 // reserve is the number of units that this daemon keeps for a first request. A
@@ -286,8 +306,7 @@
 
 // prepare decides on the next change. read asks to read the record first.
 // The local counts are lowered here, before the write.
-func (a *Allotments) prepare(id fleet.TeamID) (p *plan, read bool) {
-	peers := a.peerRows(id)
+func (a *Allotments) prepare(id fleet.TeamID, peers *peerDemand) (p *plan, read bool) {
 	held := a.cfg.Seats.HeldSeats()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -347,11 +366,12 @@
 }
 
 // target returns the number of units that this daemon should have.
-func (a *Allotments) target(t *team, d demandState, limit int, peers peerDemand) int {
+func (a *Allotments) target(t *team, d demandState, limit int, peers *peerDemand) int {
 	if peers.starved > 0 {
 		share := a.share(t, d.demand, limit, peers)
-		// Hysteresis saves writes while the demand of daemons changes a little.
-		if over := d.units - share; over > 0 && over <= share/4 {
+		// Hysteresis saves writes while the demand of daemons changes a little; unused
+		// units go at once.
+		if over := d.units - share; over > 0 && over <= share/4 && d.demand >= d.units {
 			return d.units
 		}
 		return share
@@ -370,7 +390,7 @@
 // share divides the limit over the daemons by their demand. The largest
 // remainders get the units left by rounding, so that a small limit ends up where
 // the demand is largest.
-func (a *Allotments) share(t *team, demand, limit int, peers peerDemand) int {
+func (a *Allotments) share(t *team, demand, limit int, peers *peerDemand) int {
 	total := demand
 	for _, d := range peers.demand {
 		total += d
@@ -429,7 +449,7 @@
 
 // prepareTarget raises or lowers the entries towards the target.
 func (a *Allotments) prepareTarget(
-	t *team, held []fleet.SeatID, d demandState, want, limit int, peers peerDemand, now time.Time,
+	t *team, held []fleet.SeatID, d demandState, want, limit int, peers *peerDemand, now time.Time,
 ) (*plan, bool) {
 	next := t.record.clone()
 	p := a.newPlan(t, next, limit)
@@ -455,9 +475,9 @@
 			hopeful := len(peers.spare) > 0 || peers.units+d.units < limit
 			if now.After(t.tryAfter) || (hopeful && now.Sub(t.triedAt) > a.cfg.WriteInterval) {
 				ask := peers.spare
-				if len(ask) == 0 && want > 2*d.units {
-					// Far below its share, this daemon lets the holders know before their turn.
-					ask = peers.holders
+				if len(ask) == 0 && d.units == 0 {
+					// Without any unit, this daemon lets the holders know before their turn.
+					ask = peers.holders()
 				}
 				a.askSpare(ask, now)
 				return nil, a.delay(t, now, maxBackoff)
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -418,7 +418,7 @@
 	}
 	for _, i := range h.Inactive {
 		if q := m.peers[i]; q != nil && q.active && !q.probing && now.Sub(q.lastBeat) >= m.cfg.HeartbeatInterval {
-			m.goProbe(q)
+			m.goLocked(func(ctx context.Context) { m.probe(ctx, q, time.Now()) })
 		}
 	}
 	for _, r := range h.Teams {
@@ -430,13 +430,6 @@
 	m.changed()
 }
 
-// goProbe starts a probe while m.mu is held.
-func (m *Membership) goProbe(p *peer) {
-	if ctx := m.runCtx; ctx != nil && ctx.Err() == nil {
-		m.background.Go(func() { m.probe(ctx, p, time.Now()) })
-	}
-}
-
 // learnState merges what is known of one seat. The occupant with the higher
 // number of handovers wins; between equal ones the higher renewal counter.
 func (m *Membership) learnState(st oas.SeatState) *knownSeat {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -70,8 +70,9 @@
 	handoverMu sync.Mutex
 	handovers  map[string]bool
 
-	runCtx context.Context
-	wake   chan struct{}
+	// runCtx is the context of Run; stopped is set when Run waits for its background work.
+	runCtx  context.Context
+	stopped bool
 }
 
 // New returns a Membership that does nothing until Run.
@@ -83,7 +84,6 @@
 		known: map[fleet.SeatID]*knownSeat{}, peers: map[string]*peer{}, clients: map[string]Peer{},
 		observed: map[fleet.SeatID]*observation{}, gone: map[fleet.SeatID]bool{}, deleted: map[fleet.SeatID]bool{},
 		reports: map[fleet.SeatID]*report{}, handovers: map[string]bool{},
-		wake: make(chan struct{}, 1),
 	}
 	m.store = &contactStore{Store: cfg.Store, contact: m.storeContact}
 	return m
@@ -125,14 +125,18 @@
 		})
 	}
 	wg.Wait()
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
 	m.background.Wait()
 	return ctx.Err()
 }
 
 // join reads the seats, greets their occupants and creates a seat.
 func (m *Membership) join(ctx context.Context) {
-	if m.listSeats(ctx) {
-		m.beatAll(ctx)
+	listed := m.listSeats(ctx)
+	m.beatAll(ctx)
+	if listed {
 		m.createSeat(ctx)
 	}
 }
@@ -145,9 +149,15 @@
 // goRun runs f in the background until Run's context ends.
 func (m *Membership) goRun(f func(ctx context.Context)) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.goLocked(f)
+}
+
+// goLocked is goRun for callers that hold m.mu. The lock orders it before the
+// final wait of Run, because peers' messages still arrive then.
+func (m *Membership) goLocked(f func(ctx context.Context)) {
 	ctx := m.runCtx
-	m.mu.Unlock()
-	if ctx == nil || ctx.Err() != nil {
+	if ctx == nil || ctx.Err() != nil || m.stopped {
 		return
 	}
 	m.background.Go(func() { f(ctx) })
--- a/internal/membership/protocol_test.go
+++ b/internal/membership/protocol_test.go
@@ -49,6 +49,8 @@
 		c := s.cell(42, limits(4))
 		nodes := c.startAll(2)
 		voter := string(nodes[0].HeldSeats()[0])
+		// With the store up, the successor would release its second seat.
+		c.setStore(true)
 		s.Expect(vouches(s, nodes[0], 7)).To(HaveLen(1))
 		s.Expect(nodes[0].Leave(s.ctx)).To(Succeed())
 		s.Expect(consents(s, nodes[1], 7)).NotTo(ContainElement(voter))
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,5 +1,43 @@
 // Package membership keeps the seats of the cell: heartbeats, vouches, reclaim
-// and hand-over.
+// and handover.
+//
+// # Why a holder and a reclaimer never both use the units of a seat
+//
+// The right to start work under a seat comes from a renewal of the seat's record
+// or from vouches of a majority of its quorum; both count from before the
+// request was sent. A reclaim needs, in this order:
+//
+//   - a record that the reclaimer saw unchanged for lease and margin, counted from
+//     after an answer of the store. A renewal that was confirmed has then expired;
+//   - consent of a majority of the quorum named in that record. Each consenting
+//     voter has not vouched for the vouch lifetime and margin and never again
+//     vouches for this renewal counter or an earlier one. Two majorities of one
+//     quorum share a voter, so the holder's majority has expired and stays lost;
+//   - a mark on the record by compare-and-swap. A renewal that comes first makes it
+//     fail, and a renewal that comes later fails on it;
+//   - a wait of the longest maximum run time from the moment the mark was seen.
+//     Work that started under the right has then ended;
+//   - removal of the seat's entries from the team records, then of its record. Both
+//     are compare-and-swap steps that any number of daemons may repeat or race.
+//
+// A holder whose write has an unknown outcome repeats exactly this write, names
+// the last confirmed counter to its voters, and needs a majority of the old and
+// the new quorum until the outcome is known. Voters keep their promises in memory: a
+// voter that ends never votes again, because its seat ID is not used again, and a
+// handover carries its promises. The right is read from the monotonic clock at each
+// start and again after the request header was written, so a frozen process finds
+// it expired.
+//
+// A handover moves the seat to one process, named by its incarnation. The leaver
+// ends its use before it sends the message, asks no other successor unless this one
+// certainly refused, and reports the units that its last work still needs; the
+// successor leaves them unused until then, or until lease, margin and maximum run
+// time have passed. Between two claims to a seat the one with more handovers counts.
+//
+// Not covered: an operator's or host list's false statement that a live occupant is
+// gone, a maximum run time that was lowered while longer work ran under a daemon
+// that the reclaimer's process never saw, and an endpoint that works longer than the
+// maximum run time.
 package membership
 
 import (
