--- a/internal/emulator/bench/key.go
+++ b/internal/emulator/bench/key.go
@@ -9,7 +9,7 @@
 	"samphirestile.example/samphirestile/internal/emulator/process"
 )
 
-// measureKey gives the time from the confirmed revocation of a key to the last
+// measureKey gives the time from the command that revokes a key to the last
 // start of work with it on any daemon.
 func measureKey(o Options) ([]Metric, error) {
 	daemons, keys := 3, 6
--- a/internal/emulator/process/operator.go
+++ b/internal/emulator/process/operator.go
@@ -113,15 +113,15 @@
 	return Key{ID: k.ID, Team: k.Team, Secret: k.Key}, nil
 }
 
-// Revoke revokes a key on daemon d and records the time at which d confirmed it.
+// Revoke revokes a key on daemon d and records the time before the command was sent.
 func (c *Cell) Revoke(d *Daemon, id string) (*oas.Revocation, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
+	c.Record.Add(history.Event{Kind: history.KindRevoked, KeyID: id})
 	r, err := d.Operator.RevokeKey(ctx, oas.RevokeKeyParams{ID: id})
 	if err != nil {
 		return nil, fmt.Errorf("revoke a key: %w", err)
 	}
-	c.Record.Add(history.Event{Kind: history.KindRevoked, KeyID: id})
 	return r, nil
 }
 
