--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,7 +47,8 @@
 
 // Load is the state of one service at one owner, told to entry daemons.
 type Load struct {
-	// Slots is the learned number of requests that the owned endpoints serve at once.
+	// Slots is the learned number of requests that the owned endpoints serve at
+	// once; a failing endpoint counts as one.
 	Slots int
 	// Running and Queued count requests of the service at this owner. Running also
 	// counts slots that stay charged after a fast failure, so that entry daemons do
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -127,7 +127,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	load.Slots, load.Running = q.capacity()
+	load.Slots, load.Running = q.reportedCapacity()
 	load.Queued = q.queued
 	return load, load.Slots > 0
 }
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -77,7 +77,25 @@
 	for _, e := range s.endpoints {
 		if e.usable() {
 			slots += e.limit()
-			running += e.inFlight + e.held
+			running += e.inFlight
+		}
+	}
+	return slots, running
+}
+
+// reportedCapacity is capacity as entry daemons are told. Slots held after a fast
+// failure count as running, and a failing endpoint that must stay in use counts
+// with one slot, so that its requests go to other owners and it is only probed.
+func (s *serviceQueue) reportedCapacity() (slots, running int) {
+	for _, e := range s.endpoints {
+		if !e.usable() {
+			continue
+		}
+		running += e.inFlight + e.held
+		if e.tracker.Failing() {
+			slots++
+		} else {
+			slots += e.limit()
 		}
 	}
 	return slots, running
