--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -284,15 +284,32 @@
 	return limit / n
 }
 
-// floor is the number of units that this daemon keeps while peers have queued
+// floorFactor bounds the units that floors keep from daemons with queued requests
+// to a quarter of the limit.
+const floorFactor = 4
+
+// floor is the number of units that each daemon keeps while peers have queued
 // requests and it has none, so that a failed peer does not hold all units.
 func (a *Allotments) floor(id fleet.TeamID, limit int) int {
-	if n, _ := a.rank(id); n == 0 || limit < 2*n {
+	if n, _ := a.rank(id); n == 0 || limit < floorFactor*n {
 		return 0
 	}
 	return 1
 }
 
+// contested is the part of the limit that daemons with demand share: the floors of
+// the others are not to be had.
+func (a *Allotments) contested(id fleet.TeamID, limit int, peers *peerDemand) int {
+	n, _ := a.rank(id)
+	idle := n - 1
+	for _, d := range peers.demand {
+		if d > 0 {
+			idle--
+		}
+	}
+	return limit - max(idle, 0)*a.floor(id, limit)
+}
+
 // rank returns the number of active daemons and the place of this daemon among
 // them, which differs between teams. Without a seat it returns 0 daemons.
 func (a *Allotments) rank(id fleet.TeamID) (n, rank int) {
@@ -395,7 +412,7 @@
 // target returns the number of units that this daemon should have.
 func (a *Allotments) target(t *team, d demandState, limit int, peers *peerDemand) int {
 	if peers.starved > 0 {
-		share := max(a.share(t, d.demand, limit, peers), a.floor(t.id, limit))
+		share := max(a.share(t, d.demand, a.contested(t.id, limit, peers), peers), a.floor(t.id, limit))
 		// Hysteresis saves writes while the demand of daemons changes a little; unused
 		// units go at once.
 		if over := d.units - share; over > 0 && over <= share/4 && d.demand >= d.units {
