Read a team's record again when imported units exceed it

Cause: after a handover the successor could know a record from before it, which named fewer units than were imported. When the daemon wanted just that number, its plan changed nothing, nothing was read, and a peer with queued requests got no unit for as long as both kept asking. Ruled out: the write budget (8 tokens left) and missing team rows (starved=8 was known).

--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -355,6 +355,9 @@
 	if t.record == nil || t.record.secondHand {
 		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
 	}
+	if t.importedMore(held) {
+		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
+	}
 	limit, _ := a.effectiveLimit(t)
 	if !a.withinLimit(t) && t.stale {
 		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
@@ -370,6 +373,16 @@
 	return a.prepareTarget(t, held, d, want, limit, peers, now)
 }
 
+// importedMore reports whether an imported seat holds more units than the record
+// known here says. The record is then older than the handover; a plan made from
+// it could find nothing to change and leave the units where they are.
+func (t *team) importedMore(held []fleet.SeatID) bool {
+	return slices.ContainsFunc(held, func(s fleet.SeatID) bool {
+		u := t.seats[s]
+		return u != nil && u.imported && !u.exported && u.units > t.record.Holders[s]
+	})
+}
+
 // delay moves the team's next vain attempt back; it always returns true.
 func (a *Allotments) delay(t *team, now time.Time, bound time.Duration) bool {
 	if now.Sub(t.tryAfter) > maxBackoff*a.cfg.RetryInterval {
--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -422,6 +422,21 @@
 		Eventually(func() int { got = append(got, acquireAll()...); return len(got) }, 30*tick).Should(Equal(4))
 	})
 
+	It("guards against imported units that stay because the record read before the handover hides them", func() {
+		conf.set(1, 4)
+		store.write(record{Limit: 4, Revision: 1, Holders: map[string]int{"s9": 2, "s2": 2}})
+		run()
+		time.Sleep(5 * tick)
+		store.write(record{Limit: 4, Revision: 1, Holders: map[string]int{"s9": 4}})
+		seats.peer(0, 0, 8)
+		a.ImportSeat("s9", []oas.TeamUnits{{Team: string(team), Units: 4}}, nil, tick)
+		seats.mu.Lock()
+		seats.held = []fleet.SeatID{"s9"}
+		seats.mu.Unlock()
+		a.SetDemand(team, 8)
+		Eventually(func() int { return store.record().Holders["s9"] }, 40*tick).Should(Equal(2))
+	})
+
 	It("guards against starts under an exported seat and lost reports of its work", func() {
 		a.SetDemand(team, 4)
 		run()
