Report an unknown or own seat and an empty argument by their class

'daemon declare-gone' answered an unknown seat, and the daemon's own one, as an internal failure with exit code 1. An empty ID reached another path of the operator interface and was reported as an unknown outcome.

--- a/internal/cli/failure.go
+++ b/internal/cli/failure.go
@@ -46,6 +46,15 @@
 	return fmt.Sprintf("%s is %q", e.Option, e.Value)
 }
 
+// Named refuses an empty argument, which would address another path of the
+// operator interface than the one of an object.
+func Named(argument, value, allowed string) error {
+	if value == "" {
+		return &UsageError{Cause: &OptionError{Option: argument, Allowed: allowed}}
+	}
+	return nil
+}
+
 // FileError reports an unreadable file.
 type FileError struct {
 	Path   string
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 
+	"samphirestile.example/samphirestile/internal/config"
 	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/membership"
 	"samphirestile.example/samphirestile/internal/operatorapi"
 	"samphirestile.example/samphirestile/internal/operatorapi/commands"
 	"samphirestile.example/samphirestile/internal/operatorapi/oas"
 	"samphirestile.example/samphirestile/internal/operatorapi/queries"
+	"samphirestile.example/samphirestile/internal/operatorapi/wire"
 	"samphirestile.example/samphirestile/internal/ownership"
 )
 
@@ -19,7 +23,16 @@
 
 // DeclareGone implements commands.Seats.
 func (s seatCommands) DeclareGone(_ context.Context, seat fleet.SeatID) error {
-	return s.d.membership.DeclareGone(seat)
+	err := s.d.membership.DeclareGone(seat)
+	var refused *membership.SeatError
+	switch {
+	case !errors.As(err, &refused):
+		return err
+	case refused.Unknown:
+		return &wire.NotFoundError{Kind: "seat", ID: string(seat), Query: "daemon list"}
+	default:
+		return &config.InvalidChangeError{Field: "seat", Value: string(seat), Allowed: "a seat that another daemon occupied"}
+	}
 }
 
 func (d *Daemon) operatorHandler() (http.Handler, error) {
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -123,6 +123,8 @@
 type SeatError struct {
 	Seat   fleet.SeatID
 	Reason string
+	// Unknown tells that no such seat is recorded.
+	Unknown bool
 }
 
 func (e *SeatError) Error() string { return fmt.Sprintf("seat %s: %s", e.Seat, e.Reason) }
--- a/internal/membership/reclaim.go
+++ b/internal/membership/reclaim.go
@@ -191,7 +191,7 @@
 		return &SeatError{Seat: seat, Reason: "held by this daemon"}
 	}
 	if m.known[seat] == nil {
-		return &SeatError{Seat: seat, Reason: "not known"}
+		return &SeatError{Seat: seat, Reason: "not known", Unknown: true}
 	}
 	m.gone[seat] = true
 	return nil
