--- a/cmd/samphirestiled/main.go
+++ b/cmd/samphirestiled/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -73,7 +74,8 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "samphirestiled:", err)
-	if _, ok := err.(*settings.Error); ok {
+	var invalid *settings.Error
+	if errors.As(err, &invalid) {
 		os.Exit(exitSettings)
 	}
 	os.Exit(exitFailed)
