--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -177,6 +177,9 @@
 	created := s.created()
 	m.mu.Unlock()
 	if created {
+		// Daemons that start at the same time may have listed the seats before the
+		// others created theirs.
+		m.listSeats(ctx)
 		m.beatAll(ctx)
 	}
 }
