--- /dev/null
+++ b/internal/allotment/demand.go
@@ -0,0 +1,118 @@
+package allotment
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/peerapi/oas"
+)
+
+// peerDemand is what the peers reported of one team.
+type peerDemand struct {
+	// demand counts running and queued requests of each peer, starved those without a unit.
+	demand  map[string]int
+	starved int
+	// units is the sum of the peers' units, held those of each peer.
+	units int
+	held  map[string]int
+	// spare lists peers with unused units.
+	spare []string
+}
+
+func (a *Allotments) byUrgency() []fleet.TeamID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := a.cfg.Config.Current(); c != nil {
+		for id := range c.Teams {
+			a.team(id)
+		}
+	}
+	ids := make([]fleet.TeamID, 0, len(a.teams))
+	class := map[fleet.TeamID]int{}
+	for id, t := range a.teams {
+		ids = append(ids, id)
+		switch {
+		case t.record != nil && !a.withinLimit(t):
+			class[id] = 0
+		case t.queued > 0 || t.missed:
+			class[id] = 1
+		default:
+			class[id] = 2
+		}
+	}
+	slices.SortFunc(ids, func(x, y fleet.TeamID) int {
+		return cmp.Or(class[x]-class[y], cmp.Compare(x, y))
+	})
+	return ids
+}
+
+// peerDemands sums the peers' rows by team. It is computed once for all teams,
+// because the rows of all peers are many at the design size.
+func (a *Allotments) peerDemands() map[fleet.TeamID]*peerDemand {
+	out := map[fleet.TeamID]*peerDemand{}
+	for _, p := range a.cfg.Seats.PeerTeamRows() {
+		if !p.Active || p.Leaving {
+			continue
+		}
+		for _, r := range p.Rows {
+			d := out[fleet.TeamID(r.Team)]
+			if d == nil {
+				d = &peerDemand{demand: map[string]int{}, held: map[string]int{}}
+				out[fleet.TeamID(r.Team)] = d
+			}
+			d.add(p.Incarnation, r)
+		}
+	}
+	return out
+}
+
+func (d *peerDemand) add(peer string, r oas.TeamRow) {
+	d.demand[peer] = r.Running + r.Queued
+	d.units += r.Units
+	d.starved += max(0, r.Running+r.Queued-r.Units)
+	if r.Units > 0 {
+		d.held[peer] = r.Units
+	}
+	if r.Units > r.Running+r.Queued {
+		d.spare = append(d.spare, peer)
+	}
+}
+
+// holders lists the peers with units, the largest first.
+func (d *peerDemand) holders() []string {
+	return slices.SortedFunc(maps.Keys(d.held), func(x, y string) int {
+		return cmp.Or(d.held[y]-d.held[x], cmp.Compare(x, y))
+	})
+}
+
+// demandState is the team's state on this daemon.
+type demandState struct {
+	units, inUse, demand int
+}
+
+func (a *Allotments) demand(t *team, held []fleet.SeatID, now time.Time) demandState {
+	var d demandState
+	for _, s := range held {
+		if t.record.Holders[s] > 0 {
+			// An entry that was left without local units goes back to the record.
+			t.seat(s)
+		}
+		if u := t.seats[s]; u != nil && !u.exported {
+			d.units += u.units
+			d.inUse += u.inUse(now)
+		}
+	}
+	d.demand = d.inUse + t.queued
+	if t.missed && t.queued == 0 {
+		d.demand++
+	}
+	t.missed = false
+	if now.Sub(t.peakSince) >= a.cfg.IdleTime {
+		t.lastPeak, t.peak, t.peakSince = t.peak, 0, now
+	}
+	t.peak = max(t.peak, d.demand)
+	return d
+}
--- /dev/null
+++ b/internal/allotment/target.go
@@ -0,0 +1,140 @@
+package allotment
+
+import (
+	"cmp"
+	"hash/fnv"
+
+	"samphirestile.example/samphirestile/internal/fleet"
+)
+
+// reserve is the number of units that this daemon keeps without demand. All units
+// are spread over the active daemons, because none can move during an outage of
+// the store and those of a failed daemon stay locked until its seat is reclaimed.
+func (a *Allotments) reserve(id fleet.TeamID, limit int) int {
+	n, rank := a.rank(id)
+	if n == 0 {
+		return 0
+	}
+	if rank < limit%n {
+		return limit/n + 1
+	}
+	return limit / n
+}
+
+// floorFactor bounds the units that floors keep from daemons with queued requests
+// to a quarter of the limit.
+const floorFactor = 4
+
+// floor is the number of units that each daemon keeps while peers have queued
+// requests and it has none, so that a failed peer does not hold all units.
+func (a *Allotments) floor(id fleet.TeamID, limit int) int {
+	if n, _ := a.rank(id); n == 0 || limit < floorFactor*n {
+		return 0
+	}
+	return 1
+}
+
+// contested is the part of the limit that daemons with demand share: the floors of
+// the others are not to be had.
+func (a *Allotments) contested(id fleet.TeamID, limit int, peers *peerDemand) int {
+	n, _ := a.rank(id)
+	idle := n - 1
+	for _, d := range peers.demand {
+		if d > 0 {
+			idle--
+		}
+	}
+	return limit - max(idle, 0)*a.floor(id, limit)
+}
+
+// rank returns the number of active daemons and the place of this daemon among
+// them, which differs between teams. Without a seat it returns 0 daemons.
+func (a *Allotments) rank(id fleet.TeamID) (n, rank int) {
+	daemons := map[string]bool{}
+	self := ""
+	for _, m := range a.cfg.Seats.View().Members {
+		if m.Active {
+			daemons[m.Incarnation] = true
+		}
+		if m.Self {
+			self = m.Incarnation
+		}
+	}
+	if self == "" {
+		return 0, 0
+	}
+	for d := range daemons {
+		if score(id, d) < score(id, self) {
+			rank++
+		}
+	}
+	return len(daemons), rank
+}
+
+func score(id fleet.TeamID, daemon string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	h.Write([]byte{0})
+	h.Write([]byte(daemon))
+	x := h.Sum64()
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+// target returns the number of units that this daemon should have.
+func (a *Allotments) target(t *team, d demandState, limit int, peers *peerDemand) int {
+	if peers.starved > 0 {
+		share := max(a.share(t, d.demand, a.contested(t.id, limit, peers), peers), a.floor(t.id, limit))
+		// Hysteresis saves writes while the demand of daemons changes a little; unused
+		// units go at once.
+		if over := d.units - share; over > 0 && over <= share/4 && d.demand >= d.units {
+			return d.units
+		}
+		return share
+	}
+	idle := max(t.peak, t.lastPeak, a.reserve(t.id, limit))
+	if d.demand > d.units {
+		// The headroom saves writes while demand grows.
+		return max(d.demand+d.demand/4, idle)
+	}
+	if d.units-idle <= idle/4 {
+		return max(d.units, idle)
+	}
+	return idle
+}
+
+// share divides the limit over the daemons by their demand. The largest
+// remainders get the units left by rounding, so that a small limit ends up where
+// the demand is largest.
+func (a *Allotments) share(t *team, demand, limit int, peers *peerDemand) int {
+	total := demand
+	for _, d := range peers.demand {
+		total += d
+	}
+	if total <= limit || demand == 0 {
+		return demand
+	}
+	self := a.self()
+	left, rank := limit-limit*demand/total, 0
+	for p, d := range peers.demand {
+		left -= limit * d / total
+		c := cmp.Compare(limit*d%total, limit*demand%total)
+		if c > 0 || (c == 0 && score(t.id, p) < score(t.id, self)) {
+			rank++
+		}
+	}
+	if rank < left {
+		return limit*demand/total + 1
+	}
+	return limit * demand / total
+}
+
+func (a *Allotments) self() string {
+	for _, m := range a.cfg.Seats.View().Members {
+		if m.Self {
+			return m.Incarnation
+		}
+	}
+	return ""
+}
