Read the record before another write after a conflict

Cause: a write that met a conflict used the whole budget, so that the read could not be paid; when the budget had grown to one write again, the same outdated record was written. A daemon that had already lowered its local count then kept its entry for good, and its units were lost to everybody (entry 8, 3 in use). Ruled out: missing team rows and load on the machine. The new test fails without the change.

--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -182,7 +182,13 @@
 	a.settle(p, func(u *seatUnits, _, _ int) {
 		u.uncertain, u.fence = true, max(u.fence, expect)
 	})
-	return !errors.As(err, &conflict) || !a.read(ctx, id)
+	if !errors.As(err, &conflict) {
+		return true
+	}
+	a.mu.Lock()
+	a.team(id).outdated = true
+	a.mu.Unlock()
+	return !a.read(ctx, id)
 }
 
 // settle applies the outcome of a write to the seats that are still held. A seat
--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -73,6 +73,9 @@
 	// peak is the largest demand since peakSince, lastPeak that of the idle time before.
 	peak, lastPeak int
 	peakSince      time.Time
+	// outdated is set after a conflict until the record was read again. Another write
+	// before that would fail for certain and use up the budget that the read needs.
+	outdated bool
 	// tryAfter and backoff space the attempts that gain nothing; triedAt is the last one.
 	tryAfter time.Time
 	triedAt  time.Time
--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -205,6 +205,7 @@
 		store *fakeStore
 		seats *fakeSeats
 		conf  *fakeConfig
+		cfg   allotment.Config
 		a     *allotment.Allotments
 	)
 	BeforeEach(func() {
@@ -214,10 +215,11 @@
 		conf.set(1, 8)
 		quiet := logrus.New()
 		quiet.SetOutput(io.Discard)
-		a = allotment.New(allotment.Config{
+		cfg = allotment.Config{
 			Seats: seats, Store: store, Config: conf, Logger: quiet,
 			WriteInterval: tick, IdleTime: 8 * tick, RetryInterval: tick, CallTimeout: 5 * tick,
-		})
+		}
+		a = allotment.New(cfg)
 	})
 	run := func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -422,6 +424,17 @@
 		Eventually(func() int { got = append(got, acquireAll()...); return len(got) }, 30*tick).Should(Equal(4))
 	})
 
+	It("guards against writes after a conflict that leave no budget for the read", func() {
+		cfg.WriteBurst = 1
+		a = allotment.New(cfg)
+		a.SetDemand(team, 8)
+		run()
+		Eventually(entry, 40*tick).Should(Equal(8))
+		store.write(record{Limit: 8, Revision: 1, Holders: map[string]int{string(self): 8}})
+		seats.peer(0, 0, 8)
+		Eventually(entry, 40*tick).Should(Equal(4))
+	})
+
 	It("guards against imported units that stay because the record read before the handover hides them", func() {
 		conf.set(1, 4)
 		store.write(record{Limit: 4, Revision: 1, Holders: map[string]int{"s9": 2, "s2": 2}})
--- a/internal/allotment/plan.go
+++ b/internal/allotment/plan.go
@@ -28,6 +28,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t, now := a.team(id), time.Now()
+	if t.outdated {
+		return nil, true
+	}
 	if t.record == nil || t.record.secondHand {
 		return nil, now.After(t.tryAfter) && a.delay(t, now, maxOverBackoff)
 	}
--- a/internal/allotment/record.go
+++ b/internal/allotment/record.go
@@ -98,6 +98,7 @@
 // adopt takes a record that was read. It ends the uncertainty of writes that were
 // based on an earlier version, because they applied before or never will.
 func (a *Allotments) adopt(t *team, r *record, now time.Time) {
+	t.outdated = false
 	if t.record != nil && r.version < t.record.version {
 		return
 	}
