--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -175,7 +175,7 @@
 	if u == nil || (allRights && !a.rightOf(t)) {
 		if !t.missed {
 			t.missed = true
-			a.poke()
+			a.requestStep()
 		}
 		return nil
 	}
@@ -241,7 +241,7 @@
 	rises := queued > t.queued
 	t.queued = queued
 	if _, free := a.freeUnit(t); rises && free == nil {
-		a.poke()
+		a.requestStep()
 	}
 }
 
@@ -315,8 +315,8 @@
 	}
 }
 
-// poke asks Run to look at the teams soon.
-func (a *Allotments) poke() {
+// requestStep asks Run to look at the teams soon.
+func (a *Allotments) requestStep() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -222,17 +222,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.successor = successor
-	t.thaw()
+	t.unfreeze()
 }
 
 // Resume puts the table back in service after a handover that did not happen.
 func (t *Table) Resume() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.thaw()
+	t.unfreeze()
 }
 
-func (t *Table) thaw() {
+func (t *Table) unfreeze() {
 	if t.frozen != nil {
 		close(t.frozen)
 		t.frozen = nil
--- a/internal/membership/cell_test.go
+++ b/internal/membership/cell_test.go
@@ -425,7 +425,7 @@
 
 // kill ends the daemon; its work goes on at the endpoints.
 func (n *node) kill() {
-	n.thaw()
+	n.resume()
 	n.mu.Lock()
 	n.killed = true
 	n.mu.Unlock()
@@ -447,7 +447,7 @@
 	}
 }
 
-func (n *node) thaw() {
+func (n *node) resume() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.frozen != nil {
@@ -470,14 +470,14 @@
 	return ctx.Err()
 }
 
-// cut stops messages between two daemons in both directions until heal.
+// cut stops messages between two daemons in both directions until reconnect.
 func (c *cell) cut(a, b string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cuts[a+b], c.cuts[b+a] = true, true
 }
 
-func (c *cell) heal() {
+func (c *cell) reconnect() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	clear(c.cuts)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -132,7 +132,7 @@
 	return ctx.Err()
 }
 
-// join reads the seats, greets their occupants and creates a seat.
+// join reads the seats, contacts their occupants and creates a seat.
 func (m *Membership) join(ctx context.Context) {
 	listed := m.listSeats(ctx)
 	m.beatAll(ctx)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -67,7 +67,7 @@
 		nodes[0].freeze()
 		s.Eventually(func() []string { return c.keys("seats/" + string(old[0])) }, 60*interval, interval/4).Should(BeEmpty())
 		c.progress(nodes[1:]...)
-		nodes[0].thaw()
+		nodes[0].resume()
 		s.Eventually(func() []fleet.SeatID { return nodes[0].HeldSeats() }, 40*interval, interval/4).
 			Should(And(HaveLen(1), Not(Equal(old))))
 		c.progress(nodes...)
@@ -99,7 +99,7 @@
 		s.Expect(activeAt(nodes[1], nodes[0])).To(BeFalse())
 		s.Expect(nodes[0].RightValid()).To(BeTrue())
 		s.Expect(nodes[0].HeldSeats()).To(Equal(seats))
-		c.heal()
+		c.reconnect()
 		s.Eventually(func() bool { return activeAt(nodes[1], nodes[0]) }, 20*interval, interval/4).Should(BeTrue())
 		s.Expect(c.worst()).To(BeNumerically("<=", 0))
 	})
@@ -367,8 +367,8 @@
 		for _, seat := range old {
 			s.Eventually(func() []string { return c.keys("seats/" + string(seat)) }, 80*interval, interval/4).Should(BeEmpty())
 		}
-		nodes[1].thaw()
-		nodes[2].thaw()
+		nodes[1].resume()
+		nodes[2].resume()
 		c.progress(nodes[1:]...)
 		s.Expect(c.worst()).To(BeNumerically("<=", 0))
 	})
@@ -386,11 +386,11 @@
 			case 0:
 				n.freeze()
 			case 1, 2:
-				n.thaw()
+				n.resume()
 			case 3:
 				c.isolate(n)
 			case 4:
-				c.heal()
+				c.reconnect()
 			case 5:
 				n.setFaults(func(f *storeClient) { f.cut = !f.cut })
 			case 6:
@@ -404,7 +404,7 @@
 				c.loseReplies, c.repeat = rng.IntN(40), rng.IntN(40)
 				c.mu.Unlock()
 			case 10:
-				n.thaw()
+				n.resume()
 				nodes[i] = replace(s, c, n)
 			case 11:
 				n.kill()
@@ -413,13 +413,13 @@
 			}
 			time.Sleep(time.Duration(rng.Int64N(int64(8 * interval))))
 		}
-		c.heal()
+		c.reconnect()
 		c.setStore(false)
 		c.mu.Lock()
 		c.loseReplies, c.repeat = 0, 0
 		c.mu.Unlock()
 		for _, n := range nodes {
-			n.thaw()
+			n.resume()
 			n.setFaults(func(f *storeClient) { f.cut, f.loseAnswers, f.delayWrites = false, 0, 0 })
 		}
 		// Units of killed daemons may stay locked when the majority of a quorum is lost.
