Let the last owner keep a request instead of passing it on

Cause: owners refuse queued requests when another owner seems to have free slots. Ruled out: the retry budget, since the first attempt was retried. The entry daemon now tells the last owner that it is the last. The new spec fails without that, because both owners refuse.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -133,7 +133,8 @@
 			return nil, trace, truthful(noOwner(last), unknown)
 		}
 		trace.Owner = w.member.Daemon
-		resp, r := f.attempt(ctx, w, c, avoid)
+		hint := placement{avoid: avoid, final: trace.Reroutes >= maxReroutes || f.isLast(c.Service.ID, w, skip)}
+		resp, r := f.attempt(ctx, w, c, hint)
 		if r == nil {
 			trace.Attempts++
 			return resp, trace, nil
@@ -156,6 +157,20 @@
 	}
 }
 
+// placement tells an owner what to consider besides the request itself.
+type placement struct {
+	// avoid lists endpoints on which the request already failed.
+	avoid []fleet.EndpointID
+	// final is set when no other owner is left, so that the request must wait here
+	// and not be refused because another owner seems to have free slots.
+	final bool
+}
+
+// isLast reports whether w is the only owner of the service that may be asked.
+func (f *Forwarder) isLast(service fleet.ServiceID, w *owner, skip func(*owner) bool) bool {
+	return !slices.ContainsFunc(f.owners.of(service), func(o *owner) bool { return o != w && !skip(o) })
+}
+
 // truthful keeps a refusal of a later attempt from saying "not run" after an
 // earlier attempt had an unknown outcome.
 func truthful(p, unknown *problem.Error) *problem.Error {
@@ -201,14 +216,14 @@
 	return &c
 }
 
-func (f *Forwarder) attempt(ctx context.Context, w *owner, c *Call, avoid []fleet.EndpointID) (*Response, *refusal) {
+func (f *Forwarder) attempt(ctx context.Context, w *owner, c *Call, p placement) (*Response, *refusal) {
 	end := f.owners.begin(w, c.Service.ID, c.Team)
 	var a *upstream.Answer
 	var r *refusal
 	if w.member.Self {
-		a, r = f.attemptLocal(ctx, c, avoid)
+		a, r = f.attemptLocal(ctx, c, p)
 	} else {
-		a, r = f.attemptPeer(ctx, w, c, avoid)
+		a, r = f.attemptPeer(ctx, w, c, p)
 	}
 	if r != nil {
 		end()
@@ -217,10 +232,10 @@
 	return &Response{Answer: a, end: end}, nil
 }
 
-func (f *Forwarder) attemptLocal(ctx context.Context, c *Call, avoid []fleet.EndpointID) (*upstream.Answer, *refusal) {
+func (f *Forwarder) attemptLocal(ctx context.Context, c *Call, p placement) (*upstream.Answer, *refusal) {
 	request := dispatch.Request{
 		ID: c.ID, Service: c.Service.ID, Team: c.Team, Urgent: c.Urgent,
-		Deadline: c.Deadline, Signature: c.Signature, Avoid: avoid,
+		Deadline: c.Deadline, Signature: c.Signature, Avoid: p.avoid, NoReroute: p.final,
 	}
 	header := c.Header.Clone()
 	header.Set(problem.HeaderRequestID, c.ID)
@@ -255,9 +270,9 @@
 	}
 }
 
-func (f *Forwarder) attemptPeer(ctx context.Context, w *owner, c *Call, avoid []fleet.EndpointID) (*upstream.Answer, *refusal) {
+func (f *Forwarder) attemptPeer(ctx context.Context, w *owner, c *Call, p placement) (*upstream.Answer, *refusal) {
 	header := c.Header.Clone()
-	writeHop(header, c, string(f.options.Secret), avoid, time.Now())
+	writeHop(header, c, string(f.options.Secret), p, time.Now())
 	if c.Body.rest != nil {
 		header.Set("Expect", "100-continue")
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -124,6 +124,38 @@
 	})
 })
 
+var _ = Describe("owners that send requests on to one another", func() {
+	It("keep a request that has no other owner left, instead of refusing it", func() {
+		server := func() string {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(headerFinal) == "" {
+					w.Header().Set(headerAnsweredBy, answeredByDaemon)
+					p := problem.New(problem.CodeOverloaded, http.StatusServiceUnavailable, "another owner has a free slot")
+					p.Reroute = true
+					problem.Write(w, p, "id")
+					return
+				}
+				w.Header().Set(headerAnsweredBy, answeredByEndpoint)
+			}))
+			DeferCleanup(s.Close)
+			return s.Listener.Addr().String()
+		}
+		view := &switched{}
+		view.Store(&membership.View{Epoch: 1, Members: []membership.Member{
+			{Seat: "a", PeerAddress: server(), Active: true}, {Seat: "b", PeerAddress: server(), Active: true},
+		}})
+		endpoints := map[fleet.EndpointID]fleet.Endpoint{"e": {ID: "e", Service: "s"}, "f": {ID: "f", Service: "s"}}
+		f := New(Options{Config: fixed{snapshot: &config.Snapshot{Endpoints: endpoints}}, Members: view,
+			Upstream: upstream.NewClient(0), Secret: "s"})
+		call := &Call{ID: "id", Service: fleet.Service{ID: "s"}, Team: "team", Method: "GET",
+			URL: &url.URL{Path: "/"}, Header: http.Header{}, Body: NewBody(nil, nil, 0), Deadline: time.Now().Add(time.Second)}
+		a, trace, err := f.Do(context.Background(), call)
+		Expect(err).NotTo(HaveOccurred())
+		a.Close()
+		Expect(trace.Reroutes).To(Equal(1))
+	})
+})
+
 var _ = Describe("an owner that takes a request and never responds", func() {
 	It("is given up for an idempotent request when it is inactive, for others at the bound of the hop", func() {
 		silent, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -25,6 +25,7 @@
 	headerHops      = "Samphirestile-Hops"
 	headerSignature = "Samphirestile-Signature"
 	headerAvoid     = "Samphirestile-Avoid"
+	headerFinal     = "Samphirestile-Final"
 	headerEndpoint  = "Samphirestile-Endpoint"
 	// headerAnsweredBy is on every response of an owner. A response without it
 	// does not come from a daemon's handler and has an unknown outcome.
@@ -94,7 +95,7 @@
 }
 
 // writeHop puts the facts of a call on the header of a forwarded request.
-func writeHop(h http.Header, c *Call, secret string, avoid []fleet.EndpointID, now time.Time) {
+func writeHop(h http.Header, c *Call, secret string, p placement, now time.Time) {
 	h.Set("Authorization", "Bearer "+secret)
 	h.Set(headerTeam, string(c.Team))
 	h.Set(problem.HeaderRequestID, c.ID)
@@ -104,9 +105,12 @@
 	if c.Urgent {
 		h.Set(problem.HeaderPriority, priorityUrgent)
 	}
-	if len(avoid) > 0 {
-		ids := make([]string, len(avoid))
-		for i, id := range avoid {
+	if p.final {
+		h.Set(headerFinal, "1")
+	}
+	if len(p.avoid) > 0 {
+		ids := make([]string, len(p.avoid))
+		for i, id := range p.avoid {
 			ids[i] = string(id)
 		}
 		h.Set(headerAvoid, strings.Join(ids, ","))
@@ -128,6 +132,7 @@
 		Urgent:    h.Get(problem.HeaderPriority) == priorityUrgent,
 		Deadline:  now.Add(time.Duration(left) * time.Millisecond),
 		Signature: h.Get(headerSignature),
+		NoReroute: h.Get(headerFinal) != "",
 	}
 	if r.ID == "" || r.Team == "" {
 		return dispatch.Request{}, problem.New(problem.CodeBadRequest, http.StatusBadRequest, "forwarded request without team or request ID")
