--- a/internal/query/diff.go
+++ b/internal/query/diff.go
@@ -20,15 +20,7 @@
 
 // Run prints the differences and the revision to pass to apply.
 func (c *Diff) Run(e *cli.Environment) error {
-	documents, err := c.Load()
-	if err != nil {
-		return err
-	}
-	client, err := e.Client()
-	if err != nil {
-		return err
-	}
-	current, err := client.GetConfig(e.Context)
+	documents, _, current, err := loadWithCurrent(e, &c.DocumentArgs)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/query/documents.go
@@ -0,0 +1,23 @@
+package query
+
+import (
+	"samphirestile.example/samphirestile/internal/cli"
+	"samphirestile.example/samphirestile/internal/operatorapi/oas"
+)
+
+// loadWithCurrent reads the documents of a command and fetches the configuration in force.
+func loadWithCurrent(e *cli.Environment, args *cli.DocumentArgs) ([]oas.Document, *oas.Client, *oas.Config, error) {
+	documents, err := args.Load()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	client, err := e.Client()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	current, err := client.GetConfig(e.Context)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return documents, client, current, nil
+}
--- a/internal/query/validate.go
+++ b/internal/query/validate.go
@@ -10,15 +10,7 @@
 
 // Run prints the revision that the documents were checked against.
 func (c *Validate) Run(e *cli.Environment) error {
-	documents, err := c.Load()
-	if err != nil {
-		return err
-	}
-	client, err := e.Client()
-	if err != nil {
-		return err
-	}
-	current, err := client.GetConfig(e.Context)
+	documents, client, current, err := loadWithCurrent(e, &c.DocumentArgs)
 	if err != nil {
 		return err
 	}
