--- a/internal/emulator/process/cell.go
+++ b/internal/emulator/process/cell.go
@@ -200,8 +200,14 @@
 	return &NotListeningError{Name: p.Name, Address: address}
 }
 
-func (c *Cell) relayTo(target string, classify func(net.Addr) string) (*relay.Relay, error) {
-	r, err := relay.Listen("127.0.0.1:0", target, classify)
+func (c *Cell) relayTo(target string, classify func(remote, local net.Addr) string) (*relay.Relay, error) {
+	// A fixed port below the range of outgoing connections can be listened on
+	// again after the relay refused connections for a while.
+	address, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	r, err := relay.Listen(address, target, classify)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/process/source.go
+++ b/internal/emulator/process/source.go
@@ -1,56 +1,89 @@
 package process
 
 import (
-	"bufio"
-	"fmt"
+	"encoding/binary"
 	"net"
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
+
+	"golang.org/x/sys/unix"
 )
 
-// sourceOf names the daemon that opened the connection with the given remote
-// address, so that a relay can separate one pair of daemons in one direction.
-// The kernel's table of TCP sockets gives the inode of the connection, and the
-// file descriptors of the daemons that this cell started tell which one holds it.
-func (c *Cell) sourceOf(remote net.Addr) string {
-	inode := socketInode(remote)
-	if inode == "" {
+// sourceOf names the process of this cell that opened the connection from
+// remote to local, so that a relay can separate one pair of daemons in one
+// direction. The kernel tells the inode of the socket, and the file descriptors
+// of the processes that this cell started tell which one holds it.
+func (c *Cell) sourceOf(remote, local net.Addr) string {
+	inode, ok := socketInode(remote, local)
+	if !ok {
 		return ""
 	}
+	link := "socket:[" + strconv.FormatUint(uint64(inode), 10) + "]"
 	for _, p := range c.started() {
-		if p.Running() && holds(p.PID(), "socket:["+inode+"]") {
+		if p.Running() && holds(p.PID(), link) {
 			return p.Name
 		}
 	}
 	return ""
 }
 
-// Columns of the kernel's table of TCP sockets.
+// Layout of the kernel's interface for a query of one socket: a message header,
+// then struct inet_diag_req_v2; the answer is a header and struct inet_diag_msg.
 const (
-	columnLocal = 1
-	columnInode = 9
+	diagByFamily   = 20
+	diagHeaderSize = unix.SizeofNlMsghdr
+	diagSize       = diagHeaderSize + 56
+	diagPorts      = diagHeaderSize + 8
+	diagSource     = diagPorts + 4
+	diagTarget     = diagSource + 16
+	diagCookie     = diagTarget + 16 + 4
+	diagInode      = diagHeaderSize + 68
 )
 
-func socketInode(remote net.Addr) string {
-	tcp, ok := remote.(*net.TCPAddr)
-	if !ok || tcp.IP.To4() == nil {
-		return ""
+// socketInode returns the inode of the socket that is bound to own and
+// connected to peer. The table /proc/net/tcp is no alternative: with tens of
+// thousands of closed connections in it, a reading takes too long and may leave
+// out sockets.
+func socketInode(own, peer net.Addr) (uint32, bool) {
+	a, okA := own.(*net.TCPAddr)
+	b, okB := peer.(*net.TCPAddr)
+	if !okA || !okB || a.IP.To4() == nil || b.IP.To4() == nil {
+		return 0, false
+	}
+	q := make([]byte, diagSize)
+	binary.NativeEndian.PutUint32(q, diagSize)
+	binary.NativeEndian.PutUint16(q[4:], diagByFamily)
+	binary.NativeEndian.PutUint16(q[6:], unix.NLM_F_REQUEST)
+	q[diagHeaderSize], q[diagHeaderSize+1] = unix.AF_INET, unix.IPPROTO_TCP
+	binary.BigEndian.PutUint16(q[diagPorts:], uint16(a.Port))
+	binary.BigEndian.PutUint16(q[diagPorts+2:], uint16(b.Port))
+	copy(q[diagSource:], a.IP.To4())
+	copy(q[diagTarget:], b.IP.To4())
+	// A cookie of ones matches any socket.
+	binary.NativeEndian.PutUint64(q[diagCookie:], ^uint64(0))
+	answer, err := netlinkCall(q)
+	if err != nil || len(answer) < diagInode+4 || binary.NativeEndian.Uint16(answer[4:]) != diagByFamily {
+		return 0, false
 	}
-	f, err := os.Open("/proc/net/tcp")
+	return binary.NativeEndian.Uint32(answer[diagInode:]), true
+}
+
+func netlinkCall(q []byte) ([]byte, error) {
+	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
-		return ""
+		return nil, err
 	}
-	defer f.Close()
-	ip := tcp.IP.To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		if col := strings.Fields(lines.Text()); len(col) > columnInode && col[columnLocal] == local {
-			return col[columnInode]
-		}
+	defer unix.Close(fd)
+	if err := unix.Sendto(fd, q, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		return nil, err
 	}
-	return ""
+	answer := make([]byte, os.Getpagesize())
+	n, _, err := unix.Recvfrom(fd, answer, 0)
+	if err != nil {
+		return nil, err
+	}
+	return answer[:n], nil
 }
 
 func holds(pid int, link string) bool {
--- a/internal/emulator/relay/relay.go
+++ b/internal/emulator/relay/relay.go
@@ -33,7 +33,7 @@
 type Relay struct {
 	address  string
 	target   string
-	classify func(remote net.Addr) string
+	classify func(remote, local net.Addr) string
 
 	mu       sync.Mutex
 	listener net.Listener // nil while refusing everything
@@ -60,9 +60,9 @@
 
 // Listen starts a relay from address to target. classify names the source of a
 // connection for SetFor; it may be nil.
-func Listen(address, target string, classify func(remote net.Addr) string) (*Relay, error) {
+func Listen(address, target string, classify func(remote, local net.Addr) string) (*Relay, error) {
 	if classify == nil {
-		classify = func(net.Addr) string { return AnySource }
+		classify = func(_, _ net.Addr) string { return AnySource }
 	}
 	r := &Relay{
 		target:   target,
@@ -194,7 +194,7 @@
 const dialTimeout = 5 * time.Second
 
 func (r *Relay) serve(down *net.TCPConn) {
-	source := r.classify(down.RemoteAddr())
+	source := r.classify(down.RemoteAddr(), down.LocalAddr())
 	if s, _ := r.current(source); s.Refuse {
 		// Without lingering, the close sends a reset instead of an orderly end.
 		_ = down.SetLinger(0)
