Send requests to the owners that hold their team's units; shorter experiments with regular latencies

Moving a unit needs a write that the budget of one a second may not allow. Requests of regular latency now decide it after 6 samples of the smaller limit.

Ruled out: starting the experiment in slow start, which only moved the loss into the first second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,7 +143,9 @@
 
 // buildPath builds the parts that a request passes.
 func (d *Daemon) buildPath() {
-	d.scheduler = dispatch.New(dispatch.Config{Limiter: d.allotments, FreeElsewhere: d.freeElsewhere})
+	d.scheduler = dispatch.New(dispatch.Config{
+		Limiter: d.allotments, FreeElsewhere: d.freeElsewhere, HeldElsewhere: d.heldElsewhere,
+	})
 	options := forward.Options{
 		Config:      d.config,
 		Members:     d.membership,
--- a/internal/daemon/units.go
+++ b/internal/daemon/units.go
@@ -66,9 +66,28 @@
 // service could start now: units that are neither running nor wanted by
 // requests queued there. The rows are as old as the last heartbeat.
 func (d *Daemon) freeElsewhere(service fleet.ServiceID, team fleet.TeamID) int {
+	free := 0
+	for _, row := range d.rowsOfOwners(service, team) {
+		free += max(0, row.Units-row.Running-row.Queued)
+	}
+	return free
+}
+
+// heldElsewhere returns the units of the team at other owners of the service, as
+// of their last heartbeat.
+func (d *Daemon) heldElsewhere(service fleet.ServiceID, team fleet.TeamID) int {
+	held := 0
+	for _, row := range d.rowsOfOwners(service, team) {
+		held += row.Units
+	}
+	return held
+}
+
+// rowsOfOwners returns the rows of the team from the other owners of the service.
+func (d *Daemon) rowsOfOwners(service fleet.ServiceID, team fleet.TeamID) []oas.TeamRow {
 	snapshot := d.config.Current()
 	if snapshot == nil {
-		return 0
+		return nil
 	}
 	view := d.membership.View()
 	owners := map[fleet.SeatID]bool{}
@@ -77,13 +96,13 @@
 			owners[seat] = true
 		}
 	}
-	free := 0
+	var rows []oas.TeamRow
 	for _, m := range view.Members {
 		if m.Self || !m.Active || !owners[m.Seat] {
 			continue
 		}
 		row, _ := d.teamRow(m.Incarnation, team)
-		free += max(0, row.Units-row.Running-row.Queued)
+		rows = append(rows, row)
 	}
-	return free
+	return rows
 }
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -18,6 +18,10 @@
 	// rerouteAfter is the shortest wait before a request is sent to another
 	// owner; a reroute costs about 2 ms, so it must promise more than that.
 	rerouteAfter = 50 * time.Millisecond
+	// noUnitRerouteAfter is how long requests wait for the first unit of their team
+	// at an owner without one, while other owners hold units. A unit that can be moved
+	// at once arrives within a heartbeat and two calls to the store, about 100 ms.
+	noUnitRerouteAfter = 200 * time.Millisecond
 )
 
 // Config is what a Scheduler needs from its surroundings.
@@ -31,6 +35,11 @@
 	// service could start now. At most that many queued requests of the service are
 	// refused with Reroute set, twenty times a second. nil disables rerouting.
 	FreeElsewhere func(service fleet.ServiceID, team fleet.TeamID) int
+	// HeldElsewhere returns the units of the team that other owners of the service
+	// hold, also those in use. Requests of a team without a unit here are sent there,
+	// because moving units takes a write that the budget of the store may not allow
+	// before the deadline. nil keeps them.
+	HeldElsewhere func(service fleet.ServiceID, team fleet.TeamID) int
 	// RerouteRefusals sets Reroute on the refusals of admission, except for requests
 	// with NoReroute. Another owner may have a smaller queue of the team, or units
 	// of its limit. In overload most refused requests then visit several owners.
--- a/internal/dispatch/housekeeping.go
+++ b/internal/dispatch/housekeeping.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -25,9 +26,7 @@
 		case <-ticker.C:
 			for id, q := range s.queuesByID() {
 				q.keepHouse()
-				if s.config.FreeElsewhere != nil {
-					s.reroute(id, q)
-				}
+				s.reroute(id, q)
 			}
 			s.demand.report(s.config.Limiter)
 		}
@@ -74,12 +73,22 @@
 	return any
 }
 
-// reroute refuses queued requests that another owner could start now.
+// reroute refuses queued requests that another owner could start now, and those
+// that wait for a unit which only other owners hold.
 func (s *Scheduler) reroute(id fleet.ServiceID, q *serviceQueue) {
 	moved := 0
 	for _, team := range q.waitingTeams() {
-		if n := s.config.FreeElsewhere(id, team) - moved; n > 0 {
-			moved += q.reroute(team, n, time.Now())
+		now := time.Now()
+		if s.config.FreeElsewhere != nil {
+			if n := s.config.FreeElsewhere(id, team) - moved; n > 0 {
+				moved += q.reroute(team, n, now.Add(-rerouteAfter), "another owner has a free slot")
+			}
+		}
+		if s.config.HeldElsewhere == nil {
+			continue
+		}
+		if _, units := s.config.Limiter.Usage(team); units == 0 && s.config.HeldElsewhere(id, team) > 0 {
+			q.reroute(team, math.MaxInt, now.Add(-noUnitRerouteAfter), "other owners hold the units of the team")
 		}
 	}
 }
@@ -94,18 +103,18 @@
 	return ids
 }
 
-// reroute refuses at most n requests of the team that have waited for a while,
-// urgent ones first and then the oldest, and returns their number.
-func (s *serviceQueue) reroute(team fleet.TeamID, n int, now time.Time) int {
+// reroute refuses at most n requests of the team that were queued before the given
+// time, urgent ones first and then the oldest, and returns their number.
+func (s *serviceQueue) reroute(team fleet.TeamID, n int, before time.Time, reason string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, moved := s.teams[team], 0
 	for c := range classes {
 		for w := t.lists[c].head; w != nil && moved < n; {
 			next := w.next
-			if !w.NoReroute && now.Sub(w.enqueued) >= rerouteAfter {
+			if !w.NoReroute && !w.enqueued.After(before) {
 				e := problem.New(problem.CodeOverloaded, http.StatusServiceUnavailable,
-					"another owner of service %s has a free slot", w.Service).After(minRetryAfter)
+					"service %s: %s", w.Service, reason).After(minRetryAfter)
 				e.Reroute = true
 				s.refuse(w, e)
 				moved++
--- a/internal/dispatch/sharing_test.go
+++ b/internal/dispatch/sharing_test.go
@@ -294,4 +294,35 @@
 		_, p = h.do(context.Background(), dispatch.Request{Team: "a", Deadline: time.Now().Add(time.Second), NoReroute: true})
 		Expect(p.Reroute).To(BeFalse())
 	}))
+
+	Context("with the units of a team's limit at another owner", func() {
+		held := func(units int) dispatch.Config {
+			return dispatch.Config{
+				FreeElsewhere: func(fleet.ServiceID, fleet.TeamID) int { return 0 },
+				HeldElsewhere: func(fleet.ServiceID, fleet.TeamID) int { return units },
+			}
+		}
+
+		It("sends requests there instead of refusing them at their deadline", bubble(func() {
+			h := newHarness(map[fleet.TeamID]int{"a": 0}, held(2), endpoints(1, 4))
+			defer h.Close()
+			began := time.Now()
+			_, p := h.acquire("a", 800*time.Millisecond)
+			Expect(p.Reroute).To(BeTrue())
+			Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond), "half of the time is left for the other owner")
+		}))
+
+		It("keeps them while this owner holds units too, or nobody does", bubble(func() {
+			for own, elsewhere := range map[int]int{1: 2, 0: 0} {
+				h := newHarness(map[fleet.TeamID]int{"a": own}, held(elsewhere), endpoints(1, 4))
+				for range own {
+					_, p := h.acquire("a", time.Second)
+					Expect(p).To(BeNil())
+				}
+				_, p := h.acquire("a", 800*time.Millisecond)
+				Expect(p.Reroute).To(BeFalse())
+				h.Close()
+			}
+		}))
+	})
 })
--- a/internal/endpoint/concurrency_test.go
+++ b/internal/endpoint/concurrency_test.go
@@ -187,6 +187,17 @@
 		Entry("32 declared, 16 real", 32, 16, slows, exponential(50), 1.5, 0.93),
 	)
 
+	// The first experiment of a new service runs at all of its endpoints at the same
+	// time, in its first burst.
+	It("uses nine tenths of a new endpoint during the first experiment", func() {
+		for _, slots := range []int{4, 8} {
+			s := newSimulation(1, slots, slots, slows, constant(50))
+			s.run(200 * time.Millisecond)
+			s.run(1900 * time.Millisecond)
+			Expect(s.work/1900/float64(slots)).To(BeNumerically(">", 0.9), "%d slots", slots)
+		}
+	})
+
 	It("follows a capacity that halves and returns", func() {
 		for seed := range seeds {
 			s := newSimulation(seed, 8, 8, slows, noisy(50))
--- a/internal/endpoint/experiment.go
+++ b/internal/endpoint/experiment.go
@@ -10,6 +10,10 @@
 	// likely explanation is taken.
 	minSamples = 16
 	maxSamples = 1000
+	// minEarlySamples of each arm are enough to keep the larger limit while a period of
+	// the smaller one still runs. Irregular latencies are far from a verdict then, as their
+	// standard error is large.
+	minEarlySamples = 6
 	// excessPart is the part of proportional growth above which the larger limit
 	// counts as excess. With 0.5, a limit of 5 for a real capacity of 6 was kept
 	// because the next larger limit tested, 7, looked like excess.
@@ -18,6 +22,9 @@
 	// which the growth of latency must differ from the threshold. Lowering the limit by mistake costs more than keeping it.
 	excessConfidence   = 3.0
 	noExcessConfidence = 2.0
+	// earlyConfidence is noExcessConfidence for a verdict within a period, which is asked
+	// for after each request: one of many tests passes by chance more often than one alone.
+	earlyConfidence = 4.0
 	// maxPeriods ends an experiment that gets few samples, because the load does
 	// not keep the number of running requests at the limits.
 	maxPeriods = 64
@@ -144,11 +151,14 @@
 	if e.periods > maxPeriods {
 		return inconclusive
 	}
+	if e.active == lowArm && e.noExcessSoFar() {
+		return noExcess
+	}
 	if low.n < minSamples || high.n < minSamples {
 		return undecided
 	}
 	growth := high.mean - low.mean
-	threshold := excessPart * math.Log(float64(e.hi)/float64(e.lo))
+	threshold := e.threshold()
 	standardError := math.Sqrt(low.squaredError() + high.squaredError())
 	switch {
 	case growth-excessConfidence*standardError > threshold:
@@ -164,6 +174,26 @@
 	}
 }
 
+// threshold is the growth of the logarithm of the latency above which the larger
+// limit counts as excess.
+func (e *experiment) threshold() float64 {
+	return excessPart * math.Log(float64(e.hi)/float64(e.lo))
+}
+
+// noExcessSoFar reports whether the requests that ended in a period of the smaller
+// limit already rule out excess. Those that are still running take longer than the
+// ended ones, so they could only make the growth smaller. It keeps short what the
+// period costs: the slots that the smaller limit leaves unused.
+func (e *experiment) noExcessSoFar() bool {
+	low, high := e.arms[lowArm].moments, &e.arms[highArm]
+	low.merge(e.arms[lowArm].open)
+	if low.n < minEarlySamples || high.n < minEarlySamples {
+		return false
+	}
+	standardError := math.Sqrt(low.squaredError() + high.squaredError())
+	return high.mean-low.mean+earlyConfidence*standardError < e.threshold()
+}
+
 // stalled reports whether no request has ended for much longer than typical.
 func (e *experiment) stalled(now time.Time, typical time.Duration) bool {
 	return now.Sub(e.last) > max(stallTime, stallFactor*typical)
