--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -255,6 +256,17 @@
 	return running, units
 }
 
+// Holders returns the units of the team by seat, as of the last reading of the
+// team's record. The result is nil before the first one.
+func (a *Allotments) Holders(id fleet.TeamID) map[fleet.SeatID]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t := a.teams[id]; t != nil && t.record != nil {
+		return maps.Clone(t.record.Holders)
+	}
+	return nil
+}
+
 // Queued returns the queued requests of the team on this daemon.
 func (a *Allotments) Queued(id fleet.TeamID) int {
 	a.mu.Lock()
--- a/internal/daemon/units.go
+++ b/internal/daemon/units.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/forward"
@@ -67,24 +68,27 @@
 // requests queued there. The rows are as old as the last heartbeat.
 func (d *Daemon) freeElsewhere(service fleet.ServiceID, team fleet.TeamID) int {
 	free := 0
-	for _, row := range d.rowsOfOwners(service, team) {
+	for _, m := range d.otherOwners(service) {
+		row, _ := d.teamRow(m.Incarnation, team)
 		free += max(0, row.Units-row.Running-row.Queued)
 	}
 	return free
 }
 
-// heldElsewhere returns the units of the team at other owners of the service, as
-// of their last heartbeat.
+// heldElsewhere returns the units of the team at other owners of the service. The
+// team's record is newer than the first heartbeats after a start.
 func (d *Daemon) heldElsewhere(service fleet.ServiceID, team fleet.TeamID) int {
 	held := 0
-	for _, row := range d.rowsOfOwners(service, team) {
-		held += row.Units
+	holders := d.allotments.Holders(team)
+	for _, m := range d.otherOwners(service) {
+		row, _ := d.teamRow(m.Incarnation, team)
+		held += max(row.Units, holders[m.Seat])
 	}
 	return held
 }
 
-// rowsOfOwners returns the rows of the team from the other owners of the service.
-func (d *Daemon) rowsOfOwners(service fleet.ServiceID, team fleet.TeamID) []oas.TeamRow {
+// otherOwners returns the active daemons, except this one, that own endpoints of the service.
+func (d *Daemon) otherOwners(service fleet.ServiceID) []membership.Member {
 	snapshot := d.config.Current()
 	if snapshot == nil {
 		return nil
@@ -96,13 +100,7 @@
 			owners[seat] = true
 		}
 	}
-	var rows []oas.TeamRow
-	for _, m := range view.Members {
-		if m.Self || !m.Active || !owners[m.Seat] {
-			continue
-		}
-		row, _ := d.teamRow(m.Incarnation, team)
-		rows = append(rows, row)
-	}
-	return rows
+	return slices.DeleteFunc(slices.Clone(view.Members), func(m membership.Member) bool {
+		return m.Self || !m.Active || !owners[m.Seat]
+	})
 }
--- a/internal/shard/copies_test.go
+++ b/internal/shard/copies_test.go
@@ -55,11 +55,14 @@
 	It("is not copied while other tasks wait for room", func() {
 		b = newBench(2)
 		o := b.own()
-		for n := 1; n <= 2; n++ {
-			j := jobOf(n, job.Step{Need: worker.Resources{CPU: 4000}, LongRunning: true})
-			b.behave(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: time.Hour})
-			o.submit(j)
+		// One lasting task on each worker leaves no room for the waiting job. Without the
+		// bound both go to the first worker that answers.
+		lasting := jobOf(1, job.Step{Count: 2, Need: worker.Resources{CPU: 4000}, LongRunning: true, MaxPerWorker: 1})
+		for _, t := range []string{".0.0.0", ".0.0.1"} {
+			b.behave(string(lasting.ID)+t, cluster.Behaviour{Duration: time.Hour})
 		}
+		o.submit(lasting)
+		Eventually(func() int { return b.worker("w0").Running() * b.worker("w1").Running() }, soon).Should(Equal(1))
 		late := jobOf(3, job.Step{Speculative: true, Estimate: 200 * time.Millisecond})
 		slowFirst(b, string(late.ID)+".0.0.0")
 		o.submit(late)
