Divide pools by what they can start, give parts workers by their queues, order hosts ahead of a rise

Now each pool is divided by the tasks that a full worker starts, parts ask by two seconds of arrivals and a queue drained in one, in proportion while they are short, and a significant rise is extended over the time in which a host arrives.

Specs fail without: proportion in internal/partition, rise in internal/capacity.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -2,6 +2,7 @@
 package capacity
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -21,6 +22,8 @@
 	Host worker.Resources
 	// Apart is how many hosts the bounds of tasks on one host ask for.
 	Apart int
+	// Drain is the time in which waiting work should be done; 0 means drainTime.
+	Drain time.Duration
 }
 
 const (
@@ -45,7 +48,7 @@
 	if d.Host.CPU <= 0 || d.Host.MemMB <= 0 {
 		return minHosts
 	}
-	ms := drainTime.Milliseconds()
+	ms := cmp.Or(d.Drain, drainTime).Milliseconds()
 	queue := worker.Resources{CPU: d.Waiting.CPU / ms, MemMB: d.Waiting.MemMB / ms, GPU: d.Waiting.GPU / ms}
 	hosts := int(math.Ceil(d.Lasting.Plus(d.Rate).Plus(queue).Share(d.Host) / packing))
 	return max(hosts, d.Apart, minHosts)
@@ -64,23 +67,33 @@
 
 // Rate measures the work that arrives.
 type Rate struct {
-	slots [rateSlots]worker.Resources
+	slots [rateSlots]slot
 	last  int64
 }
 
+// slot is what arrived in one slotTime.
+type slot struct {
+	work worker.Resources
+	jobs int64
+}
+
 const (
 	slotTime  = 200 * time.Millisecond
 	rateSlots = 10
 	// shortSlots is the window that shows the begin of a turn, all slots the one
 	// that holds the level while single large jobs come and go.
 	shortSlots = 4
+	// arrivalTime is how long a host takes to arrive: its move, the question for demand
+	// before it and the list of workers after it.
+	arrivalTime = 2 * time.Second
 )
 
 // Add notes work that arrives at the time now, as room times milliseconds.
 func (r *Rate) Add(now time.Duration, work worker.Resources) {
 	r.advance(now)
 	i := r.last % rateSlots
-	r.slots[i] = r.slots[i].Plus(work)
+	r.slots[i].work = r.slots[i].work.Plus(work)
+	r.slots[i].jobs++
 }
 
 // PerSecond returns the room that the arriving work occupies.
@@ -90,27 +103,62 @@
 	return worker.Resources{CPU: max(short.CPU, long.CPU), MemMB: max(short.MemMB, long.MemMB), GPU: max(short.GPU, long.GPU)}
 }
 
+// Rise returns by how much the arriving work will have grown when the hosts that
+// are ordered now arrive.
+//
+// Load pattern: a turn rises over two to three seconds, and a pool that follows it is
+// two seconds behind all the way up. Growth within what random arrivals explain is
+// none; a fall is not foreseen, because hosts that were given up take long to return.
+func (r *Rate) Rise(now time.Duration) worker.Resources {
+	r.advance(now)
+	latest, before := r.between(0, shortSlots), r.between(shortSlots, 2*shortSlots)
+	grown := float64(latest.jobs-before.jobs) - math.Sqrt(float64(latest.jobs+before.jobs))
+	if grown <= 0 {
+		return worker.Resources{}
+	}
+	// The jobs of the rise are like those of the latest window.
+	windows := float64(arrivalTime) / float64(shortSlots*slotTime)
+	share := min(grown*windows/float64(latest.jobs), 1)
+	w := perSecond(latest.work, shortSlots)
+	scale := func(n int64) int64 { return int64(share * float64(n)) }
+	return worker.Resources{CPU: scale(w.CPU), MemMB: scale(w.MemMB), GPU: scale(w.GPU)}
+}
+
+// Level returns the room that the arriving work occupies, over the longer window.
+func (r *Rate) Level(now time.Duration) worker.Resources {
+	r.advance(now)
+	return r.window(rateSlots)
+}
+
 // window returns the rate over the latest n slots.
-func (r *Rate) window(n int64) worker.Resources {
-	var sum worker.Resources
-	for i := range n {
-		if slot := r.last - i; slot >= 0 {
-			sum = sum.Plus(r.slots[slot%rateSlots])
+func (r *Rate) window(n int64) worker.Resources { return perSecond(r.between(0, n).work, n) }
+
+// between sums the slots from the given age on to another.
+func (r *Rate) between(from, to int64) slot {
+	var sum slot
+	for i := from; i < to; i++ {
+		if n := r.last - i; n >= 0 {
+			s := r.slots[n%rateSlots]
+			sum.work, sum.jobs = sum.work.Plus(s.work), sum.jobs+s.jobs
 		}
 	}
-	ms := n * slotTime.Milliseconds()
-	return worker.Resources{CPU: sum.CPU / ms, MemMB: sum.MemMB / ms, GPU: sum.GPU / ms}
+	return sum
+}
+
+func perSecond(work worker.Resources, slots int64) worker.Resources {
+	ms := slots * slotTime.Milliseconds()
+	return worker.Resources{CPU: work.CPU / ms, MemMB: work.MemMB / ms, GPU: work.GPU / ms}
 }
 
 func (r *Rate) advance(now time.Duration) {
-	slot := int64(now / slotTime)
-	if slot-r.last >= rateSlots {
-		r.slots = [rateSlots]worker.Resources{}
-		r.last = slot
+	present := int64(now / slotTime)
+	if present-r.last >= rateSlots {
+		r.slots = [rateSlots]slot{}
+		r.last = present
 		return
 	}
-	for r.last < slot {
+	for r.last < present {
 		r.last++
-		r.slots[r.last%rateSlots] = worker.Resources{}
+		r.slots[r.last%rateSlots] = slot{}
 	}
 }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity_test
 
 import (
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -31,6 +32,36 @@
 		Expect(wanted(now)).To(BeNumerically("~", 8, 1))
 		Expect(wanted(now + 3*time.Second)).To(Equal(idle))
 	})
+	It("is ahead of a turn that rises over three seconds", func() {
+		var rate capacity.Rate
+		now := 100 * time.Second
+		reached := func(hosts int) time.Duration {
+			var r capacity.Rate
+			due := 0.0
+			for t := time.Duration(0); t < 5*time.Second; t += 10 * time.Millisecond {
+				// From nothing to forty jobs a second, 416 cores of flow.
+				for due += min(t.Seconds()/3, 1) * 40 * 0.01; due >= 1; due-- {
+					r.Add(now+t, job)
+				}
+				if capacity.HostsWanted(capacity.Demand{Rate: r.PerSecond(now + t).Plus(r.Rise(now + t)), Host: host}) >= hosts {
+					return t
+				}
+			}
+			return 0
+		}
+		// The flow itself needs twelve hosts, three quarters of the turn's, after 2.25 s.
+		Expect(reached(12)).To(BeNumerically("<", 2250*time.Millisecond))
+		// Steady arrivals do not rise, also when they are random.
+		random := rand.New(rand.NewPCG(1, 2))
+		extra, level := 0.0, 0.0
+		for range 2000 {
+			now += time.Duration(random.ExpFloat64() * float64(50*time.Millisecond))
+			rate.Add(now, job)
+			extra += rate.Rise(now).Share(host)
+			level += rate.PerSecond(now).Share(host)
+		}
+		Expect(extra / level).To(BeNumerically("<", 0.1))
+	})
 	It("does not ask for more hosts than a single large job can use at once", func() {
 		// Later steps of a job are no demand of now: only what could run counts as waiting.
 		waiting := worker.Resources{CPU: 64_000 * 1300, MemMB: 100_000 * 1300}
--- a/internal/claim/assigner.go
+++ b/internal/claim/assigner.go
@@ -44,6 +44,8 @@
 	Split()
 	// PeakStarts returns the most tasks a second that were started in some seconds.
 	PeakStarts() float64
+	// StartsPerWorker returns how many tasks a second a full worker starts.
+	StartsPerWorker() float64
 	// Wanted returns how many workers the part needs.
 	Wanted() int
 	// Idle returns the workers on which nothing runs.
@@ -65,6 +67,8 @@
 	// WantedDepth is how deep a part of the pool should be that is so deep at present;
 	// busy tells whether its owner has more to start than its processor can.
 	WantedDepth func(present int, busy bool) int
+	// Fleet is what the load of a part in its pool's turn follows from.
+	Fleet func() partition.Fleet
 	// Power is the processor of the owner's machine, in cores.
 	Power float64
 	// Workers returns the listed workers of the pool.
@@ -115,7 +119,8 @@
 }
 
 func (a *Assigner) wantedDepth(part partition.Part) int {
-	return a.WantedDepth(part.Depth, partition.Busy(a.Shard.PeakStarts(), a.Power))
+	starts := max(a.Shard.PeakStarts(), partition.TurnStarts(a.Fleet(), 1<<part.Depth, a.Shard.StartsPerWorker()))
+	return a.WantedDepth(part.Depth, partition.Busy(starts, a.Power))
 }
 
 func (a *Assigner) pass(ctx context.Context, part partition.Part, recorded bool) error {
--- a/internal/jobdaemon/parts.go
+++ b/internal/jobdaemon/parts.go
@@ -9,6 +9,7 @@
 	"samphirestile.example/samphirestile/internal/claim"
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/jobapi"
+	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/lease"
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/shard"
@@ -31,11 +32,11 @@
 			return present
 		}
 	}
-	f := partition.Fleet{Workers: d.roster.Count(), Pools: len(servedPools(c)), Daemons: d.owners.Members()}
-	for _, depth := range d.owners.Depths() {
-		f.Deepest = max(f.Deepest, depth)
-	}
-	return partition.WantedDepth(f, present, busy)
+	return partition.WantedDepth(d.fleet(c), present, busy)
+}
+
+func (d *Daemon) fleet(c *jobconfig.Configuration) partition.Fleet {
+	return partition.Fleet{Workers: d.roster.Count(), Pools: len(servedPools(c)), Daemons: d.owners.Members()}
 }
 
 // divided reports whether some pool has several parts, or should have.
@@ -69,7 +70,13 @@
 		Store: d.store, Book: d.claims, Shard: o, OwnerKey: lease.OwnerKey(name), Token: token, Depths: d.owners.Depths,
 		Power:       d.settings.Power,
 		WantedDepth: func(present int, busy bool) int { return d.wantedDepth(pool, present, busy) },
-		Workers:     func() map[worker.ID]worker.Worker { return d.roster.Of(pool) }, Log: d.log,
+		Fleet: func() partition.Fleet {
+			if c, _ := d.configurations.Current(); c != nil {
+				return d.fleet(c)
+			}
+			return partition.Fleet{}
+		},
+		Workers: func() map[worker.ID]worker.Worker { return d.roster.Of(pool) }, Log: d.log,
 	})
 }
 
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -131,8 +131,6 @@
 // Fleet is what the number of parts depends on.
 type Fleet struct {
 	Workers, Pools, Daemons int
-	// Deepest is the greatest depth of a part of any pool.
-	Deepest int
 }
 
 // WantedDepth returns how deep a part should be that is so deep at present. busy
@@ -140,7 +138,9 @@
 //
 // Load pattern: pools of a few hundred workers start some hundred tasks a second,
 // which is more than the processor of one daemon does, while the other daemons own
-// nothing. What one pool needs in its turn, the others will need in theirs.
+// nothing. Pools with large tasks start fewer on as many workers: to divide them as
+// finely leaves each part too few workers for its wide jobs, and puts parts on
+// daemons with weak processors.
 // Workers on their way from one pool to another are listed twice for a while, so a
 // pool that is divided already needs clearly more of them.
 func WantedDepth(f Fleet, present int, busy bool) int {
@@ -151,9 +151,9 @@
 		parts := min(turnShare*workers/(f.Pools*perPart), f.Daemons/f.Pools)
 		return min(max(bits.Len(uint(max(parts, 0)))-1, 0), maxDepth)
 	}
-	wanted := f.Deepest
+	wanted := 0
 	if busy {
-		wanted = max(wanted, present+1)
+		wanted = present + 1
 	}
 	wanted = min(wanted, depth(f.Workers, leastWorkersPerPart))
 	if present == 0 {
@@ -166,6 +166,16 @@
 // many cores can do.
 func Busy(starts, cores float64) bool { return starts > startsPerCore*cores }
 
+// TurnStarts returns how many tasks a second a part will start in its pool's turn,
+// when a worker that is full starts so many. It is known before the turn from the
+// few jobs that come in between.
+func TurnStarts(f Fleet, parts int, perWorker float64) float64 {
+	if f.Pools == 0 || parts == 0 {
+		return 0
+	}
+	return perWorker * float64(turnShare*f.Workers) / float64(f.Pools*parts)
+}
+
 // RecordError reports a record of a part's depth that cannot be read.
 type RecordError struct {
 	Key   string
--- a/internal/partition/workers.go
+++ b/internal/partition/workers.go
@@ -35,9 +35,35 @@
 	h[shard].add(w)
 }
 
-// least returns the shard that has no worker of the kind, then the one whose
-// workers exceed what it wants by least, then the one with the fewest in the rack.
+// due returns how many workers a part should have out of so many: what it wants
+// and an even share of the rest, or its share of what all want while they are short.
+//
+// Load pattern: in the first seconds of a turn the pool has half of what it wants. A
+// part with a long queue wants twice what its neighbour does; both must drain alike.
+func (h Holdings) due(shard string, workers int) float64 {
+	wanted := 0
+	for _, held := range h {
+		wanted += held.Wanted
+	}
+	own := float64(h[shard].Wanted)
+	if wanted > workers {
+		return own * float64(workers) / float64(wanted)
+	}
+	return own + float64(workers-wanted)/float64(len(h))
+}
+
+func (h Holdings) workers() int {
+	n := 0
+	for _, held := range h {
+		n += held.Workers
+	}
+	return n
+}
+
+// least returns the shard that has no worker of the kind, then the one that lacks
+// most of what is due to it, then the one with the fewest in the rack.
 func (h Holdings) least(kind, rack string) string {
+	workers := h.workers()
 	best := ""
 	for shard, held := range h {
 		if best == "" {
@@ -45,7 +71,7 @@
 			continue
 		}
 		b := h[best]
-		own, other := held.Workers-held.Wanted, b.Workers-b.Wanted
+		own, other := float64(held.Workers)-h.due(shard, workers), float64(b.Workers)-h.due(best, workers)
 		switch {
 		case (held.Kinds[kind] == 0) != (b.Kinds[kind] == 0):
 			if held.Kinds[kind] == 0 {
@@ -110,16 +136,11 @@
 	if len(held) < 2 || held[self] == nil {
 		return "", 0
 	}
-	workers, wanted := 0, 0
-	for _, h := range held {
-		workers += h.Workers
-		wanted += h.Wanted
-	}
-	parts := float64(len(held))
-	mean, spare := float64(workers)/parts, float64(workers-wanted)/parts
+	workers := held.workers()
+	mean := float64(workers) / float64(len(held))
 	to = held.least("", "")
-	own := float64(held[self].Workers-held[self].Wanted) - spare
-	lack := spare - float64(held[to].Workers-held[to].Wanted)
+	own := float64(held[self].Workers) - held.due(self, workers)
+	lack := held.due(to, workers) - float64(held[to].Workers)
 	allowed := max(evenWorkers, evenShare*mean)
 	if held[to].Workers < held[to].Wanted {
 		allowed = 1
--- a/internal/partition/workers_test.go
+++ b/internal/partition/workers_test.go
@@ -54,6 +54,7 @@
 		Entry("that has none after a split", partition.Holdings{"a": holding(60, 0), "b": holding(0, 0)}, "b", 30),
 		Entry("but not for a small difference", partition.Holdings{"a": holding(12, 0), "b": holding(10, 0)}, "", 0),
 		Entry("that lacks some for tasks that may not share workers", partition.Holdings{"a": holding(16, 4), "b": holding(16, 24)}, "b", 10),
+		Entry("with the longer queue, while all lack some", partition.Holdings{"a": holding(60, 60), "b": holding(30, 120)}, "b", 30),
 		Entry("not while all lack as many", partition.Holdings{"a": holding(16, 30), "b": holding(16, 30)}, "", 0),
 		Entry("not by the part that lacks them", partition.Holdings{"a": holding(10, 20), "b": holding(20, 5)}, "", 0),
 		Entry("not where there is one part", partition.Holdings{"a": holding(10, 20)}, "", 0),
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -400,7 +400,7 @@
 		o.due[id] = true
 	}
 	now := steady.Now()
-	c := capacity.Demand{Rate: o.arrivals.PerSecond(time.Duration(now))}
+	c := capacity.Demand{Rate: o.arrivals.PerSecond(time.Duration(now)).Plus(o.arrivals.Rise(time.Duration(now)))}
 	for _, e := range o.active {
 		if !e.live.LongRunning() {
 			o.forReady(e, now, func(_ job.TaskID, s *job.Step) {
@@ -419,6 +419,7 @@
 	for _, s := range o.sessions {
 		c.Host = worker.Resources{CPU: max(c.Host.CPU, s.Capacity.CPU), MemMB: max(c.Host.MemMB, s.Capacity.MemMB), GPU: max(c.Host.GPU, s.Capacity.GPU)}
 	}
+	o.partNeeds = o.needed(c, now)
 	wanted := capacity.HostsWanted(c)
 	if now.Sub(o.acquired) < demandSettle {
 		present := 0
@@ -439,6 +440,17 @@
 	return Demand{Wanted: wanted, Releasable: o.releasable()}, nil
 }
 
+// partDrain is the time in which a part drains its queue with the workers that it
+// asks its neighbours for. They come within a second, those of other pools in three.
+const partDrain = time.Second
+
+// needed returns how many of the pool's workers the part needs. Few jobs arrive in
+// each part, so that a short window tells the parts apart by chance.
+func (o *Owner) needed(c capacity.Demand, now steady.Time) int {
+	c.Rate, c.Drain = o.arrivals.Level(time.Duration(now)), partDrain
+	return capacity.HostsWanted(c)
+}
+
 // releasable orders the workers by what would have to be moved from them.
 func (o *Owner) releasable() []worker.ID {
 	lasting, used := map[worker.ID]int{}, map[worker.ID]float64{}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -127,8 +127,13 @@
 	// most in one.
 	starts, peakStarts int
 	startsSince        steady.Time
+	// taskWork is the work of the taskCount tasks started so far, in seconds of a whole worker.
+	taskWork  float64
+	taskCount int
 	// wanted is the last answer on how many hosts the pool needs.
 	wanted int
+	// partNeeds is the last answer on how many of the pool's workers this part needs.
+	partNeeds int
 	// questions to the advisor come from the last pass, the most urgent first.
 	questions []question
 	advised   chan struct{}
--- a/internal/shard/part.go
+++ b/internal/shard/part.go
@@ -95,7 +95,11 @@
 
 // countStart counts one start of a task that ends by itself. Those that last come
 // at once and then stay.
-func (o *Owner) countStart(now steady.Time) {
+func (o *Owner) countStart(r *run, now steady.Time) {
+	if host := r.session.Capacity; host.CPU > 0 && host.MemMB > 0 {
+		o.taskWork += r.step.Room().Share(host) * o.estimate(r.entry.live.Queue, r.step).Seconds()
+		o.taskCount++
+	}
 	if now.Sub(o.startsSince) >= startsWindow {
 		o.starts, o.startsSince = 0, now
 	}
@@ -114,7 +118,18 @@
 func (o *Owner) Wanted() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.wanted
+	return o.partNeeds
+}
+
+// StartsPerWorker returns how many tasks a second a worker starts that is full of
+// the tasks started so far, or 0 before there were some.
+func (o *Owner) StartsPerWorker() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.taskCount < learnFrom || o.taskWork == 0 {
+		return 0
+	}
+	return float64(o.taskCount) / o.taskWork
 }
 
 // Idle returns the workers on which nothing runs.
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -377,9 +377,6 @@
 	}
 	task.LastRun = number
 	e.starts++
-	if !t.step.LongRunning {
-		o.countStart(p.now)
-	}
 	if e.firstStart == 0 {
 		e.firstStart = p.now
 	}
@@ -387,6 +384,9 @@
 	r := &run{
 		task: t.id, number: number, entry: e, step: t.step, session: s, ordered: p.now, pace: fullPace,
 	}
+	if !t.step.LongRunning {
+		o.countStart(r, p.now)
+	}
 	s.attach(r)
 	s.start(r)
 	o.Log.WithFields(logrus.Fields{
