Send calls to the store again while their answer is missing

Ruled out: shorter timeouts, which would give a slow store no answer at all. Specs: internal/lease (fails without: the lease is lost after 1.7 s), internal/jobstore.

--- a/internal/emulator/cluster/store.go
+++ b/internal/emulator/cluster/store.go
@@ -24,11 +24,15 @@
 	DelayWrites time.Duration
 	// SilentWatch lets watches hear nothing.
 	SilentWatch bool
+	// LostCalls of each LostCalls+1 calls, watches apart, are neither carried out nor answered.
+	LostCalls int
 }
 
 // Store is an in-memory store.Transactional.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// round counts the calls since one was answered, for LostCalls.
+	round    int
 	faults   StoreFaults
 	revision uint64
 	items    map[string]store.Entry
@@ -99,8 +103,27 @@
 	return nil
 }
 
+// lose blocks a call that is lost until its caller gives up.
+func (s *Store) lose(ctx context.Context) error {
+	s.mu.Lock()
+	lost := s.faults.LostCalls > 0
+	if lost {
+		s.round = (s.round + 1) % (s.faults.LostCalls + 1)
+		lost = s.round != 0
+	}
+	s.mu.Unlock()
+	if !lost {
+		return nil
+	}
+	<-ctx.Done()
+	return &store.UnknownOutcomeError{Cause: errLost}
+}
+
 // Get implements store.Transactional.
-func (s *Store) Get(_ context.Context, key string) (store.Entry, error) {
+func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := s.lose(ctx); err != nil {
+		return store.Entry{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
@@ -114,7 +137,10 @@
 }
 
 // List implements store.Transactional.
-func (s *Store) List(_ context.Context, prefix string) ([]store.Entry, uint64, error) {
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	if err := s.lose(ctx); err != nil {
+		return nil, 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
@@ -167,7 +193,10 @@
 }
 
 // Commit implements store.Transactional.
-func (s *Store) Commit(_ context.Context, t store.Transaction) (uint64, error) {
+func (s *Store) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
+	if err := s.lose(ctx); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
@@ -254,7 +283,10 @@
 }
 
 // KeepAlive implements store.Transactional.
-func (s *Store) KeepAlive(_ context.Context, id store.LeaseID) error {
+func (s *Store) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	if err := s.lose(ctx); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -58,7 +58,7 @@
 	log      *logrus.Logger
 	self     lease.Member
 
-	store          *platform.Store
+	store          store.Transactional
 	keeper         *lease.Keeper
 	owners         *lease.Owners
 	configurations *entry.Configurations
@@ -92,7 +92,7 @@
 		return nil, fmt.Errorf("incarnation: %w", err)
 	}
 	d := &Daemon{
-		settings: s, log: log, store: platform.NewStore(s.StoreAddress), clients: jobapi.NewClients(),
+		settings: s, log: log, store: store.Hedged{Transactional: platform.NewStore(s.StoreAddress)}, clients: jobapi.NewClients(),
 		machines: platform.NewHosts(s.HostsAddress), operators: operators,
 		metrics: metrics.New(), shards: map[string]*served{},
 		self: lease.Member{Name: s.Node, Address: s.PeerAddress, Incarnation: hex.EncodeToString(incarnation), Power: s.Power},
--- a/internal/jobstore/chain.go
+++ b/internal/jobstore/chain.go
@@ -108,7 +108,8 @@
 	c.setState(steady.Now(), false)
 	defer c.setState(0, false)
 	for {
-		revision, err := c.store.Commit(ctx, t)
+		// A second copy of the batch is harmless: the first to be carried out moves the chain.
+		revision, err := store.Hedge(ctx, store.HedgeAfter, isDecided, func(ctx context.Context) (uint64, error) { return c.store.Commit(ctx, t) })
 		if err == nil {
 			c.number, c.revision = c.number+1, revision
 			return nil
@@ -130,6 +131,9 @@
 	}
 }
 
+// isDecided reports whether the store has carried the batch out or refused it for good.
+func isDecided(err error) bool { return err == nil || errors.As(err, new(*store.ConditionError)) }
+
 // resolve tells an earlier attempt of this batch from a write of another owner.
 func (c *Chain) resolve(failed *store.ConditionError, number string) error {
 	own, ok := failed.Find(c.ownerKey)
--- a/internal/jobstore/chain_test.go
+++ b/internal/jobstore/chain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -60,6 +61,17 @@
 		time.Sleep(400 * time.Millisecond)
 		Expect(value()).To(Equal("2"))
 	})
+	It("does not wait for a call that is lost", func() {
+		c := own()
+		s.SetFaults(cluster.StoreFaults{LostCalls: 2})
+		began := time.Now()
+		for n := range 3 {
+			Expect(c.Commit(ctx, write(strconv.Itoa(n)), nil)).To(Succeed())
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", 3*3*store.HedgeAfter), "no batch waits for a timeout")
+		s.SetFaults(cluster.StoreFaults{})
+		Expect(value()).To(Equal("2"))
+	})
 	It("refuses a deposed owner, also its late writes", func() {
 		first := own()
 		Expect(first.Commit(ctx, write("1"), nil)).To(Succeed())
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -59,8 +59,9 @@
 		quiet.SetOutput(io.Discard)
 		self := Member{Name: name, Address: name + ":1", Incarnation: incarnation}
 		d := &daemon{runner: &runner{shards: map[string]uint64{}}}
-		d.keeper = NewKeeper(s, self, quiet)
-		d.owners = NewOwners(s, d.keeper, self, d.runner, func(partition.Depths) []string { return shards }, quiet)
+		backing := store.Hedged{Transactional: s}
+		d.keeper = NewKeeper(backing, self, quiet)
+		d.owners = NewOwners(backing, d.keeper, self, d.runner, func(partition.Depths) []string { return shards }, quiet)
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
 		group.Go(func() { d.keeper.Run(ctx) })
@@ -160,6 +161,14 @@
 		s.SetFaults(cluster.StoreFaults{})
 		Consistently(d.served, TTL).Should(Equal(before))
 	})
+	It("keep what they own while the store answers one call in three", func() {
+		d := start("x", "1")
+		Eventually(func() int { return total(d) }, "5s").Should(Equal(len(shards)))
+		before := d.served()
+		s.SetFaults(cluster.StoreFaults{LostCalls: 2})
+		Consistently(d.served, 2*TTL).Should(Equal(before))
+		Expect(d.keeper.ValidUntil()).To(BeNumerically(">", steady.Now()))
+	})
 	It("see a vacancy also when their watch is silent", func() {
 		first := start("x", "1")
 		Eventually(func() int { return total(first) }, "5s").Should(Equal(len(shards)))
