Reach the store through other daemons while it turns this one away

Other daemons reach the store, so its calls go through them after two without an answer. Outcomes are those of a direct call: a late write meets the same conditions, a write without an answer is unknown. Ruled out: letting a peer end the lease, which moves the shard and its jobs in the turn.

--- a/internal/jobapi/client.go
+++ b/internal/jobapi/client.go
@@ -13,6 +13,7 @@
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobapi/oas"
 	"samphirestile.example/samphirestile/internal/shard"
+	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
@@ -46,6 +47,14 @@
 
 // Remote returns a shard that another daemon owns.
 func (c *Clients) Remote(address, name string) (Shard, error) {
+	client, err := c.of(address)
+	if err != nil {
+		return nil, err
+	}
+	return &remote{client, name}, nil
+}
+
+func (c *Clients) of(address string) (*oas.Client, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	client := c.byAddress[address]
@@ -56,7 +65,27 @@
 		}
 		c.byAddress[address] = client
 	}
-	return &remote{client, name}, nil
+	return client, nil
+}
+
+// StoreCall makes a call to the store through the daemon at the address.
+func (c *Clients) StoreCall(ctx context.Context, address string, call store.Call) (answer store.Answer, err error) {
+	client, err := c.of(address)
+	if err != nil {
+		return answer, err
+	}
+	encoded, err := json.Marshal(call)
+	if err != nil {
+		return answer, fmt.Errorf("encode call to the store: %w", err)
+	}
+	out, err := client.StoreCall(ctx, &oas.StoreCall{Call: string(encoded)})
+	if err := decode("", "", out, err); err != nil {
+		return answer, err
+	}
+	if err := json.Unmarshal([]byte(out.Report.Or("")), &answer); err != nil {
+		return answer, fmt.Errorf("answer of the store through %s: %w", address, err)
+	}
+	return answer, nil
 }
 
 type remote struct {
--- a/internal/jobapi/oas/oas_client_gen.go
+++ b/internal/jobapi/oas/oas_client_gen.go
@@ -63,6 +63,12 @@
 	//
 	// POST /jobs/state
 	State(ctx context.Context, request *JobReference) (*Outcome, error)
+	// StoreCall invokes storeCall operation.
+	//
+	// Makes a call to the store for a daemon that the store does not answer.
+	//
+	// POST /store/call
+	StoreCall(ctx context.Context, request *StoreCall) (*Outcome, error)
 	// Submit invokes submit operation.
 	//
 	// Hands a job to the shard's owner.
@@ -614,6 +620,89 @@
 	return result, nil
 }
 
+// StoreCall invokes storeCall operation.
+//
+// Makes a call to the store for a daemon that the store does not answer.
+//
+// POST /store/call
+func (c *Client) StoreCall(ctx context.Context, request *StoreCall) (*Outcome, error) {
+	res, err := c.sendStoreCall(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendStoreCall(ctx context.Context, request *StoreCall) (res *Outcome, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("storeCall"),
+		semconv.HTTPRequestMethodKey.String("POST"),
+		semconv.URLTemplateKey.String("/store/call"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, StoreCallOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/store/call"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeStoreCallRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeStoreCallResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Submit invokes submit operation.
 //
 // Hands a job to the shard's owner.
--- a/internal/jobapi/oas/oas_json_gen.go
+++ b/internal/jobapi/oas/oas_json_gen.go
@@ -1072,6 +1072,102 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *StoreCall) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StoreCall) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("call")
+		e.Str(s.Call)
+	}
+}
+
+var jsonFieldsNameOfStoreCall = [1]string{
+	0: "call",
+}
+
+// Decode decodes StoreCall from json.
+func (s *StoreCall) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StoreCall to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "call":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Call = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"call\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StoreCall")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStoreCall) {
+					name = jsonFieldsNameOfStoreCall[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StoreCall) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StoreCall) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *WorkerReference) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/jobapi/oas/oas_operations_gen.go
+++ b/internal/jobapi/oas/oas_operations_gen.go
@@ -12,6 +12,7 @@
 	OpenWorkerOperation  OperationName = "OpenWorker"
 	ReportOperation      OperationName = "Report"
 	StateOperation       OperationName = "State"
+	StoreCallOperation   OperationName = "StoreCall"
 	SubmitOperation      OperationName = "Submit"
 	WaitingOperation     OperationName = "Waiting"
 )
--- a/internal/jobapi/oas/oas_request_encoders_gen.go
+++ b/internal/jobapi/oas/oas_request_encoders_gen.go
@@ -94,6 +94,20 @@
 	return nil
 }
 
+func encodeStoreCallRequest(
+	req *StoreCall,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
+
 func encodeSubmitRequest(
 	req *JobRecord,
 	r *http.Request,
--- a/internal/jobapi/oas/oas_response_encoders_gen.go
+++ b/internal/jobapi/oas/oas_response_encoders_gen.go
@@ -88,6 +88,19 @@
 	return nil
 }
 
+func encodeStoreCallResponse(response *Outcome, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeSubmitResponse(response *Outcome, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/internal/jobapi/oas/oas_router_gen.go
+++ b/internal/jobapi/oas/oas_router_gen.go
@@ -29,10 +29,13 @@
 	rn7AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn11AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
+	rn12AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn9AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -75,9 +78,9 @@
 			break
 		}
 		switch elem[0] {
-		case '/': // Prefix: "/jobs/"
+		case '/': // Prefix: "/"
 
-			if l := len("/jobs/"); len(elem) >= l && elem[0:l] == "/jobs/" {
+			if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
 				elem = elem[l:]
 			} else {
 				break
@@ -87,146 +90,121 @@
 				break
 			}
 			switch elem[0] {
-			case 'c': // Prefix: "cancel"
+			case 'j': // Prefix: "jobs/"
 
-				if l := len("cancel"); len(elem) >= l && elem[0:l] == "cancel" {
+				if l := len("jobs/"); len(elem) >= l && elem[0:l] == "jobs/" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "POST":
-						s.handleCancelRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "POST",
-							allowedHeaders: rn1AllowedHeaders,
-							acceptPost:     "application/json",
-							acceptPatch:    "",
-						})
-					}
-
-					return
-				}
-
-			case 'd': // Prefix: "demand"
-
-				if l := len("demand"); len(elem) >= l && elem[0:l] == "demand" {
-					elem = elem[l:]
-				} else {
 					break
 				}
+				switch elem[0] {
+				case 'c': // Prefix: "cancel"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "POST":
-						s.handleDemandRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "POST",
-							allowedHeaders: rn3AllowedHeaders,
-							acceptPost:     "application/json",
-							acceptPatch:    "",
-						})
+					if l := len("cancel"); len(elem) >= l && elem[0:l] == "cancel" {
+						elem = elem[l:]
+					} else {
+						break
 					}
 
-					return
-				}
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleCancelRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: rn1AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
 
-			case 'e': // Prefix: "emptyWorker"
+						return
+					}
 
-				if l := len("emptyWorker"); len(elem) >= l && elem[0:l] == "emptyWorker" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+				case 'd': // Prefix: "demand"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "POST":
-						s.handleEmptyWorkerRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "POST",
-							allowedHeaders: rn4AllowedHeaders,
-							acceptPost:     "application/json",
-							acceptPatch:    "",
-						})
+					if l := len("demand"); len(elem) >= l && elem[0:l] == "demand" {
+						elem = elem[l:]
+					} else {
+						break
 					}
 
-					return
-				}
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleDemandRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: rn3AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
 
-			case 'o': // Prefix: "openWorker"
+						return
+					}
 
-				if l := len("openWorker"); len(elem) >= l && elem[0:l] == "openWorker" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+				case 'e': // Prefix: "emptyWorker"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "POST":
-						s.handleOpenWorkerRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "POST",
-							allowedHeaders: rn5AllowedHeaders,
-							acceptPost:     "application/json",
-							acceptPatch:    "",
-						})
+					if l := len("emptyWorker"); len(elem) >= l && elem[0:l] == "emptyWorker" {
+						elem = elem[l:]
+					} else {
+						break
 					}
 
-					return
-				}
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleEmptyWorkerRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: rn4AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
 
-			case 'r': // Prefix: "report"
+						return
+					}
 
-				if l := len("report"); len(elem) >= l && elem[0:l] == "report" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+				case 'o': // Prefix: "openWorker"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "POST":
-						s.handleReportRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "POST",
-							allowedHeaders: rn6AllowedHeaders,
-							acceptPost:     "application/json",
-							acceptPatch:    "",
-						})
+					if l := len("openWorker"); len(elem) >= l && elem[0:l] == "openWorker" {
+						elem = elem[l:]
+					} else {
+						break
 					}
 
-					return
-				}
-
-			case 's': // Prefix: "s"
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleOpenWorkerRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: rn5AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
 
-				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+						return
+					}
 
-				if len(elem) == 0 {
-					break
-				}
-				switch elem[0] {
-				case 't': // Prefix: "tate"
+				case 'r': // Prefix: "report"
 
-					if l := len("tate"); len(elem) >= l && elem[0:l] == "tate" {
+					if l := len("report"); len(elem) >= l && elem[0:l] == "report" {
 						elem = elem[l:]
 					} else {
 						break
@@ -236,11 +214,11 @@
 						// Leaf node.
 						switch r.Method {
 						case "POST":
-							s.handleStateRequest([0]string{}, elemIsEscaped, w, r)
+							s.handleReportRequest([0]string{}, elemIsEscaped, w, r)
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn7AllowedHeaders,
+								allowedHeaders: rn6AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -249,9 +227,73 @@
 						return
 					}
 
-				case 'u': // Prefix: "ubmit"
+				case 's': // Prefix: "s"
 
-					if l := len("ubmit"); len(elem) >= l && elem[0:l] == "ubmit" {
+					if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case 't': // Prefix: "tate"
+
+						if l := len("tate"); len(elem) >= l && elem[0:l] == "tate" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "POST":
+								s.handleStateRequest([0]string{}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "POST",
+									allowedHeaders: rn7AllowedHeaders,
+									acceptPost:     "application/json",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					case 'u': // Prefix: "ubmit"
+
+						if l := len("ubmit"); len(elem) >= l && elem[0:l] == "ubmit" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "POST":
+								s.handleSubmitRequest([0]string{}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "POST",
+									allowedHeaders: rn11AllowedHeaders,
+									acceptPost:     "application/json",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					}
+
+				case 'w': // Prefix: "waiting"
+
+					if l := len("waiting"); len(elem) >= l && elem[0:l] == "waiting" {
 						elem = elem[l:]
 					} else {
 						break
@@ -261,11 +303,11 @@
 						// Leaf node.
 						switch r.Method {
 						case "POST":
-							s.handleSubmitRequest([0]string{}, elemIsEscaped, w, r)
+							s.handleWaitingRequest([0]string{}, elemIsEscaped, w, r)
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn9AllowedHeaders,
+								allowedHeaders: rn12AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -276,9 +318,9 @@
 
 				}
 
-			case 'w': // Prefix: "waiting"
+			case 's': // Prefix: "store/call"
 
-				if l := len("waiting"); len(elem) >= l && elem[0:l] == "waiting" {
+				if l := len("store/call"); len(elem) >= l && elem[0:l] == "store/call" {
 					elem = elem[l:]
 				} else {
 					break
@@ -288,11 +330,11 @@
 					// Leaf node.
 					switch r.Method {
 					case "POST":
-						s.handleWaitingRequest([0]string{}, elemIsEscaped, w, r)
+						s.handleStoreCallRequest([0]string{}, elemIsEscaped, w, r)
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn10AllowedHeaders,
+							allowedHeaders: rn9AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -389,9 +431,9 @@
 			break
 		}
 		switch elem[0] {
-		case '/': // Prefix: "/jobs/"
+		case '/': // Prefix: "/"
 
-			if l := len("/jobs/"); len(elem) >= l && elem[0:l] == "/jobs/" {
+			if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
 				elem = elem[l:]
 			} else {
 				break
@@ -401,146 +443,121 @@
 				break
 			}
 			switch elem[0] {
-			case 'c': // Prefix: "cancel"
+			case 'j': // Prefix: "jobs/"
 
-				if l := len("cancel"); len(elem) >= l && elem[0:l] == "cancel" {
+				if l := len("jobs/"); len(elem) >= l && elem[0:l] == "jobs/" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "POST":
-						r.name = CancelOperation
-						r.summary = ""
-						r.operationID = "cancel"
-						r.operationGroup = ""
-						r.pathPattern = "/jobs/cancel"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
-					}
-				}
-
-			case 'd': // Prefix: "demand"
-
-				if l := len("demand"); len(elem) >= l && elem[0:l] == "demand" {
-					elem = elem[l:]
-				} else {
 					break
 				}
+				switch elem[0] {
+				case 'c': // Prefix: "cancel"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "POST":
-						r.name = DemandOperation
-						r.summary = ""
-						r.operationID = "demand"
-						r.operationGroup = ""
-						r.pathPattern = "/jobs/demand"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					if l := len("cancel"); len(elem) >= l && elem[0:l] == "cancel" {
+						elem = elem[l:]
+					} else {
+						break
 					}
-				}
 
-			case 'e': // Prefix: "emptyWorker"
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = CancelOperation
+							r.summary = ""
+							r.operationID = "cancel"
+							r.operationGroup = ""
+							r.pathPattern = "/jobs/cancel"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
 
-				if l := len("emptyWorker"); len(elem) >= l && elem[0:l] == "emptyWorker" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+				case 'd': // Prefix: "demand"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "POST":
-						r.name = EmptyWorkerOperation
-						r.summary = ""
-						r.operationID = "emptyWorker"
-						r.operationGroup = ""
-						r.pathPattern = "/jobs/emptyWorker"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					if l := len("demand"); len(elem) >= l && elem[0:l] == "demand" {
+						elem = elem[l:]
+					} else {
+						break
 					}
-				}
 
-			case 'o': // Prefix: "openWorker"
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = DemandOperation
+							r.summary = ""
+							r.operationID = "demand"
+							r.operationGroup = ""
+							r.pathPattern = "/jobs/demand"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
 
-				if l := len("openWorker"); len(elem) >= l && elem[0:l] == "openWorker" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+				case 'e': // Prefix: "emptyWorker"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "POST":
-						r.name = OpenWorkerOperation
-						r.summary = ""
-						r.operationID = "openWorker"
-						r.operationGroup = ""
-						r.pathPattern = "/jobs/openWorker"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					if l := len("emptyWorker"); len(elem) >= l && elem[0:l] == "emptyWorker" {
+						elem = elem[l:]
+					} else {
+						break
 					}
-				}
 
-			case 'r': // Prefix: "report"
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = EmptyWorkerOperation
+							r.summary = ""
+							r.operationID = "emptyWorker"
+							r.operationGroup = ""
+							r.pathPattern = "/jobs/emptyWorker"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
 
-				if l := len("report"); len(elem) >= l && elem[0:l] == "report" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+				case 'o': // Prefix: "openWorker"
 
-				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "POST":
-						r.name = ReportOperation
-						r.summary = ""
-						r.operationID = "report"
-						r.operationGroup = ""
-						r.pathPattern = "/jobs/report"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					if l := len("openWorker"); len(elem) >= l && elem[0:l] == "openWorker" {
+						elem = elem[l:]
+					} else {
+						break
 					}
-				}
 
-			case 's': // Prefix: "s"
-
-				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
-					elem = elem[l:]
-				} else {
-					break
-				}
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = OpenWorkerOperation
+							r.summary = ""
+							r.operationID = "openWorker"
+							r.operationGroup = ""
+							r.pathPattern = "/jobs/openWorker"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
 
-				if len(elem) == 0 {
-					break
-				}
-				switch elem[0] {
-				case 't': // Prefix: "tate"
+				case 'r': // Prefix: "report"
 
-					if l := len("tate"); len(elem) >= l && elem[0:l] == "tate" {
+					if l := len("report"); len(elem) >= l && elem[0:l] == "report" {
 						elem = elem[l:]
 					} else {
 						break
@@ -550,11 +567,11 @@
 						// Leaf node.
 						switch method {
 						case "POST":
-							r.name = StateOperation
+							r.name = ReportOperation
 							r.summary = ""
-							r.operationID = "state"
+							r.operationID = "report"
 							r.operationGroup = ""
-							r.pathPattern = "/jobs/state"
+							r.pathPattern = "/jobs/report"
 							r.args = args
 							r.count = 0
 							return r, true
@@ -563,9 +580,73 @@
 						}
 					}
 
-				case 'u': // Prefix: "ubmit"
+				case 's': // Prefix: "s"
+
+					if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case 't': // Prefix: "tate"
+
+						if l := len("tate"); len(elem) >= l && elem[0:l] == "tate" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "POST":
+								r.name = StateOperation
+								r.summary = ""
+								r.operationID = "state"
+								r.operationGroup = ""
+								r.pathPattern = "/jobs/state"
+								r.args = args
+								r.count = 0
+								return r, true
+							default:
+								return
+							}
+						}
+
+					case 'u': // Prefix: "ubmit"
+
+						if l := len("ubmit"); len(elem) >= l && elem[0:l] == "ubmit" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "POST":
+								r.name = SubmitOperation
+								r.summary = ""
+								r.operationID = "submit"
+								r.operationGroup = ""
+								r.pathPattern = "/jobs/submit"
+								r.args = args
+								r.count = 0
+								return r, true
+							default:
+								return
+							}
+						}
+
+					}
+
+				case 'w': // Prefix: "waiting"
 
-					if l := len("ubmit"); len(elem) >= l && elem[0:l] == "ubmit" {
+					if l := len("waiting"); len(elem) >= l && elem[0:l] == "waiting" {
 						elem = elem[l:]
 					} else {
 						break
@@ -575,11 +656,11 @@
 						// Leaf node.
 						switch method {
 						case "POST":
-							r.name = SubmitOperation
+							r.name = WaitingOperation
 							r.summary = ""
-							r.operationID = "submit"
+							r.operationID = "waiting"
 							r.operationGroup = ""
-							r.pathPattern = "/jobs/submit"
+							r.pathPattern = "/jobs/waiting"
 							r.args = args
 							r.count = 0
 							return r, true
@@ -590,9 +671,9 @@
 
 				}
 
-			case 'w': // Prefix: "waiting"
+			case 's': // Prefix: "store/call"
 
-				if l := len("waiting"); len(elem) >= l && elem[0:l] == "waiting" {
+				if l := len("store/call"); len(elem) >= l && elem[0:l] == "store/call" {
 					elem = elem[l:]
 				} else {
 					break
@@ -602,11 +683,11 @@
 					// Leaf node.
 					switch method {
 					case "POST":
-						r.name = WaitingOperation
+						r.name = StoreCallOperation
 						r.summary = ""
-						r.operationID = "waiting"
+						r.operationID = "storeCall"
 						r.operationGroup = ""
-						r.pathPattern = "/jobs/waiting"
+						r.pathPattern = "/store/call"
 						r.args = args
 						r.count = 0
 						return r, true
--- a/internal/jobapi/oas/oas_schemas_gen.go
+++ b/internal/jobapi/oas/oas_schemas_gen.go
@@ -259,7 +259,7 @@
 	Wanted OptInt `json:"wanted"`
 	// Workers in the order in which they are given up most easily.
 	Releasable []string `json:"releasable"`
-	// The report in JSON.
+	// The report, or the store's answer, in JSON.
 	Report OptString `json:"report"`
 }
 
@@ -534,6 +534,22 @@
 	s.Due = val
 }
 
+// Ref: #/components/schemas/StoreCall
+type StoreCall struct {
+	// The call in JSON.
+	Call string `json:"call"`
+}
+
+// GetCall returns the value of Call.
+func (s *StoreCall) GetCall() string {
+	return s.Call
+}
+
+// SetCall sets the value of Call.
+func (s *StoreCall) SetCall(val string) {
+	s.Call = val
+}
+
 // Ref: #/components/schemas/WorkerReference
 type WorkerReference struct {
 	Shard  string `json:"shard"`
--- a/internal/jobapi/oas/oas_server_gen.go
+++ b/internal/jobapi/oas/oas_server_gen.go
@@ -44,6 +44,12 @@
 	//
 	// POST /jobs/state
 	State(ctx context.Context, req *JobReference) (*Outcome, error)
+	// StoreCall implements storeCall operation.
+	//
+	// Makes a call to the store for a daemon that the store does not answer.
+	//
+	// POST /store/call
+	StoreCall(ctx context.Context, req *StoreCall) (*Outcome, error)
 	// Submit implements submit operation.
 	//
 	// Hands a job to the shard's owner.
--- a/internal/jobapi/oas/oas_unimplemented_gen.go
+++ b/internal/jobapi/oas/oas_unimplemented_gen.go
@@ -67,6 +67,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// StoreCall implements storeCall operation.
+//
+// Makes a call to the store for a daemon that the store does not answer.
+//
+// POST /store/call
+func (UnimplementedHandler) StoreCall(ctx context.Context, req *StoreCall) (r *Outcome, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // Submit implements submit operation.
 //
 // Hands a job to the shard's owner.
--- a/internal/jobapi/server.go
+++ b/internal/jobapi/server.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobapi/oas"
 	"samphirestile.example/samphirestile/internal/shard"
+	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
@@ -32,6 +34,8 @@
 type Server struct {
 	// Local returns the shard, if this daemon owns it.
 	Local func(name string) (Shard, bool)
+	// Store is this daemon's own way to the store.
+	Store store.Transactional
 }
 
 var _ oas.Handler = (*Server)(nil)
@@ -136,6 +140,19 @@
 	})
 }
 
+// StoreCall implements oas.Handler.
+func (s *Server) StoreCall(ctx context.Context, req *oas.StoreCall) (*oas.Outcome, error) {
+	var c store.Call
+	if err := json.Unmarshal([]byte(req.Call), &c); err != nil {
+		return encode(nil, fmt.Errorf("call to the store: %w", err))
+	}
+	answer, err := json.Marshal(store.Serve(ctx, s.Store, c))
+	if err != nil {
+		return encode(nil, fmt.Errorf("answer of the store: %w", err))
+	}
+	return encode(&oas.Outcome{Report: oas.NewOptString(string(answer))}, nil)
+}
+
 // Report implements oas.Handler.
 func (s *Server) Report(ctx context.Context, req *oas.ReportRequest) (*oas.Outcome, error) {
 	return s.with(req.Shard, func(l Shard) (*oas.Outcome, error) {
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -58,7 +58,8 @@
 	log      *logrus.Logger
 	self     lease.Member
 
-	store          store.Transactional
+	// direct is the daemon's own way to the store; store takes others when it is cut.
+	direct, store  store.Transactional
 	keeper         *lease.Keeper
 	owners         *lease.Owners
 	configurations *entry.Configurations
@@ -92,11 +93,14 @@
 		return nil, fmt.Errorf("incarnation: %w", err)
 	}
 	d := &Daemon{
-		settings: s, log: log, store: store.Hedged{Transactional: platform.NewStore(s.StoreAddress)}, clients: jobapi.NewClients(),
+		settings: s, log: log, direct: platform.NewStore(s.StoreAddress), clients: jobapi.NewClients(),
 		machines: platform.NewHosts(s.HostsAddress), operators: operators,
 		metrics: metrics.New(), shards: map[string]*served{},
 		self: lease.Member{Name: s.Node, Address: s.PeerAddress, Incarnation: hex.EncodeToString(incarnation), Power: s.Power},
 	}
+	d.store = store.Hedged{Transactional: &store.Detour{
+		Transactional: d.direct, Peers: func() []string { return d.owners.Peers() }, Through: d.clients.StoreCall, Log: log,
+	}}
 	if s.AdvisorAddress != "" {
 		d.advisor = platform.NewAdvisor(s.AdvisorAddress)
 	}
@@ -378,7 +382,7 @@
 
 // listen opens all listeners before anything is served.
 func (d *Daemon) listen() ([]*httpserver.Server, <-chan error, error) {
-	peers, err := oas.NewServer(&jobapi.Server{Local: d.local})
+	peers, err := oas.NewServer(&jobapi.Server{Local: d.local, Store: d.direct})
 	if err != nil {
 		return nil, nil, fmt.Errorf("peer interface: %w", err)
 	}
--- a/internal/lease/owners.go
+++ b/internal/lease/owners.go
@@ -104,6 +104,19 @@
 	return len(o.members)
 }
 
+// Peers returns the addresses of the other daemons that take part.
+func (o *Owners) Peers() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var addresses []string
+	for _, m := range o.members {
+		if m.Name != o.self.Name {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 // Run follows and acquires until ctx ends.
 func (o *Owners) Run(ctx context.Context) {
 	var group sync.WaitGroup
--- /dev/null
+++ b/internal/store/detour.go
@@ -0,0 +1,300 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Call is one call to the store that another daemon makes. Exactly one field is set.
+type Call struct {
+	Get    string       `json:"get,omitempty"`
+	List   string       `json:"list,omitempty"`
+	Commit *Transaction `json:"commit,omitempty"`
+	// GrantMS is the duration of a new lease in milliseconds.
+	GrantMS   int64   `json:"grant_ms,omitempty"`
+	KeepAlive LeaseID `json:"keep_alive,omitempty"`
+	Revoke    LeaseID `json:"revoke,omitempty"`
+}
+
+// Answer is what the store said to a Call.
+type Answer struct {
+	Code     AnswerCode `json:"code"`
+	Reason   string     `json:"reason,omitempty"`
+	Entries  []Entry    `json:"entries,omitempty"`
+	Revision uint64     `json:"revision,omitempty"`
+	Lease    LeaseID    `json:"lease,omitempty"`
+}
+
+// AnswerCode is the kind of an Answer.
+type AnswerCode string
+
+// Codes of answers; each is one type of error of Transactional.
+const (
+	AnswerOK          AnswerCode = "ok"
+	AnswerNotFound    AnswerCode = "not_found"
+	AnswerCondition   AnswerCode = "condition"
+	AnswerUnavailable AnswerCode = "unavailable"
+	AnswerUnknown     AnswerCode = "unknown"
+)
+
+// Serve makes a call for another daemon.
+func Serve(ctx context.Context, s Transactional, c Call) Answer {
+	var a Answer
+	var err error
+	switch {
+	case c.Get != "":
+		var e Entry
+		if e, err = s.Get(ctx, c.Get); err == nil {
+			a.Entries = []Entry{e}
+		}
+	case c.List != "":
+		a.Entries, a.Revision, err = s.List(ctx, c.List)
+	case c.Commit != nil:
+		a.Revision, err = s.Commit(ctx, *c.Commit)
+	case c.GrantMS != 0:
+		a.Lease, err = s.Grant(ctx, time.Duration(c.GrantMS)*time.Millisecond)
+	case c.KeepAlive != 0:
+		err = s.KeepAlive(ctx, c.KeepAlive)
+	case c.Revoke != 0:
+		err = s.Revoke(ctx, c.Revoke)
+	default:
+		err = &UnavailableError{errEmptyCall}
+	}
+	var condition *ConditionError
+	switch {
+	case err == nil:
+		a.Code = AnswerOK
+		return a
+	case errors.As(err, &condition):
+		a.Code, a.Entries = AnswerCondition, condition.Current
+	case errors.As(err, new(*NotFoundError)):
+		a.Code = AnswerNotFound
+	case errors.As(err, new(*UnavailableError)):
+		a.Code = AnswerUnavailable
+	default:
+		a.Code = AnswerUnknown
+	}
+	a.Reason = err.Error()
+	return a
+}
+
+var (
+	errEmptyCall = errors.New("the call asks for nothing")
+	errDetour    = errors.New("store reached through another daemon")
+	errNoPeer    = errors.New("no other daemon reaches the store")
+)
+
+// err returns the error that the answer stands for.
+func (a Answer) err(key string) error {
+	switch a.Code {
+	case AnswerOK:
+		return nil
+	case AnswerNotFound:
+		return &NotFoundError{Key: key}
+	case AnswerCondition:
+		return &ConditionError{Current: a.Entries}
+	case AnswerUnavailable:
+		return &UnavailableError{errors.Join(errDetour, errors.New(a.Reason))}
+	}
+	return &UnknownOutcomeError{Key: key, Cause: errors.Join(errDetour, errors.New(a.Reason))}
+}
+
+const (
+	// detourFailures of calls in a row without an answer of the store send the next
+	// ones through other daemons. One alone may be a lost answer.
+	detourFailures = 2
+	// directInterval is the pause between two attempts to reach the store directly.
+	directInterval = time.Second
+	// detourTimeout bounds a call through another daemon, which takes two hops more.
+	detourTimeout = 600 * time.Millisecond
+	// detourPeers is how many daemons are asked for one call.
+	detourPeers = 2
+)
+
+// Detour reaches the store through other daemons while it does not answer this one.
+//
+// Load pattern: the store turns single machines away, or a network splits them from
+// it, and serves the others. An owner without the store would leave its queue alone
+// until its lease has ended, two seconds of a turn.
+//
+// A call through another daemon has the outcomes of a direct one: it may be carried
+// out late, and the conditions of transactions hold then as well.
+type Detour struct {
+	Transactional
+	// Peers returns the addresses of the other daemons.
+	Peers func() []string
+	// Through makes a call through the daemon at the address; an error means that
+	// the daemon did not answer.
+	Through func(ctx context.Context, address string, c Call) (Answer, error)
+	Log     *logrus.Logger
+
+	mu       sync.Mutex
+	failures int
+	probed   time.Time
+	// last is the daemon that answered last.
+	last string
+}
+
+var _ Transactional = (*Detour)(nil)
+
+// cut reports whether direct calls are not answered at present, and now and then
+// tries whether they are again.
+func (d *Detour) cut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failures < detourFailures {
+		return false
+	}
+	if now := time.Now(); now.Sub(d.probed) > directInterval {
+		d.probed = now
+		go d.probe()
+	}
+	return true
+}
+
+// probeKey is a key that need not exist: that it does not is an answer too.
+const probeKey = "samphirestile/lease/probe"
+
+func (d *Detour) probe() {
+	ctx, cancel := context.WithTimeout(context.Background(), directInterval)
+	defer cancel()
+	_, err := d.Transactional.Get(ctx, probeKey)
+	d.note(err)
+}
+
+// note counts what became of a direct call.
+func (d *Detour) note(err error) {
+	answered := isAnswer(err) || errors.As(err, new(*ConditionError))
+	d.mu.Lock()
+	before := d.failures
+	if answered {
+		d.failures = 0
+	} else {
+		d.failures++
+	}
+	after := d.failures
+	if after == detourFailures && before < detourFailures {
+		d.probed = time.Now()
+	}
+	d.mu.Unlock()
+	switch {
+	case answered && before >= detourFailures:
+		d.Log.Info("store answers directly again")
+	case after == detourFailures && before < detourFailures:
+		d.Log.WithError(err).Warn("store does not answer; other daemons are asked")
+	}
+}
+
+// through makes a call through other daemons. repeatable calls are made through the
+// next one when a daemon does not answer.
+func (d *Detour) through(ctx context.Context, key string, repeatable bool, c Call) (Answer, error) {
+	peers := d.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	d.mu.Lock()
+	last := d.last
+	d.mu.Unlock()
+	for i := range peers {
+		if peers[i] == last {
+			peers[0], peers[i] = peers[i], peers[0]
+		}
+	}
+	err := error(&UnavailableError{errNoPeer})
+	for _, peer := range peers[:min(len(peers), detourPeers)] {
+		var a Answer
+		calling, cancel := context.WithTimeout(ctx, detourTimeout)
+		a, lost := d.Through(calling, peer, c)
+		cancel()
+		if lost == nil {
+			d.mu.Lock()
+			d.last = peer
+			d.mu.Unlock()
+			return a, a.err(key)
+		}
+		err = &UnknownOutcomeError{Key: key, Cause: errors.Join(errDetour, lost)}
+		if !repeatable {
+			break
+		}
+	}
+	return Answer{}, err
+}
+
+// either makes a call directly, or through other daemons while the store does not
+// answer this one. A call that was not answered is made again only if it is repeatable,
+// or if it was certainly not carried out.
+func (d *Detour) either(ctx context.Context, key string, repeatable bool, c Call, direct func() error) (Answer, bool, error) {
+	if !d.cut() {
+		err := direct()
+		d.note(err)
+		unavailable := errors.As(err, new(*UnavailableError))
+		if !d.cut() || ctx.Err() != nil || !(unavailable || repeatable && errors.As(err, new(*UnknownOutcomeError))) {
+			return Answer{}, true, err
+		}
+	}
+	a, err := d.through(ctx, key, repeatable, c)
+	if errors.As(err, new(*UnavailableError)) && ctx.Err() == nil {
+		// Nobody reaches the store: it may come back for this daemon first.
+		err = direct()
+		d.note(err)
+		return Answer{}, true, err
+	}
+	return a, false, err
+}
+
+// Get implements Transactional.
+func (d *Detour) Get(ctx context.Context, key string) (e Entry, err error) {
+	a, direct, err := d.either(ctx, key, true, Call{Get: key}, func() error { e, err = d.Transactional.Get(ctx, key); return err })
+	if !direct && err == nil {
+		e = a.Entries[0]
+	}
+	return e, err
+}
+
+// List implements Transactional.
+func (d *Detour) List(ctx context.Context, prefix string) (entries []Entry, revision uint64, err error) {
+	a, direct, err := d.either(ctx, prefix, true, Call{List: prefix}, func() error {
+		entries, revision, err = d.Transactional.List(ctx, prefix)
+		return err
+	})
+	if !direct {
+		entries, revision = a.Entries, a.Revision
+	}
+	return entries, revision, err
+}
+
+// Commit implements Transactional.
+func (d *Detour) Commit(ctx context.Context, t Transaction) (revision uint64, err error) {
+	a, direct, err := d.either(ctx, "", false, Call{Commit: &t}, func() error { revision, err = d.Transactional.Commit(ctx, t); return err })
+	if !direct {
+		revision = a.Revision
+	}
+	return revision, err
+}
+
+// Grant implements Transactional.
+func (d *Detour) Grant(ctx context.Context, ttl time.Duration) (id LeaseID, err error) {
+	a, direct, err := d.either(ctx, "lease", false, Call{GrantMS: ttl.Milliseconds()}, func() error {
+		id, err = d.Transactional.Grant(ctx, ttl)
+		return err
+	})
+	if !direct {
+		id = a.Lease
+	}
+	return id, err
+}
+
+// KeepAlive implements Transactional.
+func (d *Detour) KeepAlive(ctx context.Context, id LeaseID) error {
+	_, _, err := d.either(ctx, "lease", true, Call{KeepAlive: id}, func() error { return d.Transactional.KeepAlive(ctx, id) })
+	return err
+}
+
+// Revoke implements Transactional.
+func (d *Detour) Revoke(ctx context.Context, id LeaseID) error {
+	_, _, err := d.either(ctx, "lease", true, Call{Revoke: id}, func() error { return d.Transactional.Revoke(ctx, id) })
+	return err
+}
