Soak real daemons under random faults

Daemons run as processes of their own against a stand-in of the store, the workers and the machine list (platform/standin, over the emulated cluster). A seed decides what comes from outside: kills, planned stops, pauses, SIGHUP, relays that refuse, silence or delay the way to the store, resets, a store that is down, loses answers or calls, carries writes out late, forgets its history or falls silent for watches, and workers that crash, fall silent or answer late. Faults come in series and overlap.

--- a/internal/emulator/process/process.go
+++ b/internal/emulator/process/process.go
@@ -49,6 +49,12 @@
 
 // start starts path with args; its output goes to a file in dir.
 func start(dir, name, path string, args ...string) (*Process, error) {
+	return Launch(dir, name, nil, path, args...)
+}
+
+// Launch starts path with args and more variables of the environment; its output
+// goes to a file in dir. The caller ends the process.
+func Launch(dir, name string, variables []string, path string, args ...string) (*Process, error) {
 	logPath := filepath.Join(dir, name+".log")
 	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
@@ -56,6 +62,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(path, args...)
+	cmd.Env = append(os.Environ(), variables...)
 	cmd.Stdout, cmd.Stderr = out, out
 	// The kernel ends the process when the test dies without cleaning up.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -102,6 +109,9 @@
 // process that was already waited for, so a reused process ID is never hit.
 func (p *Process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// Signal sends any signal.
+func (p *Process) Signal(s syscall.Signal) { p.signal(s) }
+
 // Wait returns the exit status; -1 means ended by a signal.
 func (p *Process) Wait(limit time.Duration) (int, error) {
 	timer := time.NewTimer(limit)
--- /dev/null
+++ b/test/soak/cell_test.go
@@ -0,0 +1,166 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/emulator/process"
+	"samphirestile.example/samphirestile/internal/emulator/relay"
+	"samphirestile.example/samphirestile/internal/worker"
+	"samphirestile.example/samphirestile/platform"
+	"samphirestile.example/samphirestile/platform/standin"
+)
+
+const (
+	daemons = 3
+	workers = 6
+	// readyLimit bounds the start of a daemon on a busy machine.
+	readyLimit = 20 * time.Second
+)
+
+var queue = standin.Queue{Host: "jobs.example", Prefix: "/q/", Key: "key", Attempts: 6}
+
+// node is one daemon with the relay through which it reaches the store.
+type node struct {
+	ip       string
+	relay    *relay.Relay
+	settings string
+
+	mu sync.Mutex
+	p  *process.Process
+}
+
+// cell is a platform with daemons that run as processes of their own.
+type cell struct {
+	dir, program string
+	platform     *standin.Platform
+	nodes        []*node
+}
+
+// startCell starts everything. The daemons' addresses follow from the process ID,
+// so that several runs on one machine do not meet.
+func startCell(dir, program string, seed uint64) (*cell, error) {
+	c := &cell{dir: dir, program: program}
+	outcomes := rand.New(rand.NewPCG(seed, 2))
+	var mu sync.Mutex
+	behaviour := func(string, int) cluster.Behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		return cluster.Behaviour{Duration: time.Duration(50+outcomes.IntN(400)) * time.Millisecond, Fails: outcomes.IntN(50) == 0}
+	}
+	var err error
+	if c.platform, err = standin.Start("pool", workers, worker.Resources{CPU: 8000, MemMB: 16_000}, behaviour); err != nil {
+		return nil, err
+	}
+	if err := c.platform.Configure(1, queue); err != nil {
+		return c, err
+	}
+	for i := range daemons {
+		n := &node{ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, i+1)}
+		if n.relay, err = relay.Listen("127.0.0.1:0", c.platform.StoreAddress(), nil); err != nil {
+			return c, err
+		}
+		n.settings = filepath.Join(dir, fmt.Sprintf("daemon-%d.toml", i))
+		content := c.platform.Settings(fmt.Sprintf("daemon-%d", i), n.ip, n.relay.Address())
+		if err := os.WriteFile(n.settings, []byte(content), 0o600); err != nil {
+			return c, err
+		}
+		c.nodes = append(c.nodes, n)
+		if err := c.boot(n); err != nil {
+			return c, err
+		}
+	}
+	return c, c.awaitReady()
+}
+
+// boot starts the node's daemon unless it runs.
+func (c *cell) boot(n *node) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.p != nil && n.p.Running() {
+		return nil
+	}
+	var err error
+	n.p, err = process.Launch(c.dir, filepath.Base(n.settings), []string{platform.SettingsVariable + "=" + n.settings}, c.program, "serve")
+	return err
+}
+
+// signal calls f with the node's process.
+func (n *node) signal(f func(*process.Process)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.p != nil {
+		f(n.p)
+	}
+}
+
+var errNotReady = errors.New("a daemon is not ready")
+
+func (c *cell) awaitReady() error {
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(readyLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, n := range c.nodes {
+			resp, err := client.Get("http://" + n.ip + ":8343" + standin.ReadyPath)
+			if err != nil {
+				continue
+			}
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(c.nodes) {
+			return nil
+		}
+	}
+	return errNotReady
+}
+
+// heal ends all faults and starts the daemons that are down.
+func (c *cell) heal() error {
+	c.platform.Store.SetFaults(cluster.StoreFaults{})
+	for _, id := range workerIDs() {
+		c.platform.Workers.Find(id).SetFaults(cluster.WorkerFaults{})
+	}
+	for _, n := range c.nodes {
+		n.signal((*process.Process).Resume)
+		if err := n.relay.Set(relay.Switches{}); err != nil {
+			return err
+		}
+		if err := c.boot(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cell) close() {
+	for _, n := range c.nodes {
+		n.signal(func(p *process.Process) {
+			p.Resume()
+			p.Kill()
+		})
+		if n.relay != nil {
+			n.relay.Close()
+		}
+	}
+	if c.platform != nil {
+		c.platform.Close()
+	}
+}
+
+func workerIDs() []worker.ID {
+	var ids []worker.ID
+	for i := range workers {
+		ids = append(ids, worker.ID(fmt.Sprintf("w%d", i)))
+	}
+	return ids
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,187 @@
+// Package soak runs real daemons as separate processes under random faults that
+// are injected from outside of them, and checks what clients and workers see.
+//
+// A run by hand: go test ./test/soak -timeout 60m -args -soak.first 100 -soak.seeds 50
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/job"
+	"samphirestile.example/samphirestile/platform/standin"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.first", 1, "first seed")
+	seeds     = flag.Int("soak.seeds", 2, "number of seeds")
+	length    = flag.Duration("soak.length", 8*time.Second, "time in which faults are injected")
+)
+
+// failedOnce are the seeds that ever failed, each with its cause. They are run as well.
+var failedOnce = []uint64{}
+
+const (
+	// endLimit is how long after the last fault every accepted job must have ended. The
+	// users' bound for recovery is 12 s; the rest is for the work that is left.
+	endLimit = 30 * time.Second
+	// endNotice is by how much the clocks of checks may differ from the order of events.
+	endNotice = 50 * time.Millisecond
+)
+
+var program string
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak")
+}
+
+var _ = BeforeSuite(func() {
+	var err error
+	program, err = gexec.Build("samphirestile.example/samphirestile/cmd/samphirestiled")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+var _ = Describe("daemons under random faults", func() {
+	It("keep their promises", func() {
+		run := append([]uint64{}, failedOnce...)
+		for i := range *seeds {
+			run = append(run, *firstSeed+uint64(i))
+		}
+		for _, seed := range run {
+			By(fmt.Sprintf("seed %d", seed))
+			soak(seed)
+		}
+	})
+})
+
+// soak plays one seed.
+func soak(seed uint64) {
+	GinkgoHelper()
+	// The logs stay after a failure.
+	dir, err := os.MkdirTemp("", "samphirestile-soak-")
+	Expect(err).NotTo(HaveOccurred())
+	c, err := startCell(dir, program, seed)
+	if c != nil {
+		defer c.close()
+	}
+	Expect(err).NotTo(HaveOccurred())
+	l := &load{cell: c, seed: seed}
+	s := &schedule{cell: c, random: rand.New(rand.NewPCG(seed, 1))}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.run(ctx)
+	}()
+	s.run(*length)
+	Expect(c.heal()).To(Succeed())
+	cancel()
+	<-done
+	l.awaitEnds()
+	problems := l.problems()
+	AddReportEntry(fmt.Sprintf("seed %d: %s", seed, l.summary()))
+	Expect(problems).To(BeEmpty(), "seed %d\n%s\nlogs of the daemons: %s", seed, strings.Join(s.log, "\n"), dir)
+	Expect(os.RemoveAll(dir)).To(Succeed())
+}
+
+// awaitEnds asks for the jobs that are left until all have ended.
+func (l *load) awaitEnds() {
+	random := rand.New(rand.NewPCG(l.seed, 3))
+	client := standin.Client{Queue: queue, Patience: clientPatience, HTTP: &http.Client{}}
+	for end := time.Now().Add(endLimit); time.Now().Before(end) && len(l.open()) > 0; time.Sleep(100 * time.Millisecond) {
+		for _, r := range l.open() {
+			l.ask(client, r, random)
+		}
+	}
+}
+
+func (l *load) summary() string {
+	accepted, rejected := 0, 0
+	for _, r := range l.results {
+		if r.accepted {
+			accepted++
+		}
+		if r.rejected {
+			rejected++
+		}
+	}
+	return fmt.Sprintf("%d jobs, %d accepted, %d rejected", len(l.results), accepted, rejected)
+}
+
+// problems returns the promises that were broken.
+func (l *load) problems() []string {
+	problems := append([]string{}, l.odd...)
+	events := l.cell.platform.Workers.History.Events()
+	expectation := cluster.Expectation{After: map[string][]string{}, MaxAttempts: queue.Attempts}
+	doneAt, starts, failures := map[string]time.Time{}, map[string]int{}, map[string]int{}
+	for _, e := range events {
+		switch e.Kind {
+		case cluster.Started:
+			starts[e.Task]++
+		case cluster.EndedDone:
+			if _, ok := doneAt[e.Task]; !ok {
+				doneAt[e.Task] = e.At
+			}
+		case cluster.EndedFailed:
+			failures[e.Task]++
+		}
+	}
+	for _, r := range l.results {
+		for i, s := range r.steps {
+			for _, before := range s.After {
+				for t := range r.steps[before].Count {
+					step := fmt.Sprintf("%s.0.%d", r.id, i)
+					expectation.After[step] = append(expectation.After[step], fmt.Sprintf("%s.0.%d.%d", r.id, before, t))
+				}
+			}
+		}
+		problems = append(problems, r.problems(doneAt, starts, failures)...)
+	}
+	for _, v := range cluster.Check(events, expectation) {
+		problems = append(problems, v.String()+"\n"+cluster.Of(events, v.Task))
+	}
+	return problems
+}
+
+func (r *result) problems(doneAt map[string]time.Time, starts, failures map[string]int) []string {
+	var problems []string
+	note := func(format string, args ...any) {
+		problems = append(problems, fmt.Sprintf("job %s: ", r.id)+fmt.Sprintf(format, args...))
+	}
+	exhausted := false
+	for _, t := range r.tasks() {
+		exhausted = exhausted || failures[t] >= queue.Attempts
+		if r.rejected && starts[t] > 0 {
+			note("every try was refused, but %s was started", t)
+		}
+		if r.final != job.Completed {
+			continue
+		}
+		if at, ok := doneAt[t]; !ok || at.After(r.completedAt.Add(endNotice)) {
+			note("shown as completed before %s was done", t)
+		}
+	}
+	switch {
+	case r.accepted && r.final == "":
+		note("accepted and never ended")
+	case r.final == job.Failed && !exhausted:
+		note("shown as failed, but no task has failed %d times", queue.Attempts)
+	case r.final == job.Cancelled:
+		note("shown as cancelled, but nobody cancelled it")
+	}
+	return problems
+}
