Settle transfers of workers and records of the duty whose answers were lost

By then 4 lasting tasks ran there; the other part stopped them as runs of unknown jobs while the former owner counted them at work, and its next stop for an upkeep took one too many. A part now rewrites the claims of such workers before anything else, and keeps them closed until that is answered. Found with it by reading: records of waves and hosts were written without their own revision, so that a late write could undo a newer one. Ruled out: calls through other daemons (the write was a direct one), orders carried out late by workers. Specs in internal/claim and internal/hosts, both fail without.

--- a/internal/claim/assigner.go
+++ b/internal/claim/assigner.go
@@ -82,13 +82,16 @@
 	// free and gone tell since when workers have no claim, and since when they are not listed.
 	free, gone map[worker.ID]steady.Time
 	balanced   steady.Time
+	// unsettled are workers whose transfer may still be carried out, with the revision
+	// of the claim that it requires.
+	unsettled map[worker.ID]uint64
 	// wantedAt is when the wanted workers were last recorded.
 	wantedAt steady.Time
 }
 
 // New returns an assigner that is not running yet.
 func New(c Config) *Assigner {
-	return &Assigner{Config: c, free: map[worker.ID]steady.Time{}, gone: map[worker.ID]steady.Time{}}
+	return &Assigner{Config: c, free: map[worker.ID]steady.Time{}, gone: map[worker.ID]steady.Time{}, unsettled: map[worker.ID]uint64{}}
 }
 
 // Run assigns workers until ctx ends.
@@ -124,6 +127,9 @@
 }
 
 func (a *Assigner) pass(ctx context.Context, part partition.Part, recorded bool) error {
+	if err := a.settle(ctx, part); err != nil {
+		return err
+	}
 	parts, wanted := a.Depths().Parts(part.Pool), a.wantedDepth(part)
 	listed, claims := a.Workers(), a.Book.Of(part.Pool)
 	held := partition.Holdings{}
@@ -243,7 +249,49 @@
 	if len(empty) == 0 {
 		return nil
 	}
-	return a.write(ctx, part, empty, to, func(id worker.ID) uint64 { return claims[id].Revision })
+	err := a.write(ctx, part, empty, to, func(id worker.ID) uint64 { return claims[id].Revision })
+	if errors.As(err, new(*store.UnknownOutcomeError)) {
+		for _, id := range empty {
+			a.unsettled[id] = claims[id].Revision
+		}
+	}
+	return err
+}
+
+// settle finds out what became of transfers without an answer. A network that was
+// split carries such a write out when it is whole again, many seconds later: until the
+// claim has another revision the workers stay closed, or the part to which they go
+// would meet what runs there by then.
+func (a *Assigner) settle(ctx context.Context, part partition.Part) error {
+	ids := slices.Sorted(maps.Keys(a.unsettled))
+	if len(ids) == 0 {
+		return nil
+	}
+	ids = ids[:min(len(ids), claimsAtOnce)]
+	for _, id := range ids {
+		if _, err := a.Shard.Empty(ctx, id); err != nil {
+			return err
+		}
+	}
+	err := a.write(ctx, part, ids, part.Shard(), func(id worker.ID) uint64 { return a.unsettled[id] })
+	if errors.As(err, new(*store.ConditionError)) {
+		if err := a.Book.Read(ctx); err != nil {
+			return err
+		}
+		for _, id := range ids {
+			if c, ok := a.Book.Get(part.Pool, id); !ok || c.Revision != a.unsettled[id] {
+				delete(a.unsettled, id)
+			}
+		}
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, id := range ids {
+		delete(a.unsettled, id)
+	}
+	return nil
 }
 
 // toGive chooses workers for another part.
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -262,6 +262,37 @@
 			Expect(c.Revision).To(BeNumerically(">", before[id].Revision))
 		}
 	})
+	It("stay when the answer on their transfer was lost and it is carried out later", func() {
+		p.depths[pool], p.depth = 1, 1
+		first := own(pool)
+		Eventually(count(first), soon).Should(Equal(24))
+		occupy := func(busy bool, ids []worker.ID) {
+			first.mu.Lock()
+			defer first.mu.Unlock()
+			for _, id := range ids {
+				first.busy[id], first.lasting[id] = busy, busy
+			}
+		}
+		occupy(true, first.held())
+		second := own(pool + "#1")
+		Consistently(count(second), time.Second).Should(BeZero())
+		p.store.SetFaults(cluster.StoreFaults{DelayWrites: 1500 * time.Millisecond})
+		given := first.held()[:4]
+		occupy(false, given)
+		Eventually(func() bool {
+			first.mu.Lock()
+			defer first.mu.Unlock()
+			return first.asked[given[0]]
+		}, soon).Should(BeTrue())
+		time.Sleep(300 * time.Millisecond)
+		p.store.SetFaults(cluster.StoreFaults{})
+		// What is no longer being given away is used again.
+		time.Sleep(200 * time.Millisecond)
+		left := slices.DeleteFunc(given, func(id worker.ID) bool { return !slices.Contains(first.held(), id) })
+		occupy(true, left)
+		Expect(left).NotTo(BeEmpty())
+		Consistently(second.held, 2*time.Second).ShouldNot(ContainElement(BeElementOf(left)))
+	})
 	It("cannot be given by an owner that was deposed", func() {
 		p.depths[pool], p.depth = 1, 1
 		first := own(pool)
--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -202,6 +202,19 @@
 		e.demand["a"], e.demand["b"] = Demand{Wanted: 4}, Demand{Wanted: 4}
 	})
 
+	It("keeps a record when an older write of it is carried out later", func() {
+		m, stop := start("x")
+		stop()
+		s.SetFaults(cluster.StoreFaults{DelayWrites: 300 * time.Millisecond})
+		Expect(m.write(context.Background(), "wave", []byte("old"))).NotTo(Succeed())
+		s.SetFaults(cluster.StoreFaults{})
+		Expect(m.write(context.Background(), "wave", []byte("new"))).To(Succeed())
+		time.Sleep(500 * time.Millisecond)
+		record, err := s.Get(context.Background(), "wave")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(record.Value)).To(Equal("new"))
+		Expect(m.write(context.Background(), "wave", []byte("newer"))).To(Succeed())
+	})
 	It("maintains each host once and never more at once than allowed", func() {
 		waves = []Wave{{Number: 1, Hosts: all(), Within: time.Minute, AtOnce: 2}}
 		start("x")
--- a/internal/hosts/manager.go
+++ b/internal/hosts/manager.go
@@ -88,6 +88,9 @@
 	demandAt  steady.Time
 	wanted    map[fleet.ServiceID]*wantedHistory
 	transfers map[fleet.HostID]*transfer
+
+	// revisions are those of the records that this holder has written or met.
+	revisions map[string]uint64
 }
 
 type waveState struct {
@@ -121,7 +124,7 @@
 func New(c Config) *Manager {
 	return &Manager{
 		Config: c, waves: map[int64]*waveState{}, wanted: map[fleet.ServiceID]*wantedHistory{},
-		transfers: map[fleet.HostID]*transfer{}, lastOrder: map[fleet.HostID]steady.Time{}, blocked: map[fleet.HostID]steady.Time{},
+		revisions: map[string]uint64{}, transfers: map[fleet.HostID]*transfer{}, lastOrder: map[fleet.HostID]steady.Time{}, blocked: map[fleet.HostID]steady.Time{},
 	}
 }
 
@@ -499,16 +502,31 @@
 	return m.write(ctx, progressPrefix+strconv.FormatInt(w.Number, 10), value)
 }
 
-// write puts a record as long as the duty is held.
+// write puts a record as long as the duty is held. It requires the record's revision:
+// a write whose answer was lost may be carried out seconds later and would undo this one.
 func (m *Manager) write(ctx context.Context, key string, value []byte) error {
-	_, err := m.Store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: m.OwnerKey, Version: m.Holder.Token}},
-		Writes:     []store.Write{{Key: key, Value: value}},
-	})
-	if err != nil {
-		return fmt.Errorf("record maintenance: %w", err)
+	for {
+		revision, err := m.Store.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{{Key: m.OwnerKey, Version: m.Holder.Token}, {Key: key, Version: m.revisions[key]}},
+			Writes:     []store.Write{{Key: key, Value: value}},
+		})
+		if err == nil {
+			m.revisions[key] = revision
+			return nil
+		}
+		var failed *store.ConditionError
+		if !errors.As(err, &failed) {
+			return fmt.Errorf("record maintenance: %w", err)
+		}
+		// Only the holder writes, so a change is of a former holder or of an own write
+		// without an answer.
+		own, held := failed.Find(m.OwnerKey)
+		present, _ := failed.Find(key)
+		if !held || own.Version != m.Holder.Token || present.Version == m.revisions[key] {
+			return fmt.Errorf("record maintenance: %w", err)
+		}
+		m.revisions[key] = present.Version
 	}
-	return nil
 }
 
 // report tells the operator the state of a wave.
