--- /dev/null
+++ b/test/soak/checks_test.go
@@ -0,0 +1,40 @@
+package soak
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/job"
+)
+
+// The checks of histories have their own specs (internal/shard); these are the checks
+// of what clients see.
+var _ = Describe("the checks of a job", func() {
+	now := time.Now()
+	of := func(r result) result {
+		r.id, r.steps = "00000000000000aa", []job.Step{{Count: 2}}
+		return r
+	}
+	const first, second = "00000000000000aa.0.0.0", "00000000000000aa.0.0.1"
+	both := map[string]time.Time{first: now.Add(-time.Second), second: now.Add(-time.Second)}
+
+	DescribeTable("reject a broken promise and nothing else",
+		func(r result, doneAt map[string]time.Time, starts, failures map[string]int, broken int) {
+			r = of(r)
+			Expect(r.problems(doneAt, starts, failures)).To(HaveLen(broken))
+		},
+		Entry("completed after all tasks", result{accepted: true, final: job.Completed, completedAt: now}, both, nil, nil, 0),
+		Entry("completed too early", result{accepted: true, final: job.Completed, completedAt: now.Add(-2 * time.Second)}, both, nil, nil, 2),
+		Entry("completed with a task that was never done", result{accepted: true, final: job.Completed, completedAt: now},
+			map[string]time.Time{first: now.Add(-time.Second)}, nil, nil, 1),
+		Entry("refused and not run", result{rejected: true}, nil, nil, nil, 0),
+		Entry("refused and run", result{rejected: true}, nil, map[string]int{second: 1}, nil, 1),
+		Entry("accepted and lost", result{accepted: true}, both, nil, nil, 1),
+		Entry("failed after all attempts", result{accepted: true, final: job.Failed}, nil, nil, map[string]int{first: queue.Attempts}, 0),
+		Entry("failed without them", result{accepted: true, final: job.Failed}, nil, nil, map[string]int{first: 1}, 1),
+		Entry("cancelled by nobody", result{accepted: true, final: job.Cancelled}, nil, nil, nil, 1),
+		Entry("of unknown fate", result{}, nil, map[string]int{first: 1}, nil, 0),
+	)
+})
