Read lists of many records less often

By arithmetic each daemon with a shard reads about 1 MB of workers and claims every 1.5 s; weak machines have links of 10 Mbit/s. A list is now read whole once in as many intervals as it has 500s of records; in the others a watch on another connection asks what was missed, so that a silent connection hides a change as briefly as before. No change below 500 records.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,6 +17,11 @@
 	// watchWait is how long one watch waits; the store counts each as a call.
 	watchWait  = 10 * time.Second
 	retryPause = 200 * time.Millisecond
+	// recordsPerRelist is how many records are read again in each interval. A list of
+	// 3,000 workers takes a second of a link of 10 Mbit/s.
+	recordsPerRelist = 500
+	// checkWait is how long a watch waits that only asks for what was missed.
+	checkWait = time.Millisecond
 )
 
 // Target takes what the store says. Its methods are called one at a time.
@@ -32,7 +37,9 @@
 	Store  store.Transactional
 	Prefix string
 	Target Target
-	// Relist bounds how long a silent watch can hide a change.
+	// Relist bounds how long a watch whose connection has fallen silent can hide a
+	// change. All records are read in it, or as many intervals as they are multiples of
+	// recordsPerRelist; in the others the changes are asked for on another connection.
 	Relist time.Duration
 	// Gather is a pause before each watch, so that several changes come in one answer.
 	Gather time.Duration
@@ -47,6 +54,8 @@
 
 	mu       sync.Mutex
 	revision uint64
+	// records is how many there were at the last reading.
+	records int
 }
 
 // New returns a follower that has read nothing yet.
@@ -68,12 +77,37 @@
 				f.Log.WithError(err).WithField("prefix", f.Prefix).Info("records not read")
 			}
 			pause = retryPause
+		} else {
+			f.check(ctx)
 		}
 		steady.Sleep(ctx, pause)
 	}
 	group.Wait()
 }
 
+// check asks for changes in the intervals between two readings of many records. It
+// ends early when the answer is not enough.
+func (f *Follower) check(ctx context.Context) {
+	f.mu.Lock()
+	intervals := f.records / recordsPerRelist
+	f.mu.Unlock()
+	for range intervals {
+		steady.Sleep(ctx, f.Relist)
+		f.mu.Lock()
+		after := f.revision
+		f.mu.Unlock()
+		if ctx.Err() != nil || after == 0 || !f.needed() {
+			return
+		}
+		changes, revision, err := f.Store.Watch(ctx, f.Prefix, after, checkWait)
+		if err != nil {
+			f.Log.WithError(err).WithField("prefix", f.Prefix).Info("changes not read; all records are read instead")
+			return
+		}
+		f.apply(changes, revision)
+	}
+}
+
 func (f *Follower) needed() bool { return f.Needed == nil || f.Needed() }
 
 // Read reads all records now.
@@ -89,7 +123,7 @@
 		return nil
 	}
 	f.Target.Replace(records, revision)
-	f.revision = revision
+	f.revision, f.records = revision, len(records)
 	return nil
 }
 
--- /dev/null
+++ b/internal/follow/many_test.go
@@ -0,0 +1,110 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/follow"
+	"samphirestile.example/samphirestile/internal/store"
+)
+
+// silentStore has watches whose connections are silent; only those that ask for what
+// was missed are answered. It counts the readings of all records.
+type silentStore struct {
+	store.Transactional
+	mu    sync.Mutex
+	lists int
+}
+
+func (s *silentStore) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	s.mu.Lock()
+	s.lists++
+	s.mu.Unlock()
+	return s.Transactional.List(ctx, prefix)
+}
+
+func (s *silentStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+	if wait > time.Second {
+		<-ctx.Done()
+		return nil, 0, &store.UnavailableError{Cause: ctx.Err()}
+	}
+	return s.Transactional.Watch(ctx, prefix, after, wait)
+}
+
+func (s *silentStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
+// records is a copy of what the store holds.
+type records struct {
+	mu   sync.Mutex
+	keys map[string]bool
+}
+
+func (r *records) Replace(all []store.Entry, _ uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keys = map[string]bool{}
+	for _, e := range all {
+		r.keys[e.Key] = true
+	}
+}
+
+func (r *records) Apply(changes []store.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range changes {
+		r.keys[c.Key] = !c.Deleted
+	}
+}
+
+func (r *records) has(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keys[key]
+}
+
+var _ = Describe("a copy of many records", func() {
+	// Load pattern: 300 daemons that each read 3,000 workers every 1.5 s use up their links.
+	It("is not read whole in each interval, and sees changes behind a silent watch in each", func() {
+		const relist, many = 100 * time.Millisecond, 2500
+		backing := cluster.NewStore()
+		put := func(key string) {
+			_, err := backing.Commit(context.Background(), store.Transaction{Writes: []store.Write{{Key: key}}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for i := range many {
+			put(fmt.Sprintf("p/%04d", i))
+		}
+		s, copied := &silentStore{Transactional: backing}, &records{}
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		f := follow.New(follow.Config{Store: s, Prefix: "p/", Target: copied, Relist: relist, Log: quiet})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		DeferCleanup(func() { cancel(); <-done })
+		Eventually(func() bool { return copied.has("p/0000") }).Should(BeTrue())
+		before := s.count()
+		for i := range 5 {
+			key := fmt.Sprintf("p/new-%d", i)
+			put(key)
+			Eventually(func() bool { return copied.has(key) }, 5*relist, relist/10).Should(BeTrue())
+		}
+		time.Sleep(10 * relist)
+		Expect(s.count()-before).To(BeNumerically("<=", 4), "15 intervals or more have passed")
+	})
+})
