--- a/internal/follow/many_test.go
+++ b/internal/follow/many_test.go
@@ -45,35 +45,6 @@
 	return s.lists
 }
 
-// records is a copy of what the store holds.
-type records struct {
-	mu   sync.Mutex
-	keys map[string]bool
-}
-
-func (r *records) Replace(all []store.Entry, _ uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.keys = map[string]bool{}
-	for _, e := range all {
-		r.keys[e.Key] = true
-	}
-}
-
-func (r *records) Apply(changes []store.Event) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range changes {
-		r.keys[c.Key] = !c.Deleted
-	}
-}
-
-func (r *records) has(key string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.keys[key]
-}
-
 var _ = Describe("a copy of many records", func() {
 	// Load pattern: 300 daemons that each read 3,000 workers every 1.5 s use up their links.
 	It("is not read whole in each interval, and sees changes behind a silent watch in each", func() {
@@ -97,12 +68,12 @@
 			f.Run(ctx)
 		}()
 		DeferCleanup(func() { cancel(); <-done })
-		Eventually(func() bool { return copied.has("p/0000") }).Should(BeTrue())
+		Eventually(copied.get).Should(HaveKey("p/0000"))
 		before := s.count()
 		for i := range 5 {
 			key := fmt.Sprintf("p/new-%d", i)
 			put(key)
-			Eventually(func() bool { return copied.has(key) }, 5*relist, relist/10).Should(BeTrue())
+			Eventually(copied.get, 5*relist, relist/10).Should(HaveKey(key))
 		}
 		time.Sleep(10 * relist)
 		Expect(s.count()-before).To(BeNumerically("<=", 4), "15 intervals or more have passed")
