--- a/internal/store/detour.go
+++ b/internal/store/detour.go
@@ -112,8 +112,9 @@
 	directInterval = time.Second
 	// detourTimeout bounds a call through another daemon, which takes two hops more.
 	detourTimeout = 600 * time.Millisecond
-	// detourPeers is how many daemons are asked for one call.
-	detourPeers = 2
+	// detourPeers is how many daemons are asked for one call. A third of all may be cut
+	// at the same time.
+	detourPeers = 3
 )
 
 // Detour reaches the store through other daemons while it does not answer this one.
@@ -190,8 +191,9 @@
 	}
 }
 
-// through makes a call through other daemons. repeatable calls are made through the
-// next one when a daemon does not answer.
+// through makes a call through other daemons, first the one that reached the store
+// last. The next one is asked when a daemon does not reach it either, and for
+// repeatable calls also when no answer came.
 func (d *Detour) through(ctx context.Context, key string, repeatable bool, c Call) (Answer, error) {
 	peers := d.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -209,14 +211,22 @@
 		calling, cancel := context.WithTimeout(ctx, detourTimeout)
 		a, lost := d.Through(calling, peer, c)
 		cancel()
-		if lost == nil {
-			d.mu.Lock()
+		err = a.err(key)
+		if lost != nil {
+			err = &UnknownOutcomeError{Key: key, Cause: errors.Join(errDetour, lost)}
+		}
+		reached := lost == nil && a.Code != AnswerUnavailable && a.Code != AnswerUnknown
+		d.mu.Lock()
+		if reached {
 			d.last = peer
-			d.mu.Unlock()
-			return a, a.err(key)
+		} else if d.last == peer {
+			d.last = ""
+		}
+		d.mu.Unlock()
+		if reached {
+			return a, err
 		}
-		err = &UnknownOutcomeError{Key: key, Cause: errors.Join(errDetour, lost)}
-		if !repeatable {
+		if !repeatable && !errors.As(err, new(*UnavailableError)) {
 			break
 		}
 	}
--- a/internal/store/detour_test.go
+++ b/internal/store/detour_test.go
@@ -101,6 +101,25 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(own.calls).To(Equal(before), "no call waits for the store that does not answer")
 	})
+	It("asks the next daemon when one is cut from the store as well", func() {
+		cut := &way{Transactional: backing, refused: true}
+		d.Peers = func() []string { return []string{"cut", "peer"} }
+		d.Through = func(ctx context.Context, address string, c store.Call) (store.Answer, error) {
+			if address == "cut" {
+				return store.Serve(ctx, cut, c), nil
+			}
+			return store.Serve(ctx, peer, c), nil
+		}
+		id, err := d.Grant(ctx, time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+		own.refused = true
+		_ = d.KeepAlive(ctx, id)
+		for range 20 {
+			Expect(d.KeepAlive(ctx, id)).To(Succeed())
+		}
+		Expect(write()).To(Succeed())
+		Expect(cut.calls).To(BeNumerically("<=", 2), "the daemon that reached the store last comes first")
+	})
 	It("says of a write that it may have been carried out when the other daemon does not answer", func() {
 		own.refused = true
 		_, _ = d.Get(ctx, "k")
