--- a/internal/store/detour.go
+++ b/internal/store/detour.go
@@ -137,8 +137,11 @@
 	mu       sync.Mutex
 	failures int
 	probed   time.Time
-	// last is the daemon that answered last.
+	// last is the daemon that reached the store last.
 	last string
+	// nobodyUntil is until when other daemons are not asked, because the store turned
+	// all of them away.
+	nobodyUntil time.Time
 }
 
 var _ Transactional = (*Detour)(nil)
@@ -198,8 +201,12 @@
 	peers := d.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	d.mu.Lock()
-	last := d.last
+	last, nobody := d.last, time.Now().Before(d.nobodyUntil)
 	d.mu.Unlock()
+	if nobody {
+		return Answer{}, &UnavailableError{errNoPeer}
+	}
+	refused := 0
 	for i := range peers {
 		if peers[i] == last {
 			peers[0], peers[i] = peers[i], peers[0]
@@ -226,10 +233,19 @@
 		if reached {
 			return a, err
 		}
+		if errors.As(err, new(*UnavailableError)) {
+			refused++
+		}
 		if !repeatable && !errors.As(err, new(*UnavailableError)) {
 			break
 		}
 	}
+	if refused == min(len(peers), detourPeers) {
+		// An outage of the store must not multiply the calls to it.
+		d.mu.Lock()
+		d.nobodyUntil = time.Now().Add(directInterval)
+		d.mu.Unlock()
+	}
 	return Answer{}, err
 }
 
@@ -237,7 +253,8 @@
 // answer this one. A call that was not answered is made again only if it is repeatable,
 // or if it was certainly not carried out.
 func (d *Detour) either(ctx context.Context, key string, repeatable bool, c Call, direct func() error) (Answer, bool, error) {
-	if !d.cut() {
+	tried := !d.cut()
+	if tried {
 		err := direct()
 		d.note(err)
 		unavailable := errors.As(err, new(*UnavailableError))
@@ -246,7 +263,7 @@
 		}
 	}
 	a, err := d.through(ctx, key, repeatable, c)
-	if errors.As(err, new(*UnavailableError)) && ctx.Err() == nil {
+	if errors.As(err, new(*UnavailableError)) && !tried && ctx.Err() == nil {
 		// Nobody reaches the store: it may come back for this daemon first.
 		err = direct()
 		d.note(err)
--- a/internal/store/detour_test.go
+++ b/internal/store/detour_test.go
@@ -139,9 +139,15 @@
 		for range 3 {
 			Expect(errors.As(write(), new(*store.UnavailableError))).To(BeTrue())
 		}
+		before := peer.calls
+		for range 10 {
+			_, err := d.Get(ctx, "k")
+			Expect(errors.As(err, new(*store.UnavailableError))).To(BeTrue())
+		}
+		Expect(peer.calls).To(Equal(before), "an outage does not multiply the calls to the store")
 		own.refused = false
 		Expect(write()).To(Succeed())
-		before := peer.calls
+		before = peer.calls
 		_, err := d.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(peer.calls).To(Equal(before))
