Count no cancelled call against the direct way to the store

Cause: Hedge cancels the slower calls once one is answered, and Detour.note counted their errors. Two of them after an answered third made a daemon take the store for cut and make its calls through other daemons for up to a second. Ruled out: calls that reach their deadline (they still count; spec). Change: note passes over a call whose context was cancelled.

--- a/internal/store/detour.go
+++ b/internal/store/detour.go
@@ -168,11 +168,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), directInterval)
 	defer cancel()
 	_, err := d.Transactional.Get(ctx, probeKey)
-	d.note(err)
+	d.note(ctx, err)
 }
 
-// note counts what became of a direct call.
-func (d *Detour) note(err error) {
+// note counts what became of a direct call. One that its caller cancelled says nothing
+// of the store: Hedge cancels calls once another one was answered.
+func (d *Detour) note(ctx context.Context, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	answered := isAnswer(err) || errors.As(err, new(*ConditionError))
 	d.mu.Lock()
 	before := d.failures
@@ -256,7 +260,7 @@
 	tried := !d.cut()
 	if tried {
 		err := direct()
-		d.note(err)
+		d.note(ctx, err)
 		unavailable := errors.As(err, new(*UnavailableError))
 		if !d.cut() || ctx.Err() != nil || !(unavailable || repeatable && errors.As(err, new(*UnknownOutcomeError))) {
 			return Answer{}, true, err
@@ -266,7 +270,7 @@
 	if errors.As(err, new(*UnavailableError)) && !tried && ctx.Err() == nil {
 		// Nobody reaches the store: it may come back for this daemon first.
 		err = direct()
-		d.note(err)
+		d.note(ctx, err)
 		return Answer{}, true, err
 	}
 	return a, false, err
--- a/internal/store/detour_test.go
+++ b/internal/store/detour_test.go
@@ -134,6 +134,30 @@
 		Expect(errors.As(write(), new(*store.UnknownOutcomeError))).To(BeTrue())
 		Expect(peer.calls).To(BeZero())
 	})
+	It("keeps its own way when calls of its are cancelled because another one was answered first", func() {
+		cancelled, cancel := context.WithCancel(ctx)
+		cancel()
+		own.refused = true
+		for range 5 {
+			_, err := d.Get(cancelled, "k")
+			Expect(err).To(HaveOccurred())
+		}
+		own.refused = false
+		before := peer.calls
+		Expect(write()).To(Succeed())
+		Expect(peer.calls).To(Equal(before))
+	})
+	It("leaves its own way when calls of its reach their deadline", func() {
+		expired, cancel := context.WithDeadline(ctx, time.Now().Add(-time.Second))
+		defer cancel()
+		own.refused = true
+		for range 5 {
+			_, err := d.Get(expired, "k")
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(write()).To(Succeed())
+		Expect(peer.calls).To(BeNumerically(">", 0))
+	})
 	It("reports an outage of the store as one, and goes back to its own way after it", func() {
 		own.refused, peer.refused = true, true
 		for range 3 {
