Confirm the configuration by a transaction without writes

Cause: each daemon read all records of the operators every 1.2 s and decoded the whole configuration each time, to be sure that it had missed no withdrawn key. With a thousand queues that is some hundred kilobytes a second for each daemon. Ruled out: confirming by the watch (it may hear of changes a second late). Change: a transaction with the record's revision as its only condition; a changed record comes with the refusal. Waves are read every 4.8 s. A record that was read already is not decoded again. Spec: 'confirms a configuration without reading it again, however large it is' failed before.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -17,17 +17,21 @@
 
 const (
 	watchWait = 10 * time.Second
-	// readInterval is the pause between two complete readings. A watch may miss
-	// changes for a second, so only readings confirm the configuration; with the
-	// time of one reading it stays below the time in which a change must apply.
-	readInterval = 1200 * time.Millisecond
-	retryPause   = 150 * time.Millisecond
+	// confirmInterval is the pause between two confirmations. A watch may miss
+	// changes for a second, so it confirms nothing; with the time of one call the
+	// pause stays below the time in which a change must apply.
+	confirmInterval = 1200 * time.Millisecond
+	// wavesInterval bounds how long a silent watch can hide a wave, which has many
+	// seconds for its first host.
+	wavesInterval = 4 * confirmInterval
+	retryPause    = 150 * time.Millisecond
 )
 
 // Source tells how the operators' records look.
 type Source struct {
 	Prefix           string
 	ConfigurationKey string
+	WavePrefix       string
 	Configuration    func([]byte) (*jobconfig.Configuration, error)
 	// Wave returns ok false for records that are not waves.
 	Wave func(store.Entry) (wave hosts.Wave, ok bool, err error)
@@ -44,6 +48,10 @@
 	waves     map[int64]hosts.Wave
 	revision  uint64
 	confirmed steady.Time
+	// recorded is the revision of the newest record of the configuration, readable or not.
+	recorded uint64
+	// wavesRead is when the records of waves were last read.
+	wavesRead steady.Time
 }
 
 // NewConfigurations returns a follower without a configuration.
@@ -76,8 +84,8 @@
 	group.Go(func() { c.follow(ctx) })
 	failing := false
 	for ctx.Err() == nil {
-		pause := readInterval
-		if err := c.read(ctx); err != nil {
+		pause := confirmInterval
+		if err := c.refresh(ctx); err != nil {
 			pause = retryPause
 			if !failing && ctx.Err() == nil {
 				_, age := c.Current()
@@ -93,9 +101,56 @@
 	group.Wait()
 }
 
-func (c *Configurations) read(ctx context.Context) error {
+// refresh reads all records as long as there is no configuration. Later it confirms
+// the configuration, and reads the waves now and then.
+func (c *Configurations) refresh(ctx context.Context) error {
+	c.mu.Lock()
+	recorded, waves := c.recorded, steady.Now().Sub(c.wavesRead) >= wavesInterval
+	c.mu.Unlock()
+	if recorded == 0 {
+		return c.read(ctx, c.source.Prefix)
+	}
+	if err := c.confirm(ctx, recorded); err != nil {
+		return err
+	}
+	if !waves {
+		return nil
+	}
+	return c.read(ctx, c.source.WavePrefix)
+}
+
+// confirm asks the store whether a revision of the configuration is still the
+// newest one, and takes over the one that it names otherwise.
+//
+// Load pattern: a configuration of a thousand queues is some hundred kilobytes. Each
+// daemon has to know every second that it has missed no withdrawn key; reading the
+// record for that fills the links of small machines and their processors.
+func (c *Configurations) confirm(ctx context.Context, recorded uint64) error {
+	sent := steady.Now()
+	question := store.Transaction{Conditions: []store.Condition{{Key: c.source.ConfigurationKey, Version: recorded}}}
+	var changed *store.ConditionError
+	// The transaction writes nothing, so it may be sent again while its answer is missing.
+	_, err := store.Hedge(ctx, store.HedgeAfter, store.Answered, func(ctx context.Context) (uint64, error) {
+		return c.store.Commit(ctx, question)
+	})
+	if err != nil && !errors.As(err, &changed) {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if changed != nil {
+		for _, e := range changed.Current {
+			c.put(e)
+		}
+	}
+	c.confirmed = max(c.confirmed, sent)
+	return nil
+}
+
+// read reads the records below a prefix.
+func (c *Configurations) read(ctx context.Context, prefix string) error {
 	sent := steady.Now()
-	entries, revision, err := c.store.List(ctx, c.source.Prefix)
+	entries, revision, err := c.store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
@@ -104,14 +159,21 @@
 	for _, e := range entries {
 		c.put(e)
 	}
-	c.revision = max(c.revision, revision)
-	c.confirmed = max(c.confirmed, sent)
+	c.wavesRead = sent
+	if prefix == c.source.Prefix {
+		c.revision = max(c.revision, revision)
+		c.confirmed = max(c.confirmed, sent)
+	}
 	return nil
 }
 
 // put takes a record over. Versions only rise. The caller holds mu.
 func (c *Configurations) put(e store.Entry) {
 	if e.Key == c.source.ConfigurationKey {
+		if e.Version <= c.recorded {
+			return
+		}
+		c.recorded = e.Version
 		next, err := c.source.Configuration(e.Value)
 		if err != nil {
 			c.log.WithError(err).Error("configuration unreadable; the former one stays in force")
@@ -147,14 +209,9 @@
 		}
 		events, revision, err := c.store.Watch(ctx, c.source.Prefix, after, watchWait)
 		if err != nil {
-			// The next reading covers what this watch has missed.
-			if !errors.As(err, new(*store.CompactedError)) {
-				steady.Sleep(ctx, retryPause)
-				continue
-			}
 			steady.Sleep(ctx, retryPause)
-			if err := c.read(ctx); err != nil {
-				c.log.WithError(err).Debug("configuration not read after a dropped history")
+			if errors.As(err, new(*store.CompactedError)) {
+				c.resume(ctx)
 			}
 			continue
 		}
@@ -168,3 +225,25 @@
 		c.mu.Unlock()
 	}
 }
+
+// resume lets the watch go on after its history was dropped. Until then the
+// configuration is known by confirmations alone.
+func (c *Configurations) resume(ctx context.Context) {
+	entries, revision, err := c.store.List(ctx, c.source.WavePrefix)
+	if err == nil {
+		c.mu.Lock()
+		recorded := c.recorded
+		c.mu.Unlock()
+		err = c.confirm(ctx, recorded)
+	}
+	if err != nil {
+		c.log.WithError(err).Info("records of operators not read after a dropped history")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range entries {
+		c.put(e)
+	}
+	c.revision = max(c.revision, revision)
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -73,17 +74,31 @@
 	Keys    []string
 }
 
+// listingStore counts the readings of all records below a prefix.
+type listingStore struct {
+	*cluster.Store
+	lists atomic.Int64
+}
+
+func (s *listingStore) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	if prefix == "op/" {
+		s.lists.Add(1)
+	}
+	return s.Store.List(ctx, prefix)
+}
+
 var _ = Describe("the gateway", func() {
 	const (
 		id     = "0123456789abcdef"
 		revoke = 800 * time.Millisecond
 	)
 	var (
-		s      *cluster.Store
-		f      *fakeShard
-		g      *entry.Gateway
-		owned  bool
-		follow *entry.Configurations
+		s       *listingStore
+		f       *fakeShard
+		decoded atomic.Int64
+		g       *entry.Gateway
+		owned   bool
+		follow  *entry.Configurations
 	)
 	configure := func(version int64, keys ...string) {
 		value, err := json.Marshal(record{version, keys})
@@ -102,12 +117,14 @@
 		return call(http.MethodPost, "/closed/"+id, key, `{}`)
 	}
 	BeforeEach(func() {
-		s, f, owned = cluster.NewStore(), &fakeShard{state: job.Running}, true
+		s, f, owned = &listingStore{Store: cluster.NewStore()}, &fakeShard{state: job.Running}, true
+		decoded.Store(0)
 		quiet := logrus.New()
 		quiet.SetOutput(io.Discard)
 		follow = entry.NewConfigurations(s, entry.Source{
-			Prefix: "op/", ConfigurationKey: "op/config",
+			Prefix: "op/", ConfigurationKey: "op/config", WavePrefix: "op/wave/",
 			Configuration: func(b []byte) (*jobconfig.Configuration, error) {
+				decoded.Add(1)
 				var r record
 				if err := json.Unmarshal(b, &r); err != nil {
 					return nil, err
@@ -123,7 +140,10 @@
 				c.Index()
 				return c, nil
 			},
-			Wave: func(store.Entry) (hosts.Wave, bool, error) { return hosts.Wave{}, false, nil },
+			Wave: func(e store.Entry) (hosts.Wave, bool, error) {
+				n, ok := strings.CutPrefix(e.Key, "op/wave/")
+				return hosts.Wave{Number: int64(len(n))}, ok, nil
+			},
 		}, quiet)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -195,6 +215,24 @@
 		configure(4, "k")
 		Consistently(func() int { return post("k").Code }, "1500ms", "50ms").Should(Equal(http.StatusUnauthorized))
 	})
+	It("confirms a configuration without reading it again, however large it is", func() {
+		g.Revoke = 3 * time.Second
+		ready()
+		lists, times := s.lists.Load(), decoded.Load()
+		Consistently(func() int { return post("k").Code }, "4s", "50ms").Should(Equal(http.StatusOK))
+		Expect(s.lists.Load()).To(Equal(lists))
+		Expect(decoded.Load()).To(Equal(times))
+	})
+	It("confirms it anew after a history was dropped, and learns of waves that a silent watch has hidden", func() {
+		g.Revoke = 3 * time.Second
+		ready()
+		s.SetFaults(cluster.StoreFaults{SilentWatch: true})
+		_, err := s.Commit(context.Background(), store.Transaction{Writes: []store.Write{{Key: "op/wave/1", Value: []byte("{}")}}})
+		Expect(err).NotTo(HaveOccurred())
+		s.DropHistory()
+		Eventually(follow.Waves, "7s", "50ms").Should(HaveLen(1))
+		Expect(post("k").Code).To(Equal(http.StatusOK))
+	})
 	It("keeps the configuration when a record cannot be read", func() {
 		g.Revoke = time.Minute
 		ready()
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -107,7 +107,7 @@
 	d.keeper = lease.NewKeeper(d.store, d.self, log)
 	d.owners = lease.NewOwners(d.store, d.keeper, d.self, d, d.shardNames, log)
 	d.configurations = entry.NewConfigurations(d.store, entry.Source{
-		Prefix: platform.OperatorPrefix, ConfigurationKey: platform.ConfigurationKey,
+		Prefix: platform.OperatorPrefix, ConfigurationKey: platform.ConfigurationKey, WavePrefix: platform.WavePrefix,
 		Configuration: platform.DecodeConfiguration, Wave: decodeWave,
 	}, log)
 	d.roster = roster.New(d.store, platform.WorkerPrefix, platform.DecodeWorker, d.ownsShards, log)
--- a/internal/store/detour.go
+++ b/internal/store/detour.go
@@ -177,7 +177,7 @@
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	answered := isAnswer(err) || errors.As(err, new(*ConditionError))
+	answered := Answered(err)
 	d.mu.Lock()
 	before := d.failures
 	if answered {
--- a/internal/store/hedge.go
+++ b/internal/store/hedge.go
@@ -63,6 +63,9 @@
 // exist is an answer.
 func isAnswer(err error) bool { return err == nil || errors.As(err, new(*NotFoundError)) }
 
+// Answered reports whether the store itself said what became of a transaction.
+func Answered(err error) bool { return isAnswer(err) || errors.As(err, new(*ConditionError)) }
+
 // outcome is the end of one of several calls.
 type outcome[T any] struct {
 	value T
@@ -70,8 +73,9 @@
 }
 
 // Hedge returns the first answer of up to hedgeCalls calls, or the error of the last
-// one; the next one is sent when no answer has come after the given time. answered tells answers from calls that failed. The other calls are cancelled
-// and may still be carried out.
+// one; the next one is sent when no answer has come after the given time. answered
+// tells answers from calls that failed. The other calls are cancelled and may still
+// be carried out.
 func Hedge[T any](ctx context.Context, after time.Duration, answered func(error) bool, call func(context.Context) (T, error)) (T, error) {
 	calling, cancel := context.WithCancel(ctx)
 	defer cancel()
