Ask only the part that holds a worker to empty it; hand workers over to a new part faster

Cause: emptying a host asked every part of its pool, and one part without an owner made the answer a failure ('shard ... is not served here', 71 times on the small twin of the large site). Ruled out: owners that had changed (they had not). Change: the claim tells which part to ask; up to 60 workers are given at one look.

--- a/internal/claim/assigner.go
+++ b/internal/claim/assigner.go
@@ -32,6 +32,9 @@
 	claimGrace = time.Second
 	// forgetAfter is how long the claim on a worker stays after it was last listed.
 	forgetAfter = time.Minute
+	// givenAtOnce is how many workers one look at the parts gives away. It empties half
+	// of a large pool into a part that was split off within some looks.
+	givenAtOnce = 4 * claimsAtOnce
 	// claimsAtOnce is how many claims one transaction takes, beside the ownership key:
 	// each is a condition and a write.
 	claimsAtOnce = (store.MaxTransactionEntries - 1) / 2
@@ -270,16 +273,22 @@
 			empty = append(empty, id)
 		}
 	}
-	if len(empty) == 0 {
-		return nil
-	}
-	err := a.write(ctx, part, empty, to, func(id worker.ID) uint64 { return claims[id].Revision })
-	if errors.As(err, new(*store.UnknownOutcomeError)) {
-		for _, id := range empty {
-			a.unsettled[id] = claims[id].Revision
+	for batch := range slices.Chunk(empty, claimsAtOnce) {
+		err := a.write(ctx, part, batch, to, func(id worker.ID) uint64 { return claims[id].Revision })
+		if errors.As(err, new(*store.UnknownOutcomeError)) {
+			for _, id := range batch {
+				a.unsettled[id] = claims[id].Revision
+			}
+		}
+		if err != nil {
+			return err
 		}
 	}
-	return err
+	if len(empty) == givenAtOnce {
+		// There is more to give.
+		a.balanced = 0
+	}
+	return nil
 }
 
 // settle finds out what became of transfers without an answer. A network that was
@@ -327,7 +336,7 @@
 		}
 	}
 	to, n := partition.Surplus(held, part.Shard())
-	n = min(n, claimsAtOnce)
+	n = min(n, givenAtOnce)
 	if n > 0 && len(idle) > 0 {
 		return to, partition.Choose(idle, n, *held[to])
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -63,7 +63,7 @@
 	defer p.mu.Unlock()
 	p.changes++
 	for i := from; i < to; i++ {
-		id := worker.ID(fmt.Sprintf("w%02d", i))
+		id := worker.ID(fmt.Sprintf("w%03d", i))
 		p.workers[id] = worker.Worker{ID: id, Service: pool, Labels: []string{"kind", fmt.Sprintf("r%d", i%3)}}
 	}
 }
@@ -211,6 +211,14 @@
 		Eventually(second.held, soon).Should(ContainElement(rare[0]))
 		Consistently(first.held, time.Second).Should(ContainElement(rare[1]))
 	})
+	It("reach a part that was split off from a large pool within a second", func() {
+		p.list(0, 300)
+		p.depths[pool], p.depth = 1, 1
+		first := own(pool)
+		Eventually(count(first), soon).Should(Equal(300))
+		second := own(pool + "#1")
+		Eventually(count(second), time.Second).Should(BeNumerically(">=", 140))
+	})
 	It("are not all looked at again and again while nothing changes", func() {
 		p.depths[pool], p.depth = 1, 1
 		first := own(pool)
--- a/internal/jobapi/pool.go
+++ b/internal/jobapi/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sort"
 	"sync"
 
@@ -23,6 +24,8 @@
 	Depths partition.Depths
 	// Find returns the owner of a shard.
 	Find func(name string) (Shard, bool)
+	// Holder returns the shard that has claimed a worker, "" where that is not known.
+	Holder func(id worker.ID) string
 }
 
 var _ Shard = (*Pool)(nil)
@@ -107,24 +110,42 @@
 	return sum, err
 }
 
+// ofWorker calls the part to which a worker belongs, or all while that is not known.
+//
+// Load pattern: a turn of a large pool and a wave empty hundreds of hosts, each asked
+// for several times a second. To ask every part of a pool multiplies the calls by their
+// number, and one part without an owner would hold up the hosts of all others.
+func (p *Pool) ofWorker(id worker.ID, f func(i int, s Shard) error) error {
+	name := ""
+	if p.Holder != nil {
+		name = p.Holder(id)
+	}
+	if name == "" {
+		return p.all(f)
+	}
+	s, err := p.find(name)
+	if err != nil {
+		return err
+	}
+	return f(0, s)
+}
+
 // Empty implements Shard. Only the part to which the worker belongs can say that it is empty.
 func (p *Pool) Empty(ctx context.Context, id worker.ID) (bool, error) {
 	empty := make([]bool, p.parts())
-	err := p.all(func(i int, s Shard) (err error) {
+	err := p.ofWorker(id, func(i int, s Shard) (err error) {
 		empty[i], err = s.Empty(ctx, id)
 		return err
 	})
-	for _, e := range empty {
-		if e {
-			return true, nil
-		}
+	if slices.Contains(empty, true) {
+		return true, nil
 	}
 	return false, err
 }
 
 // Reopen implements Shard.
 func (p *Pool) Reopen(ctx context.Context, id worker.ID) error {
-	return p.all(func(_ int, s Shard) error { return s.Reopen(ctx, id) })
+	return p.ofWorker(id, func(_ int, s Shard) error { return s.Reopen(ctx, id) })
 }
 
 // Demand implements Shard.
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -111,7 +111,7 @@
 		Configuration: platform.DecodeConfiguration, Wave: decodeWave,
 	}, log)
 	d.roster = roster.New(d.store, platform.WorkerPrefix, platform.DecodeWorker, d.ownsShards, log)
-	d.claims = claim.NewBook(d.store, func() bool { return d.ownsShards() && d.divided() }, d.roster.Notify, log)
+	d.claims = claim.NewBook(d.store, func() bool { return d.ownsAny() && d.divided() }, d.roster.Notify, log)
 	return d, nil
 }
 
@@ -158,6 +158,14 @@
 	return len(d.shards)-d.duties > 0
 }
 
+// ownsAny reports whether this daemon owns a shard or the duty over hosts, which
+// empties workers of all parts.
+func (d *Daemon) ownsAny() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.shards) > 0
+}
+
 // Start implements lease.Runner.
 func (d *Daemon) Start(name string, token uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/jobdaemon/parts.go
+++ b/internal/jobdaemon/parts.go
@@ -100,5 +100,9 @@
 	if depths[string(name)] == 0 {
 		return d.find(string(name))
 	}
-	return &jobapi.Pool{Name: name, Depths: depths, Find: d.find}, true
+	holder := func(id worker.ID) string {
+		c, _ := d.claims.Get(name, id)
+		return c.Shard
+	}
+	return &jobapi.Pool{Name: name, Depths: depths, Find: d.find, Holder: holder}, true
 }
