Follow a digest of the workers where there are many

Cause: each daemon that owns a shard followed the entries of all workers, which write theirs every 1.5 s mostly without news: on the small twin of the large site more than a third of a 2 Mbit/s link, with 3,000 workers a megabyte a second. Change: from 100 workers on one daemon (a duty, owned like a shard) follows the entries and writes what changes. Owners follow that, and go back to the entries 1.2 s after its last sign of life. Each write of the publisher requires the revision of the sign of life, so one that is carried out late changes nothing. Specs: internal/roster/digest_test.go (owners read no entries; lost, deposed and former publishers; lost answers; lapse).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -80,11 +80,22 @@
 		} else {
 			f.check(ctx)
 		}
-		steady.Sleep(ctx, pause)
+		f.rest(ctx, pause)
 	}
 	group.Wait()
 }
 
+// rest waits for d, or until the records are not needed any more: when they are again,
+// they have to be read at once.
+func (f *Follower) rest(ctx context.Context, d time.Duration) {
+	for end := steady.Now().Add(d); ctx.Err() == nil && steady.Now() < end; {
+		steady.Sleep(ctx, min(end.Sub(steady.Now()), retryPause))
+		if !f.needed() {
+			return
+		}
+	}
+}
+
 // check asks for changes in the intervals between two readings of many records. It
 // ends early when the answer is not enough.
 func (f *Follower) check(ctx context.Context) {
@@ -92,7 +103,7 @@
 	intervals := f.records / recordsPerRelist
 	f.mu.Unlock()
 	for range intervals {
-		steady.Sleep(ctx, f.Relist)
+		f.rest(ctx, f.Relist)
 		f.mu.Lock()
 		after := f.revision
 		f.mu.Unlock()
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -39,6 +39,8 @@
 const (
 	// hostsShard is the duty of giving orders to hosts. It is owned like a shard.
 	hostsShard = "@hosts"
+	// workersShard is the duty of keeping the digest of the workers.
+	workersShard = "@workers"
 	// hostOrderMargin is kept before the end of the lease for orders to hosts. A
 	// successor that acquires the duty after the lease's end has to wait less.
 	hostOrderMargin = lease.TTL / 2
@@ -124,13 +126,14 @@
 	return out, ok, err
 }
 
-// shardNames lists what needs an owner: the services with queues, and the hosts.
+// shardNames lists what needs an owner: the services with queues, the hosts, and the
+// digest of the workers.
 func (d *Daemon) shardNames(depths partition.Depths) []string {
 	c, _ := d.configurations.Current()
 	if c == nil {
 		return nil
 	}
-	names := []string{hostsShard}
+	names := []string{hostsShard, workersShard}
 	for _, pool := range servedPools(c) {
 		for _, part := range depths.Parts(pool) {
 			names = append(names, part.Shard())
@@ -155,7 +158,7 @@
 func (d *Daemon) ownsShards() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.shards)-d.duties > 0
+	return len(d.shards) > d.duties
 }
 
 // ownsAny reports whether this daemon owns a shard or the duty over hosts, which
@@ -173,7 +176,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.shards[name] = s
-	if name == hostsShard {
+	switch name {
+	case hostsShard:
 		d.duties++
 		m := d.hostsManager(token)
 		s.manager = m
@@ -182,6 +186,14 @@
 			m.Run(ctx)
 		}()
 		return
+	case workersShard:
+		d.duties++
+		p := &roster.Publisher{Roster: d.roster, Store: d.store, OwnerKey: lease.OwnerKey(name), Token: token, Log: d.log}
+		go func() {
+			defer close(s.done)
+			p.Run(ctx)
+		}()
+		return
 	}
 	changes := d.roster.Subscribe()
 	s.owner = shard.New(d.shardConfig(name, token, changes))
@@ -203,12 +215,15 @@
 	}()
 }
 
+// isDuty reports whether what is owned under the name is no shard.
+func isDuty(name string) bool { return name == hostsShard || name == workersShard }
+
 // Stop implements lease.Runner.
 func (d *Daemon) Stop(name string, planned bool) {
 	d.mu.Lock()
 	s := d.shards[name]
 	delete(d.shards, name)
-	if name == hostsShard && s != nil {
+	if s != nil && isDuty(name) {
 		d.duties--
 	}
 	d.mu.Unlock()
--- /dev/null
+++ b/internal/roster/digest_test.go
@@ -0,0 +1,225 @@
+package roster_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/roster"
+	"samphirestile.example/samphirestile/internal/store"
+	"samphirestile.example/samphirestile/internal/worker"
+)
+
+// meter counts what a daemon reads of the workers' own entries.
+type meter struct {
+	*cluster.Store
+	entries atomic.Int64
+	// lost is set while no answer on a transaction comes back.
+	lost atomic.Bool
+}
+
+func (m *meter) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
+	revision, err := m.Store.Commit(ctx, t)
+	if err == nil && m.lost.Load() {
+		return 0, &store.UnknownOutcomeError{Cause: errors.New("the answer is lost")}
+	}
+	return revision, err
+}
+
+func (m *meter) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	entries, revision, err := m.Store.List(ctx, prefix)
+	if prefix == "w/" {
+		m.entries.Add(int64(len(entries)))
+	}
+	return entries, revision, err
+}
+
+func (m *meter) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+	events, revision, err := m.Store.Watch(ctx, prefix, after, wait)
+	if prefix == "w/" {
+		m.entries.Add(int64(len(events)))
+	}
+	return events, revision, err
+}
+
+var _ = Describe("the digest of many workers", func() {
+	const (
+		workers = 2 * roster.DigestFrom
+		// heartbeat is the pause between two entries of one worker.
+		heartbeat = 500 * time.Millisecond
+		// known bounds the time in which a drain must be known: workers drain for three seconds.
+		known = 2500 * time.Millisecond
+	)
+	var (
+		s      *cluster.Store
+		mu     sync.Mutex
+		states map[string]string
+		quiet  *logrus.Logger
+	)
+	ctx := context.Background()
+	decode := func(e store.Entry) (worker.Worker, error) {
+		state, _, _ := strings.Cut(string(e.Value), " ")
+		return worker.Worker{ID: worker.ID(e.Key[2:]), Service: "svc", Address: "a", Labels: []string{"k", "r1"}, Draining: state == "draining"}, nil
+	}
+	set := func(id, state string) {
+		mu.Lock()
+		defer mu.Unlock()
+		states[id] = state
+	}
+	// follow starts a daemon's roster; needed is set where it owns a shard.
+	follow := func(needed bool) (*roster.Roster, *meter) {
+		m := &meter{Store: s}
+		r := roster.New(m, "w/", decode, func() bool { return needed }, quiet)
+		run, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(run) }()
+		DeferCleanup(func() { cancel(); <-done })
+		return r, m
+	}
+	// publish starts the holder of the duty and returns what ends it.
+	publish := func(r *roster.Roster, m *meter) func() {
+		_, err := s.Commit(ctx, store.Transaction{Removals: []string{"own"}})
+		Expect(err).NotTo(HaveOccurred())
+		token, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: "own"}}})
+		Expect(err).NotTo(HaveOccurred())
+		p := &roster.Publisher{Roster: r, Store: m, OwnerKey: "own", Token: token, Log: quiet}
+		run, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() { defer close(done); p.Run(run) }()
+		stop := func() { cancel(); <-done }
+		DeferCleanup(stop)
+		return stop
+	}
+	// reads returns how many entries are read in two seconds.
+	reads := func(m *meter) int64 {
+		before := m.entries.Load()
+		time.Sleep(2 * time.Second)
+		return m.entries.Load() - before
+	}
+	draining := func(r *roster.Roster, id worker.ID) func() bool {
+		return func() bool { return r.Of("svc")[id].Draining }
+	}
+	BeforeEach(func() {
+		s, states = cluster.NewStore(), map[string]string{}
+		quiet = logrus.New()
+		quiet.SetOutput(io.Discard)
+		for i := range workers {
+			states[fmt.Sprintf("w%03d", i)] = "ready"
+		}
+		beat := func(n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			for id, state := range states {
+				if state == "gone" {
+					_, err := s.Commit(ctx, store.Transaction{Removals: []string{"w/" + id}})
+					Expect(err).NotTo(HaveOccurred())
+					continue
+				}
+				_, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: "w/" + id, Value: fmt.Appendf(nil, "%s %d", state, n)}}})
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		beat(0)
+		beating, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			for n := 1; beating.Err() == nil; n++ {
+				beat(n)
+				time.Sleep(heartbeat)
+			}
+		}()
+		DeferCleanup(func() { cancel(); <-done })
+	})
+
+	It("spares owners the entries of all workers and tells them what changes", func() {
+		publisher, pm := follow(false)
+		publish(publisher, pm)
+		owner, m := follow(true)
+		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		time.Sleep(3 * time.Second)
+		Expect(reads(m)).To(BeZero())
+		set("w007", "draining")
+		Eventually(draining(owner, "w007"), known, 20*time.Millisecond).Should(BeTrue())
+		set("w008", "gone")
+		Eventually(func() bool { return owner.Of("svc")["w008"].Missing }, known, 20*time.Millisecond).Should(BeTrue())
+		Expect(owner.Count()).To(Equal(workers - 2))
+	})
+	It("is not trusted any more once its publisher is lost", func() {
+		publisher, pm := follow(false)
+		stop := publish(publisher, pm)
+		owner, m := follow(true)
+		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		time.Sleep(3 * time.Second)
+		Expect(reads(m)).To(BeZero())
+		stop()
+		set("w007", "draining")
+		Eventually(draining(owner, "w007"), known, 20*time.Millisecond).Should(BeTrue())
+	})
+	It("of a publisher that was lost long ago is not used by a new owner", func() {
+		publisher, pm := follow(false)
+		stop := publish(publisher, pm)
+		first, _ := follow(true)
+		Eventually(func() int { return len(first.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		time.Sleep(2 * time.Second)
+		stop()
+		set("w007", "draining")
+		time.Sleep(2 * heartbeat)
+		owner, _ := follow(true)
+		Eventually(owner.Ready(), 2*time.Second).Should(BeClosed())
+		Expect(draining(owner, "w007")()).To(BeTrue())
+	})
+	It("is kept by a successor, and not by a publisher that was deposed", func() {
+		former, fm := follow(false)
+		publish(former, fm)
+		owner, m := follow(true)
+		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		successor, sm := follow(false)
+		publish(successor, sm)
+		time.Sleep(4 * time.Second)
+		Expect(reads(m)).To(BeZero())
+		set("w007", "draining")
+		Eventually(draining(owner, "w007"), known, 20*time.Millisecond).Should(BeTrue())
+		Consistently(draining(owner, "w007"), time.Second).Should(BeTrue())
+	})
+	It("is right after answers on its writes were lost", func() {
+		publisher, pm := follow(false)
+		publish(publisher, pm)
+		owner, _ := follow(true)
+		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		time.Sleep(2 * time.Second)
+		pm.lost.Store(true)
+		set("w007", "draining")
+		Eventually(draining(owner, "w007"), known, 20*time.Millisecond).Should(BeTrue())
+		set("w007", "ready")
+		time.Sleep(time.Second)
+		pm.lost.Store(false)
+		Eventually(draining(owner, "w007"), known, 20*time.Millisecond).Should(BeFalse())
+		Consistently(draining(owner, "w007"), 2*time.Second).Should(BeFalse())
+	})
+	It("keeps workers whose entries lapsed with the store", func() {
+		publisher, pm := follow(false)
+		publish(publisher, pm)
+		owner, _ := follow(true)
+		Eventually(func() int { return owner.Count() }, 5*time.Second).Should(Equal(workers))
+		time.Sleep(2 * time.Second)
+		mu.Lock()
+		for id := range states {
+			_, err := s.Commit(ctx, store.Transaction{Removals: []string{"w/" + id}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		mu.Unlock()
+		Consistently(owner.Count, time.Second).Should(Equal(workers))
+	})
+})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,37 +29,48 @@
 // Decoder reads one entry of the list.
 type Decoder func(store.Entry) (worker.Worker, error)
 
-// Roster is the list of workers.
+// Roster is the list of workers. It is taken from the workers' own entries, or from
+// the digest that a Publisher writes while there is a fresh one.
 type Roster struct {
-	follower *follow.Follower
 	prefix   string
 	decode   Decoder
+	needed   func() bool
 	log      *logrus.Logger
-
-	mu      sync.Mutex
-	workers map[worker.ID]worker.Worker
-	missing map[worker.ID]steady.Time
-	// views are what Of returned since the workers of a service last changed.
-	views map[fleet.ServiceID]map[worker.ID]worker.Worker
-	// version counts the changes of what is known of the workers. present is how many
-	// were listed and did not drain at presentVersion.
-	version, presentVersion uint64
-	present                 int
-	watchers                map[chan struct{}]bool
-	started                 chan struct{}
-	once                    sync.Once
+	entries  *follow.Follower
+	digested *follow.Follower
+
+	mu sync.Mutex
+	// direct holds the workers' own entries, digest what the publisher says of them.
+	direct, digest *table
+	// source is the table that was used last.
+	source *table
+	// publishing is set while this daemon writes the digest.
+	publishing bool
+	// directSince is when the workers' own entries began to be needed; 0 while they are not.
+	directSince steady.Time
+	// beat is the publisher's last sign of life, beatAt when it changed. beats counts
+	// the changes without a long pause.
+	beat    string
+	beatAt  steady.Time
+	beats   int
+	started chan struct{}
+	once    sync.Once
+
+	watchers map[chan struct{}]bool
 }
 
 // New returns an empty roster. It reads the list only while needed returns true.
 func New(s store.Transactional, prefix string, decode Decoder, needed func() bool, log *logrus.Logger) *Roster {
 	r := &Roster{
-		prefix: prefix, decode: decode, log: log,
-		workers: map[worker.ID]worker.Worker{}, missing: map[worker.ID]steady.Time{},
-		views: map[fleet.ServiceID]map[worker.ID]worker.Worker{}, version: 1,
+		prefix: prefix, decode: decode, needed: needed, log: log, direct: newTable(), digest: newTable(),
 		watchers: map[chan struct{}]bool{}, started: make(chan struct{}),
 	}
-	r.follower = follow.New(follow.Config{
-		Store: s, Prefix: prefix, Target: r, Relist: relistInterval, Gather: watchPause, Needed: needed, Log: log,
+	r.source = r.direct
+	r.entries = follow.New(follow.Config{
+		Store: s, Prefix: prefix, Target: directTarget{r}, Relist: relistInterval, Gather: watchPause, Needed: r.directNeeded, Log: log,
+	})
+	r.digested = follow.New(follow.Config{
+		Store: s, Prefix: digestPrefix, Target: digestTarget{r}, Relist: digestRelist, Gather: digestPause, Needed: r.digestNeeded, Log: log,
 	})
 	return r
 }
@@ -87,24 +98,19 @@
 func (r *Roster) Count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.presentVersion == r.version {
-		return r.present
-	}
-	r.present, r.presentVersion = 0, r.version
-	for id, w := range r.workers {
-		if _, gone := r.missing[id]; !gone && !w.Draining {
-			r.present++
-		}
-	}
-	return r.present
+	return r.current().count()
 }
 
 // Version changes whenever Of may return something else for some service.
 func (r *Roster) Version() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.expire()
-	return r.version
+	t := r.current()
+	t.expire()
+	if t == r.digest {
+		return t.version<<1 | 1
+	}
+	return t.version << 1
 }
 
 // Notify wakes the subscribers as after a change of the list.
@@ -118,123 +124,118 @@
 // ago. The caller must not change the result.
 //
 // Load pattern: hundreds of workers write their entries every other second, and each
-// owner looks at its own ten times a second. Nothing is copied while nothing changes.
+// owner looks at its own ten times a second.
 func (r *Roster) Of(service fleet.ServiceID) map[worker.ID]worker.Worker {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.expire()
-	if view, ok := r.views[service]; ok {
-		return view
+	return r.current().of(service)
+}
+
+// Run follows the list until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { r.entries.Run(ctx) })
+	group.Go(func() { r.digested.Run(ctx) })
+	group.Wait()
+}
+
+// current returns the table to use. The caller holds mu.
+func (r *Roster) current() *table {
+	next := r.source
+	switch {
+	case !r.publishing && r.digestFresh():
+		next = r.digest
+	case r.directSince != 0 && r.direct.readAt >= r.directSince:
+		next = r.direct
 	}
-	view := map[worker.ID]worker.Worker{}
-	for id, w := range r.workers {
-		if w.Service == service {
-			_, w.Missing = r.missing[id]
-			view[id] = w
-		}
+	if next != r.source {
+		r.source = next
+		r.log.WithFields(logrus.Fields{
+			"digest": next == r.digest, "workers": len(next.workers), "beat_age_ms": steady.Now().Sub(r.beatAt).Milliseconds(),
+		}).Info("list of workers taken from another source")
+		r.notify()
 	}
-	r.views[service] = view
-	return view
+	return r.source
 }
 
-// expire forgets the workers that have been missing for too long. The caller holds mu.
-func (r *Roster) expire() {
-	now := steady.Now()
-	for id, since := range r.missing {
-		if now.Sub(since) > missingGrace {
-			r.changed(r.workers[id].Service)
-			delete(r.missing, id)
-			delete(r.workers, id)
-		}
+// directNeeded reports whether the workers' own entries must be followed.
+func (r *Roster) directNeeded() bool {
+	owner := r.needed()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	need := r.publishing || (owner && !r.digestFresh())
+	switch {
+	case !need:
+		r.directSince = 0
+	case r.directSince == 0:
+		r.directSince = steady.Now()
 	}
+	return need
 }
 
-// changed notes that the workers of a service are not what they were. The caller holds mu.
-func (r *Roster) changed(service fleet.ServiceID) {
-	delete(r.views, service)
-	r.version++
+func (r *Roster) notify() {
+	for c := range r.watchers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
 }
 
-// Run follows the list until ctx ends.
-func (r *Roster) Run(ctx context.Context) { r.follower.Run(ctx) }
+// directTarget takes the workers' own entries.
+type directTarget struct{ r *Roster }
 
 // Replace implements follow.Target. Workers that are not listed any more are kept for a while.
-func (r *Roster) Replace(records []store.Entry, _ uint64) {
+func (d directTarget) Replace(records []store.Entry, _ uint64) {
+	r := d.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.version
+	before := r.direct.version
 	seen := map[worker.ID]bool{}
 	for _, e := range records {
 		if id, ok := r.put(e); ok {
 			seen[id] = true
 		}
 	}
-	for id := range r.workers {
-		if !seen[id] {
-			r.miss(id)
-		}
-	}
+	r.direct.keepOnly(seen)
+	now := steady.Now()
+	r.direct.readAt, r.direct.heardAt = now, now
 	r.once.Do(func() { close(r.started) })
-	r.notifySince(before)
+	r.noteChange(r.direct, before)
 }
 
 // Apply implements follow.Target.
-func (r *Roster) Apply(changes []store.Event) {
+func (d directTarget) Apply(changes []store.Event) {
+	r := d.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.version
+	before := r.direct.version
 	for _, c := range changes {
 		if c.Deleted {
-			r.miss(worker.ID(c.Key[len(r.prefix):]))
+			r.direct.miss(worker.ID(c.Key[len(r.prefix):]))
 			continue
 		}
 		r.put(c.Entry)
 	}
-	r.notifySince(before)
+	r.direct.heardAt = steady.Now()
+	r.noteChange(r.direct, before)
 }
 
-// miss notes that a worker is not listed any more. The caller holds mu.
-func (r *Roster) miss(id worker.ID) {
-	w, known := r.workers[id]
-	if _, gone := r.missing[id]; known && !gone {
-		r.missing[id] = steady.Now()
-		r.changed(w.Service)
-	}
-}
-
-// put takes one entry over. Workers write theirs again and again; most say nothing
-// new. The caller holds mu.
+// put takes one entry of a worker over. The caller holds mu.
 func (r *Roster) put(e store.Entry) (worker.ID, bool) {
 	w, err := r.decode(e)
 	if err != nil {
 		r.log.WithError(err).Debug("skipped an entry that names no worker")
 		return "", false
 	}
-	old, known := r.workers[w.ID]
-	if _, gone := r.missing[w.ID]; known && !gone && old.Equal(w) {
-		return w.ID, true
-	}
-	if known {
-		r.changed(old.Service)
-	}
-	r.changed(w.Service)
-	r.workers[w.ID] = w
-	delete(r.missing, w.ID)
+	r.direct.put(w)
 	return w.ID, true
 }
 
-// notifySince wakes the subscribers if something has changed. The caller holds mu.
-func (r *Roster) notifySince(version uint64) {
-	if r.version != version {
+// noteChange wakes the subscribers if the table has changed and is the one in use.
+// The caller holds mu.
+func (r *Roster) noteChange(t *table, version uint64) {
+	if t.version != version && r.current() == t {
 		r.notify()
 	}
 }
-
-func (r *Roster) notify() {
-	for c := range r.watchers {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}
-}
