Ask for a host when a lasting task finds no room in any; follow owners of shards like other records

Change: lasting work that finds no room for 0.3 s adds hosts to what the part and the pool want. Owners of shards are followed by internal/follow, which asks for changes between readings; lists of more than 100 records are read less often. Spec that failed before: 'asks for a host when a lasting task finds no room in any, though the sum of all would'.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,9 +17,9 @@
 	// watchWait is how long one watch waits; the store counts each as a call.
 	watchWait  = 10 * time.Second
 	retryPause = 200 * time.Millisecond
-	// recordsPerRelist is how many records are read again in each interval. A list of
-	// 3,000 workers takes a second of a link of 10 Mbit/s.
-	recordsPerRelist = 500
+	// recordsPerRelist is how many records are read again in each interval, some tens of
+	// kilobytes. A list of 3,000 workers takes a second of a link of 10 Mbit/s.
+	recordsPerRelist = 100
 	// checkWait is how long a watch waits that only asks for what was missed.
 	checkWait = time.Millisecond
 )
--- a/internal/lease/owners.go
+++ b/internal/lease/owners.go
@@ -11,14 +11,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"samphirestile.example/samphirestile/internal/follow"
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/steady"
 	"samphirestile.example/samphirestile/internal/store"
 )
 
 const (
-	// watchWait is how long one watch waits; the store counts each as a call.
-	watchWait = 10 * time.Second
 	// relistInterval bounds how long a silent watch can hide a vacancy.
 	relistInterval = 2500 * time.Millisecond
 	// settleTime lets daemons that start together see each other before the first
@@ -44,12 +43,13 @@
 
 // Owners follows who owns which shard and acquires vacant ones.
 type Owners struct {
-	store  store.Transactional
-	keeper *Keeper
-	self   Member
-	runner Runner
-	shards func(partition.Depths) []string
-	log    *logrus.Logger
+	store    store.Transactional
+	follower *follow.Follower
+	keeper   *Keeper
+	self     Member
+	runner   Runner
+	shards   func(partition.Depths) []string
+	log      *logrus.Logger
 
 	mu       sync.Mutex
 	revision uint64
@@ -78,11 +78,13 @@
 // NewOwners returns a follower; shards lists the shards that need an owner, given
 // the depths of those that are parts.
 func NewOwners(s store.Transactional, k *Keeper, self Member, r Runner, shards func(partition.Depths) []string, log *logrus.Logger) *Owners {
-	return &Owners{
+	o := &Owners{
 		store: s, keeper: k, self: self, runner: r, shards: shards, log: log,
 		members: map[string]Member{}, owners: map[string]owner{}, depths: partition.Depths{}, vacant: map[string]steady.Time{}, moving: map[string]bool{},
 		running: map[string]uint64{}, wake: make(chan struct{}, 1),
 	}
+	o.follower = follow.New(follow.Config{Store: s, Prefix: prefix, Target: o, Relist: relistInterval, Log: log})
+	return o
 }
 
 // Owner returns the owner of a shard.
@@ -123,8 +125,7 @@
 // Run follows and acquires until ctx ends.
 func (o *Owners) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { o.follow(ctx) })
-	group.Go(func() { o.relist(ctx) })
+	group.Go(func() { o.follower.Run(ctx) })
 	timer := time.NewTimer(vacancyTick)
 	defer timer.Stop()
 	for ctx.Err() == nil {
@@ -161,40 +162,16 @@
 	}
 }
 
-func (o *Owners) relist(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause := relistInterval
-		if err := o.list(ctx); err != nil {
-			pause = retryInterval
-		}
-		steady.Sleep(ctx, pause)
-	}
-}
-
-// listNow reads the records before the next regular reading, which repeats it after a failure.
-func (o *Owners) listNow(ctx context.Context) {
-	if err := o.list(ctx); err != nil {
-		o.log.WithError(err).Info("owners of shards not read")
-	}
-}
-
-func (o *Owners) list(ctx context.Context) error {
-	entries, revision, err := o.store.List(ctx, prefix)
-	if err != nil {
-		return err
-	}
+// Replace implements follow.Target.
+func (o *Owners) Replace(records []store.Entry, revision uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if revision < o.revision {
-		// The watch has already shown later changes.
-		return nil
-	}
 	members, owners := len(o.members), len(o.owners)
 	o.members, o.owners = map[string]Member{}, map[string]owner{}
-	for _, e := range entries {
+	for _, e := range records {
 		o.put(e)
 	}
-	o.revision = revision
+	o.revision = max(o.revision, revision)
 	if len(o.members) != members || len(o.owners) != owners {
 		o.changedAt = steady.Now()
 	}
@@ -202,7 +179,6 @@
 		o.listedAt = steady.Now()
 	}
 	o.notify()
-	return nil
 }
 
 func (o *Owners) put(e store.Entry) {
@@ -231,35 +207,12 @@
 	}
 }
 
-func (o *Owners) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		o.mu.Lock()
-		after := o.revision
-		o.mu.Unlock()
-		if after == 0 {
-			steady.Sleep(ctx, retryInterval)
-			continue
-		}
-		events, revision, err := o.store.Watch(ctx, prefix, after, watchWait)
-		if err != nil {
-			// The list in relist covers changes that this watch has missed.
-			steady.Sleep(ctx, retryInterval)
-			if errors.As(err, new(*store.CompactedError)) {
-				o.listNow(ctx)
-			}
-			continue
-		}
-		o.apply(events, revision)
-	}
-}
-
-func (o *Owners) apply(events []store.Event, revision uint64) {
+// Apply implements follow.Target.
+func (o *Owners) Apply(changes []store.Event) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, e := range events {
-		if e.Version <= o.revision {
-			continue
-		}
+	for _, e := range changes {
+		o.revision = max(o.revision, e.Version)
 		if !e.Deleted {
 			o.put(e.Entry)
 			continue
@@ -271,11 +224,8 @@
 			delete(o.owners, shard)
 		}
 	}
-	o.revision = max(o.revision, revision)
-	if len(events) > 0 {
-		o.changedAt = steady.Now()
-		o.notify()
-	}
+	o.changedAt = steady.Now()
+	o.notify()
 }
 
 // settle starts and stops shards so that they match the records and the lease.
@@ -336,7 +286,9 @@
 			o.log.WithError(err).WithField("shard", shard).Info("shard not acquired")
 			switch {
 			case errors.As(err, new(*store.ConditionError)):
-				o.listNow(ctx)
+				if err := o.follower.Read(ctx); err != nil {
+					o.log.WithError(err).Info("owners of shards not read")
+				}
 			case errors.As(err, new(*store.NotFoundError)):
 				// The lease has ended, so no other shard can be taken before the next one.
 				return
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -419,16 +420,15 @@
 	for _, s := range o.sessions {
 		c.Host = worker.Resources{CPU: max(c.Host.CPU, s.Capacity.CPU), MemMB: max(c.Host.MemMB, s.Capacity.MemMB), GPU: max(c.Host.GPU, s.Capacity.GPU)}
 	}
-	o.partNeeds = o.needed(c, now)
-	wanted := capacity.HostsWanted(c)
+	short := o.unplaced.hosts(now, c.Host)
+	if short > 0 {
+		// The sizes of tasks and hosts may not go together however much room there is.
+		short += o.present()
+	}
+	o.partNeeds = max(o.needed(c, now), short)
+	wanted := max(capacity.HostsWanted(c), short)
 	if now.Sub(o.acquired) < demandSettle {
-		present := 0
-		for _, s := range o.sessions {
-			if s.listed && !s.Missing {
-				present++
-			}
-		}
-		wanted = max(wanted, present)
+		wanted = max(wanted, o.present())
 	}
 	if wanted != o.wanted {
 		o.wanted = wanted
@@ -440,6 +440,54 @@
 	return Demand{Wanted: wanted, Releasable: o.releasable()}, nil
 }
 
+// present returns how many listed workers the shard has.
+func (o *Owner) present() int {
+	n := 0
+	for _, s := range o.sessions {
+		if s.listed && !s.Missing {
+			n++
+		}
+	}
+	return n
+}
+
+// unplaced is lasting work that found no room.
+type unplaced struct {
+	since steady.Time
+	tasks int
+	room  worker.Resources
+}
+
+// unplacedAfter is how long lasting work must have found no room before hosts are
+// asked for its sake. A task that is moved finds room within some tenths of a second.
+const unplacedAfter = 300 * time.Millisecond
+
+func (u *unplaced) add(s *job.Step, tasks int) {
+	u.tasks += tasks
+	u.room = u.room.Plus(s.Room().Times(int64(tasks)))
+}
+
+// note ends the count of one pass.
+func (u *unplaced) note(now steady.Time) {
+	switch {
+	case u.tasks == 0:
+		u.since = 0
+	case u.since == 0:
+		u.since = now
+	}
+}
+
+// hosts returns how many hosts more the work needs.
+//
+// Load pattern: tasks that take half of a host and more, a few to a host at most,
+// beside others that last. Their sum fits into the pool, and no host has room for one.
+func (u *unplaced) hosts(now steady.Time, host worker.Resources) int {
+	if u.since == 0 || now.Sub(u.since) < unplacedAfter || host.CPU <= 0 {
+		return 0
+	}
+	return min(u.tasks, max(1, int(math.Ceil(u.room.Share(host)))))
+}
+
 // partDrain is the time in which a part drains its queue with the workers that it
 // asks its neighbours for. They come within a second, those of other pools in three.
 const partDrain = time.Second
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -132,6 +132,8 @@
 	taskCount int
 	// wanted is the last answer on how many hosts the pool needs.
 	wanted int
+	// unplaced is lasting work without room, as of the last pass.
+	unplaced unplaced
 	// partNeeds is the last answer on how many of the pool's workers this part needs.
 	partNeeds int
 	// questions to the advisor come from the last pass, the most urgent first.
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -125,6 +125,8 @@
 		waiting = append(waiting, o.waitingOf(e, now))
 	}
 	late := o.lateTasks(now)
+	o.unplaced.tasks, o.unplaced.room = 0, worker.Resources{}
+	defer o.unplaced.note(now)
 	if len(entries) == 0 && len(late) == 0 {
 		return
 	}
@@ -257,8 +259,9 @@
 	if !p.allowed(e, tasks[0].step, 1) {
 		return held
 	}
+	o := p.owner
 	rack := p.countStep(e, tasks[0])
-	for _, t := range tasks {
+	for n, t := range tasks {
 		if !p.allowed(e, t.step, 1) {
 			return held
 		}
@@ -269,7 +272,11 @@
 					p.candidates[keep].Reserved = true
 				}
 			}
-			return p.without(e, t)
+			what := p.without(e, t)
+			if what == noRoom && t.step.LongRunning {
+				o.unplaced.add(t.step, len(tasks)-n)
+			}
+			return what
 		}
 		p.begin(e, t, i, 0)
 		rack = p.candidates[i].Rack()
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -437,6 +437,22 @@
 			}
 			Expect(wanted(o)).To(BeNumerically(">", idle))
 		})
+		It("asks for a host when a lasting task finds no room in any, though the sum of all would", func() {
+			b = newBench(3)
+			o := b.own()
+			time.Sleep(1600 * time.Millisecond)
+			whole := b.listed()["w0"].Capacity
+			half := worker.Resources{CPU: whole.CPU * 55 / 100, MemMB: 1}
+			for _, task := range []string{"0", "1", "2"} {
+				b.behave(string(jobOf(1).ID)+".0.0."+task, cluster.Behaviour{Duration: time.Hour})
+			}
+			o.submit(jobOf(1, job.Step{Count: 3, LongRunning: true, Need: half}))
+			Eventually(func() int { return b.worker("w0").Running() + b.worker("w1").Running() + b.worker("w2").Running() }, soon).Should(Equal(3))
+			Consistently(func() int { return wanted(o) }, "600ms").Should(BeNumerically("<=", 3))
+			o.submit(jobOf(2, job.Step{LongRunning: true, Need: half}))
+			Eventually(func() int { return wanted(o) }, soon).Should(BeNumerically(">=", 4))
+			Expect(o.Wanted()).To(BeNumerically(">=", 4))
+		})
 		It("keeps its size while a new owner does not know the demand, and is not described by one that may be deposed", func() {
 			b = newBench(5)
 			o := b.own()
