Run the scenarios of membership on a simulated clock

Cause: the scenarios used durations of milliseconds of wall time. Beside five busy processes the budget of control traffic read 4,203 of 4,096 bytes, and 'a reclaim that ends with its reclaimer or runs twice' timed out after 1.6 s. Change: each runs in a bubble of testing/synctest; daemons of the traffic specs talk over pipes within the process; messages and store calls take 0.1 ms, because at one instant a message seen before a probe and the probe's start are not told apart.

--- a/internal/membership/cell_test.go
+++ b/internal/membership/cell_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -24,79 +25,42 @@
 	"samphirestile.example/samphirestile/internal/store"
 )
 
+// suite runs the scenarios on simulated clocks.
+var suite *testing.T
+
 func TestMembership(t *testing.T) {
+	suite = t
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "membership")
 }
 
-// scenario is a test with its own assertions, so that several run at the same
-// time: they wait for timers most of the time.
+// scenario is a test with its own assertions. It runs on a simulated clock, which
+// goes on when all its goroutines wait: a busy machine changes no duration.
 type scenario struct {
 	gomega.Gomega
 	ctx      context.Context
-	body     func(*scenario)
-	done     chan struct{}
 	failure  string
 	cleanups []func()
-	// alone is set on a scenario that runs after all others, because it measures.
-	alone bool
 }
 
-// parallelScenarios bounds the scenarios that run at the same time.
-const parallelScenarios = 8
-
-var scenarios []*scenario
-
 type scenarioFailure struct{}
 
-// scenarioIt declares a spec whose body runs together with the others of its kind.
-func scenarioIt(text string, body func(*scenario)) { declare(text, &scenario{body: body}) }
-
-// measureIt declares a spec whose body runs while no other does.
-func measureIt(text string, body func(*scenario)) { declare(text, &scenario{body: body, alone: true}) }
-
-func declare(text string, s *scenario) {
-	s.done = make(chan struct{})
-	scenarios = append(scenarios, s)
+// scenarioIt declares a spec whose body is a scenario.
+func scenarioIt(text string, body func(*scenario)) {
 	ginkgo.It(text, func() {
-		if s.alone {
-			for _, other := range scenarios {
-				if !other.alone {
-					<-other.done
-				}
-			}
-			s.run()
-		}
-		<-s.done
+		s := &scenario{}
+		synctest.Test(suite, func(*testing.T) { s.run(body) })
 		gomega.Expect(s.failure).To(gomega.BeEmpty())
 	})
 }
 
-var _ = ginkgo.BeforeSuite(func() {
-	queue := make(chan *scenario, len(scenarios))
-	for _, s := range scenarios {
-		if !s.alone {
-			queue <- s
-		}
-	}
-	close(queue)
-	for range parallelScenarios {
-		go func() {
-			for s := range queue {
-				s.run()
-			}
-		}()
-	}
-})
-
-func (s *scenario) run() {
+func (s *scenario) run(body func(*scenario)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ctx = ctx
 	s.Gomega = gomega.NewGomega(func(message string, _ ...int) {
 		s.failure = message
 		panic(scenarioFailure{})
 	})
-	defer close(s.done)
 	defer func() {
 		if r := recover(); r != nil && r != (scenarioFailure{}) {
 			s.failure = fmt.Sprint(r)
@@ -106,7 +70,7 @@
 			f()
 		}
 	}()
-	s.body(s)
+	body(s)
 }
 
 // The durations are those of the design divided by 25.
@@ -456,8 +420,13 @@
 	}
 }
 
+// latency keeps messages and calls from taking no time at all: on a simulated clock a
+// message and what follows from it would happen at one instant.
+const latency = 100 * time.Microsecond
+
 // gate waits while the daemon is frozen. A frozen process does not see its deadlines pass.
 func (n *node) gate(ctx context.Context) error {
+	time.Sleep(latency)
 	n.mu.Lock()
 	f, killed := n.frozen, n.killed
 	n.mu.Unlock()
--- a/internal/membership/traffic_test.go
+++ b/internal/membership/traffic_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,19 +55,51 @@
 	return n, err
 }
 
-type countedListener struct {
-	net.Listener
-	n *atomic.Int64
+// pipeListener takes connections within the process, which a simulated clock can
+// wait for. It counts their bytes.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	n      *atomic.Int64
+}
+
+func newPipeListener(n *atomic.Int64) *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{}), n: n}
+}
+
+// dial opens a connection to the listener.
+func (l *pipeListener) dial(ctx context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- countedConn{far, l.n}:
+		return countedConn{near, l.n}, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
-	return countedConn{c, l.n}, nil
 }
 
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe", Net: "unix"} }
+
 // storeOverhead is the size of request line and headers of a store call and of
 // its reply, as net/http writes them for a JSON body with a bearer token.
 const storeOverhead = 400
@@ -113,22 +146,25 @@
 	c := s.cell(seed, map[fleet.TeamID]int{"a": 20, "b": 12, "c": 40, "d": 30, "e": 8, "f": 3})
 	secret := peerapi.Secret("0123456789abcdef0123456789abcdef")
 	var total, calls atomic.Int64
+	var mu sync.Mutex
+	listeners := map[string]*pipeListener{}
 	nodes := c.startAll(8, func(n *node) {
-		transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return countedConn{conn, &total}, nil
+		transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			mu.Lock()
+			l := listeners[address]
+			mu.Unlock()
+			return l.dial(ctx)
 		}}
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		s.Expect(err).NotTo(HaveOccurred())
+		listener, address := newPipeListener(&total), n.name+":1"
+		mu.Lock()
+		listeners[address] = listener
+		mu.Unlock()
 		server, err := oas.NewServer(peerHandler{n: n}, secret)
 		s.Expect(err).NotTo(HaveOccurred())
 		serving := &http.Server{Handler: server, ReadHeaderTimeout: time.Second}
-		go func() { _ = serving.Serve(countedListener{listener, &total}) }()
+		go func() { _ = serving.Serve(listener) }()
 		s.cleanups = append(s.cleanups, func() { _ = serving.Close(); transport.CloseIdleConnections() })
-		n.assemble(countedStore{n.client, &total, &calls}, listener.Addr().String(),
+		n.assemble(countedStore{n.client, &total, &calls}, address,
 			func(address string) (membership.Peer, error) {
 				return peerapi.NewClient(address, secret, &http.Client{Transport: transport})
 			})
@@ -151,7 +187,7 @@
 const controlBudget = 4096
 
 var _ = Describe("control traffic of 8 daemons", func() {
-	measureIt("guards against a steady load that exceeds the budget", func(s *scenario) {
+	scenarioIt("guards against a steady load that exceeds the budget", func(s *scenario) {
 		s.Expect(traffic(s, 31, func(_ *cell, nodes []*node) {
 			for _, n := range nodes {
 				n.workers.Go(func() {
@@ -166,7 +202,7 @@
 		})).To(BeNumerically("<=", controlBudget))
 	})
 
-	measureIt("guards against an overload of all teams that exceeds the budget", func(s *scenario) {
+	scenarioIt("guards against an overload of all teams that exceeds the budget", func(s *scenario) {
 		s.Expect(traffic(s, 32, func(_ *cell, nodes []*node) {
 			for i, n := range nodes {
 				for j, t := range []fleet.TeamID{"a", "b", "c", "d", "e", "f"} {
