Refuse jobs sooner once the store has fallen silent

After a 504 clients may not hand an unsafe job in again. Ruled out: refusals while a slow store answers (a quarter of a second; a hedged copy is sent after 300 ms). Change: storeStall 450 ms. Spec 'refuses jobs half a second after the store has fallen silent' failed with 800 ms.

--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -20,8 +20,9 @@
 
 const (
 	// storeStall is how long a batch may wait before new jobs are refused. A slow
-	// store answers in a quarter of a second.
-	storeStall = 800 * time.Millisecond
+	// store answers in a quarter of a second. Jobs that are taken in later get no answer in
+	// an outage, and their clients may not hand them in again.
+	storeStall = 450 * time.Millisecond
 	// recordTimeout bounds the wait for a job's record; then the outcome is open.
 	recordTimeout = 1500 * time.Millisecond
 	// outageRetryAfter is the time to come back after a refusal because of the store.
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -463,6 +463,19 @@
 		})
 	})
 
+	It("refuses jobs half a second after the store has fallen silent, while its lease still holds", func() {
+		b = newBench(1)
+		o := b.own()
+		// Nothing is answered for as long as the test lasts.
+		b.store.SetFaults(cluster.StoreFaults{LostCalls: 1 << 20})
+		first := make(chan error, 1)
+		go func() { first <- o.Submit(context.Background(), jobOf(1, job.Step{})) }()
+		time.Sleep(500 * time.Millisecond)
+		began := time.Now()
+		Expect(errors.As(o.Submit(context.Background(), jobOf(2, job.Step{})), new(*shard.RejectedError))).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(errors.As(<-first, new(*shard.UnknownError))).To(BeTrue(), "the first may have been recorded")
+	})
 	It("starts nothing once its right to give leases has ended", func() {
 		b = newBench(1)
 		o := b.own()
