--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -341,6 +341,34 @@
 		Expect(wanted(now.Add(2 * rememberDemand))).To(BeZero())
 	})
 
+	It("keeps the size of a pool while its owner is new and nothing else is known of it", func() {
+		e.mu.Lock()
+		e.demand["a"], e.demand["b"] = Demand{Wanted: 2, Settling: true}, Demand{Wanted: 8}
+		e.mu.Unlock()
+		before := e.size("a")
+		start("x")
+		Consistently(func() int { return e.size("a") }, "3s").Should(Equal(before))
+	})
+
+	// Rolling restarts change the owners of pools every other second, also of those
+	// that have just ended their turn.
+	It("lends what a pool has beyond its need while its owner changes", func() {
+		start("x")
+		e.mu.Lock()
+		e.demand["a"], e.demand["b"] = Demand{Wanted: 6}, Demand{Wanted: 2}
+		e.mu.Unlock()
+		Eventually(func() int { return e.size("a") }, "5s").Should(Equal(6))
+		e.mu.Lock()
+		e.demand["a"] = Demand{Wanted: 2}
+		e.mu.Unlock()
+		// Its last answer before the new owner takes over.
+		time.Sleep(2 * demandInterval)
+		e.mu.Lock()
+		e.demand["a"], e.demand["b"] = Demand{Wanted: 1, Settling: true}, Demand{Wanted: 8}
+		e.mu.Unlock()
+		Eventually(func() int { return e.size("b") }, "1500ms").Should(BeNumerically(">", 4))
+	})
+
 	It("moves hosts to the pool in its turn and switches off what nobody needs", func() {
 		start("x")
 		e.mu.Lock()
--- a/internal/hosts/moves.go
+++ b/internal/hosts/moves.go
@@ -13,6 +13,8 @@
 type Demand struct {
 	// Wanted is how many hosts the pool needs.
 	Wanted int
+	// Settling is set while the pool's owner is new: it does not know what arrived before it.
+	Settling bool
 	// Releasable lists workers in the order in which they are given up most easily.
 	Releasable []worker.ID
 }
@@ -33,6 +35,8 @@
 	// lendWanted and restWanted are the most that the pool wanted during
 	// lendAfter and restAfter.
 	lendWanted, restWanted int
+	// keep is set while nobody knows what the pool needs: it stays as it is.
+	keep bool
 	releasable             []worker.ID
 }
 
--- a/internal/hosts/pools.go
+++ b/internal/hosts/pools.go
@@ -67,6 +67,10 @@
 			continue
 		}
 		demand[name] = d
+		if d.Settling {
+			// What the former owner said last holds for a while.
+			continue
+		}
 		if m.wanted[name] == nil {
 			m.wanted[name] = &wantedHistory{}
 		}
@@ -85,10 +89,17 @@
 			d, known := m.demand[name]
 			p = &pool{name: name, spare: m.Spare()[name], known: known, wanted: max(d.Wanted, floor), needed: d.Wanted, releasable: d.Releasable}
 			h := m.wanted[name]
+			remembered := h != nil && now.Sub(h.last().at) < rememberDemand
 			switch {
+			case known && d.Settling && remembered:
+				// A pool keeps its size and lends what it has beyond it while its owner changes.
+				p.wanted, p.needed = max(p.wanted, h.last().wanted), max(p.needed, h.last().wanted)
+				p.lendWanted, p.restWanted = max(h.most(now, lendAfter), p.wanted), max(h.most(now, restAfter), p.wanted)
+			case known && d.Settling:
+				p.keep = true
 			case h != nil && known:
 				p.lendWanted, p.restWanted = max(h.most(now, lendAfter), floor), max(h.most(now, restAfter), floor)
-			case h != nil && now.Sub(h.last().at) < rememberDemand:
+			case remembered:
 				p.wanted, p.needed = max(h.last().wanted, floor), h.last().wanted
 			case !known:
 				p.wanted = 0
@@ -126,6 +137,10 @@
 	pools := make([]*pool, 0, len(byName))
 	for _, p := range byName {
 		sort.Slice(p.hosts, func(i, j int) bool { return p.hosts[i].ID < p.hosts[j].ID })
+		if p.keep {
+			p.wanted, p.needed = max(p.wanted, p.size()), max(p.needed, p.size())
+			p.lendWanted, p.restWanted = p.wanted, p.wanted
+		}
 		pools = append(pools, p)
 	}
 	sort.Slice(pools, func(i, j int) bool { return pools[i].name < pools[j].name })
--- a/internal/jobapi/client.go
+++ b/internal/jobapi/client.go
@@ -187,7 +187,7 @@
 	if err := decode(r.name, "", out, err); err != nil {
 		return shard.Demand{}, err
 	}
-	d := shard.Demand{Wanted: out.Wanted.Or(0)}
+	d := shard.Demand{Wanted: out.Wanted.Or(0), Settling: out.Settling.Or(false)}
 	for _, id := range out.Releasable {
 		d.Releasable = append(d.Releasable, worker.ID(id))
 	}
--- a/internal/jobapi/oas/oas_json_gen.go
+++ b/internal/jobapi/oas/oas_json_gen.go
@@ -438,6 +438,12 @@
 			s.Wanted.Encode(e)
 		}
 	}
+	{
+		if s.Settling.Set {
+			e.FieldStart("settling")
+			s.Settling.Encode(e)
+		}
+	}
 	{
 		if s.Releasable != nil {
 			e.FieldStart("releasable")
@@ -456,7 +462,7 @@
 	}
 }
 
-var jsonFieldsNameOfOutcome = [11]string{
+var jsonFieldsNameOfOutcome = [12]string{
 	0:  "code",
 	1:  "reason",
 	2:  "shard",
@@ -466,8 +472,9 @@
 	6:  "count",
 	7:  "empty",
 	8:  "wanted",
-	9:  "releasable",
-	10: "report",
+	9:  "settling",
+	10: "releasable",
+	11: "report",
 }
 
 // Decode decodes Outcome from json.
@@ -569,6 +576,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"wanted\"")
 			}
+		case "settling":
+			if err := func() error {
+				s.Settling.Reset()
+				if err := s.Settling.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"settling\"")
+			}
 		case "releasable":
 			if err := func() error {
 				s.Releasable = make([]string, 0)
--- a/internal/jobapi/oas/oas_schemas_gen.go
+++ b/internal/jobapi/oas/oas_schemas_gen.go
@@ -257,6 +257,8 @@
 	Empty        OptBool   `json:"empty"`
 	// The number of hosts that the shard's pool needs.
 	Wanted OptInt `json:"wanted"`
+	// The owner is new and does not know the work of the last seconds.
+	Settling OptBool `json:"settling"`
 	// Workers in the order in which they are given up most easily.
 	Releasable []string `json:"releasable"`
 	// The report, or the store's answer, in JSON.
@@ -308,6 +310,11 @@
 	return s.Wanted
 }
 
+// GetSettling returns the value of Settling.
+func (s *Outcome) GetSettling() OptBool {
+	return s.Settling
+}
+
 // GetReleasable returns the value of Releasable.
 func (s *Outcome) GetReleasable() []string {
 	return s.Releasable
@@ -363,6 +370,11 @@
 	s.Wanted = val
 }
 
+// SetSettling sets the value of Settling.
+func (s *Outcome) SetSettling(val OptBool) {
+	s.Settling = val
+}
+
 // SetReleasable sets the value of Releasable.
 func (s *Outcome) SetReleasable(val []string) {
 	s.Releasable = val
--- a/internal/jobapi/pool.go
+++ b/internal/jobapi/pool.go
@@ -168,6 +168,7 @@
 	left := 0
 	for _, d := range demands {
 		sum.Wanted += d.Wanted
+		sum.Settling = sum.Settling || d.Settling
 		left += len(d.Releasable)
 	}
 	rest := make([][]worker.ID, len(demands))
--- a/internal/jobapi/server.go
+++ b/internal/jobapi/server.go
@@ -132,7 +132,7 @@
 			due = append(due, worker.ID(id))
 		}
 		d, err := l.Demand(ctx, due)
-		out := &oas.Outcome{Wanted: oas.NewOptInt(d.Wanted)}
+		out := &oas.Outcome{Wanted: oas.NewOptInt(d.Wanted), Settling: oas.NewOptBool(d.Settling)}
 		for _, id := range d.Releasable {
 			out.Releasable = append(out.Releasable, string(id))
 		}
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -319,7 +319,7 @@
 		return hosts.Demand{}, &shard.NotOwnerError{Shard: string(service)}
 	}
 	d, err := s.Demand(ctx, due)
-	return hosts.Demand{Wanted: d.Wanted, Releasable: d.Releasable}, err
+	return hosts.Demand{Wanted: d.Wanted, Settling: d.Settling, Releasable: d.Releasable}, err
 }
 
 // find returns the owner of a shard.
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -219,8 +219,8 @@
 	o.arrivals.Add(time.Duration(now), work)
 }
 
-// demandSettle is how long a new owner keeps its pool as it is: the arrivals of
-// before are not known to it.
+// demandSettle is how long a new owner knows too little of what arrives to size its
+// pool: the arrivals of before are not known to it.
 const demandSettle = 1500 * time.Millisecond
 
 // maxArrived bounds the memory of jobs whose arrival was counted.
@@ -385,6 +385,8 @@
 type Demand struct {
 	// Wanted is how many hosts the pool needs.
 	Wanted int
+	// Settling is set while the owner is new: it does not know what arrived before it.
+	Settling bool
 	// Releasable lists workers in the order in which they are given up most easily.
 	Releasable []worker.ID
 }
@@ -428,9 +430,6 @@
 	}
 	o.partNeeds = max(o.needed(c, now), short)
 	wanted := max(capacity.HostsWanted(c), short)
-	if now.Sub(o.acquired) < demandSettle {
-		wanted = max(wanted, o.present())
-	}
 	if wanted != o.wanted {
 		o.wanted = wanted
 		o.Log.WithFields(logrus.Fields{
@@ -438,7 +437,7 @@
 			"arriving_cpu": c.Rate.CPU, "waiting_cpu_ms": c.Waiting.CPU, "owner_age_ms": now.Sub(o.acquired).Milliseconds(),
 		}).Info("hosts wanted")
 	}
-	return Demand{Wanted: wanted, Releasable: o.releasable()}, nil
+	return Demand{Wanted: wanted, Settling: now.Sub(o.acquired) < demandSettle, Releasable: o.releasable()}, nil
 }
 
 // present returns how many listed workers the shard has.
