--- a/cmd/samphirestile/fleet_test.go
+++ b/cmd/samphirestile/fleet_test.go
@@ -95,7 +95,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		peer := httptest.NewServer(peers)
 		DeferCleanup(peer.Close)
-		remote, err := jobapi.NewClients().Remote(peer.Listener.Addr().String(), string(fleetPool))
+		remote, err := jobapi.NewClients(nil).Remote(peer.Listener.Addr().String(), string(fleetPool))
 		Expect(err).NotTo(HaveOccurred())
 		view = &fleetView{shard: remote, store: records}
 		api, err := fleetapi.NewServer(view, operatorapi.Tokens{"good"}, quiet)
--- a/internal/hosts/moves.go
+++ b/internal/hosts/moves.go
@@ -36,8 +36,8 @@
 	// lendAfter and restAfter.
 	lendWanted, restWanted int
 	// keep is set while nobody knows what the pool needs: it stays as it is.
-	keep bool
-	releasable             []worker.ID
+	keep       bool
+	releasable []worker.ID
 }
 
 func (p *pool) size() int { return len(p.hosts) + p.incoming }
--- a/internal/jobapi/client.go
+++ b/internal/jobapi/client.go
@@ -12,6 +12,7 @@
 
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobapi/oas"
+	"samphirestile.example/samphirestile/internal/metrics"
 	"samphirestile.example/samphirestile/internal/shard"
 	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
@@ -34,11 +35,20 @@
 	byAddress map[string]*oas.Client
 }
 
-// NewClients returns clients without connections.
-func NewClients() *Clients {
+// NewClients returns clients without connections, whose bytes are counted by traffic
+// unless it is nil.
+func NewClients(traffic *metrics.Traffic) *Clients {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return traffic.Conn(c), nil
+	}
 	return &Clients{
 		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: peerIdleConnections, DisableCompression: true,
 		}},
 		byAddress: map[string]*oas.Client{},
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -70,6 +70,7 @@
 	clients        *jobapi.Clients
 	advisor        worker.Advisor // nil where no queue has one
 	machines       *platform.Hosts
+	workers        platform.Workers
 	operators      operatorapi.Tokens
 	metrics        *metrics.Registry
 	stopping       atomic.Bool
@@ -94,17 +95,19 @@
 	if _, err := rand.Read(incarnation); err != nil {
 		return nil, fmt.Errorf("incarnation: %w", err)
 	}
+	counted := metrics.New()
 	d := &Daemon{
-		settings: s, log: log, direct: platform.NewStore(s.StoreAddress), clients: jobapi.NewClients(),
-		machines: platform.NewHosts(s.HostsAddress), operators: operators,
-		metrics: metrics.New(), shards: map[string]*served{},
+		settings: s, log: log, direct: platform.NewStore(s.StoreAddress, counted.Traffic("store"), counted.Traffic("store_watch")),
+		clients: jobapi.NewClients(counted.Traffic("daemon")), machines: platform.NewHosts(s.HostsAddress, counted.Traffic("hosts")),
+		workers: platform.Workers{Traffic: counted.Traffic("worker")}, operators: operators,
+		metrics: counted, shards: map[string]*served{},
 		self: lease.Member{Name: s.Node, Address: s.PeerAddress, Incarnation: hex.EncodeToString(incarnation), Power: s.Power},
 	}
 	d.store = store.Hedged{Transactional: &store.Detour{
 		Transactional: d.direct, Peers: func() []string { return d.owners.Peers() }, Through: d.clients.StoreCall, Log: log,
 	}}
 	if s.AdvisorAddress != "" {
-		d.advisor = platform.NewAdvisor(s.AdvisorAddress)
+		d.advisor = platform.NewAdvisor(s.AdvisorAddress, counted.Traffic("advisor"))
 	}
 	d.keeper = lease.NewKeeper(d.store, d.self, log)
 	d.owners = lease.NewOwners(d.store, d.keeper, d.self, d, d.shardNames, log)
@@ -253,7 +256,7 @@
 	workerLease := min(shard.MaxWorkerLease, b.MaxLease/2)
 	return shard.Config{
 		Shard: name, Service: service, Token: token, OwnerKey: lease.OwnerKey(name), PartKey: lease.PartKey(name), Store: d.store,
-		Dialer: platform.Workers{}, Advisor: d.advisor, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
+		Dialer: d.workers, Advisor: d.advisor, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
 		Bounds:      shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention},
 		OrdersUntil: func() steady.Time { return d.keeper.ValidUntil().Add(workerLease) },
 		Workers:     func() map[worker.ID]worker.Worker { return d.workersOf(name, service) },
@@ -420,10 +423,15 @@
 	type listener struct {
 		address string
 		handler http.Handler
+		// peer is the kind of callers, for the count of bytes.
+		peer string
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadinessPath, d.serveReadiness)
-	all := []listener{{d.settings.ClientAddress, gateway}, {d.settings.ReadyAddress, ready}, {d.settings.PeerAddress, peers}, {d.settings.MetricsAddress, d.metrics.Handler()}}
+	all := []listener{
+		{d.settings.ClientAddress, gateway, "client"}, {d.settings.ReadyAddress, ready, "readiness"},
+		{d.settings.PeerAddress, peers, "daemon"}, {d.settings.MetricsAddress, d.metrics.Handler(), "metrics"},
+	}
 	failed := make(chan error, len(all))
 	var servers []*httpserver.Server
 	if len(d.operators) > 0 {
@@ -431,7 +439,7 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("operator interface: %w", err)
 		}
-		all = append(all, listener{d.settings.OperatorAddress, operators})
+		all = append(all, listener{d.settings.OperatorAddress, operators, "operator"})
 	}
 	for _, l := range all {
 		if l.address == "" {
@@ -444,7 +452,7 @@
 		s := httpserver.New(&http.Server{Addr: l.address, Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
 		servers = append(servers, s)
 		go func() {
-			if err := s.Serve(s.Listener(open)); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(s.Listener(d.metrics.Traffic(l.peer).Listener(open))); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s: %w", l.address, err)
 			}
 		}()
--- /dev/null
+++ b/internal/metrics/traffic.go
@@ -0,0 +1,63 @@
+package metrics
+
+import (
+	"net"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Traffic counts the bytes of the connections to one kind of peer.
+type Traffic struct{ in, out tally.Counter }
+
+// Traffic returns the counters of a kind of peer: traffic_bytes with the tags peer and
+// direction, in bytes as the process reads and writes them.
+func (r *Registry) Traffic(peer string) *Traffic {
+	counter := func(direction string) tally.Counter {
+		return r.scope.Tagged(map[string]string{"peer": peer, "direction": direction}).Counter("traffic_bytes")
+	}
+	return &Traffic{in: counter("in"), out: counter("out")}
+}
+
+// Conn returns the connection with its bytes counted. A nil Traffic counts nothing.
+func (t *Traffic) Conn(c net.Conn) net.Conn {
+	if t == nil {
+		return c
+	}
+	return &countedConn{Conn: c, traffic: t}
+}
+
+// Listener returns the listener with the bytes of its connections counted.
+func (t *Traffic) Listener(l net.Listener) net.Listener { return countedListener{l, t} }
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.in.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.out.Inc(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.Conn(c), nil
+}
