--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -21,6 +21,10 @@
 	// maxSteps and maxTasks bound what one job can take of a daemon's memory.
 	maxSteps = 256
 	maxTasks = 20_000
+	// maxRuns bounds the times of a scheduled job, and maxScheduledTasks the tasks of all of
+	// them together: those whose time has passed when the job comes are due at once.
+	maxRuns           = 10_000
+	maxScheduledTasks = 100_000
 )
 
 // Step is a set of like tasks.
@@ -133,6 +137,9 @@
 	if j.MaxRuns < 0 || j.Interval < 0 {
 		return &InvalidError{"negative number of runs or interval"}
 	}
+	if j.MaxRuns > maxRuns || j.MaxRuns*tasks > maxScheduledTasks {
+		return &InvalidError{fmt.Sprintf("%d runs of %d tasks, at most %d runs and %d tasks in all", j.MaxRuns, tasks, maxRuns, maxScheduledTasks)}
+	}
 	return nil
 }
 
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -36,6 +36,8 @@
 		Entry("for too many tasks", func(j *job.Job) { j.Steps[0].Count, j.Steps[1].Count = 15_000, 15_000 }, "30001 tasks"),
 		Entry("for a negative need", func(j *job.Job) { j.Steps[0].Need = worker.Resources{CPU: -1} }, "negative"),
 		Entry("for negative runs", func(j *job.Job) { j.MaxRuns = -1 }, "negative"),
+		Entry("for more runs than a daemon can hold", func(j *job.Job) { j.MaxRuns = 1 << 40 }, "at most 10000 runs"),
+		Entry("for runs with more tasks than a daemon can hold", func(j *job.Job) { j.Steps[0].Count, j.MaxRuns = 1000, 5000 }, "100000 tasks in all"),
 	)
 	It("has the longest path through its steps as its chain", func() {
 		j := valid()
