Close only some loaded workers at a time for a part that lacks them

Cause: the larger bound on workers that are given away at one look (60, for idle ones) held for loaded ones as well, which take nothing until they are empty: in a turn up to 60 stood closed. Spec 'are closed only some at a time' failed with 60.

--- a/internal/claim/assigner.go
+++ b/internal/claim/assigner.go
@@ -341,9 +341,10 @@
 		return to, partition.Choose(idle, n, *held[to])
 	}
 	if n > 0 && held[to].Workers < held[to].Wanted {
-		// What runs there ends soon; until then the same ones come first.
+		// What runs there ends soon; until then the same ones come first. They take nothing
+		// meanwhile, so that only some are asked for at a time.
 		drainable := a.Shard.Drainable()
-		return to, drainable[:min(n, len(drainable))]
+		return to, drainable[:min(n, claimsAtOnce, len(drainable))]
 	}
 	to, kind := partition.MissingKind(held, part.Shard())
 	if to == "" {
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -276,6 +276,36 @@
 		second.mu.Unlock()
 		Eventually(count(second), soon).Should(BeNumerically(">=", 8))
 	})
+	It("are closed only some at a time for a part that lacks them, as they take nothing meanwhile", func() {
+		p.list(0, 200)
+		p.depths[pool], p.depth = 1, 1
+		first := own(pool)
+		Eventually(count(first), soon).Should(Equal(200))
+		first.mu.Lock()
+		for _, id := range first.held() {
+			// Nothing ends by itself.
+			first.busy[id], first.lasting[id] = true, false
+		}
+		first.mu.Unlock()
+		second := own(pool + "#1")
+		second.mu.Lock()
+		second.wanted = 150
+		second.mu.Unlock()
+		most := 0
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			first.mu.Lock()
+			closed := 0
+			for _, id := range first.held() {
+				if first.asked[id] {
+					closed++
+				}
+			}
+			first.mu.Unlock()
+			most = max(most, closed)
+		}
+		Expect(most).To(And(BeNumerically(">", 0), BeNumerically("<=", 16)))
+	})
 	It("stay together while the part is in its turn", func() {
 		p.depth = 1
 		first := own(pool)
