--- a/cmd/samphirestile-emulator/bench.go
+++ b/cmd/samphirestile-emulator/bench.go
@@ -10,7 +10,7 @@
 type benchCommand struct {
 	Daemon string   `required:"" help:"Path of samphirestiled." type:"existingfile"`
 	Mode   string   `help:"short or full." enum:"short,full" default:"short"`
-	Only   []string `help:"Groups to run: path, share, burst, urgent, limit, key, stop, control, job."`
+	Only   []string `help:"Groups to run: path, share, burst, urgent, limit, key, config, stop, control, job."`
 }
 
 // Run prints the metrics; a missed target is reported on standard error and is
