--- a/internal/membership/cell_test.go
+++ b/internal/membership/cell_test.go
@@ -69,6 +69,8 @@
 		for _, f := range s.cleanups {
 			f()
 		}
+		// Messages and writes that are carried out late need the clock to go on.
+		time.Sleep(10 * interval)
 	}()
 	body(s)
 }
