--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -423,13 +423,15 @@
 	for _, s := range o.sessions {
 		c.Host = worker.Resources{CPU: max(c.Host.CPU, s.Capacity.CPU), MemMB: max(c.Host.MemMB, s.Capacity.MemMB), GPU: max(c.Host.GPU, s.Capacity.GPU)}
 	}
-	short := o.unplaced.hosts(now, c.Host)
-	if short > 0 {
-		// The sizes of tasks and hosts may not go together however much room there is.
-		short += o.present()
+	// The sizes of tasks and hosts may not go together however much room there is.
+	o.partNeeds = o.needed(c, now)
+	if short := o.unplaced.hosts(now, c.Host, unplacedInPart); short > 0 {
+		o.partNeeds = max(o.partNeeds, o.present()+short)
+	}
+	wanted := capacity.HostsWanted(c)
+	if short := o.unplaced.hosts(now, c.Host, unplacedInPool); short > 0 {
+		wanted = max(wanted, o.present()+short)
 	}
-	o.partNeeds = max(o.needed(c, now), short)
-	wanted := max(capacity.HostsWanted(c), short)
 	if wanted != o.wanted {
 		o.wanted = wanted
 		o.Log.WithFields(logrus.Fields{
@@ -458,9 +460,15 @@
 	room  worker.Resources
 }
 
-// unplacedAfter is how long lasting work must have found no room before hosts are
-// asked for its sake. A task that is moved finds room within some tenths of a second.
-const unplacedAfter = 300 * time.Millisecond
+const (
+	// unplacedInPart is how long lasting work must have found no room before the other
+	// parts of the pool are asked for workers for its sake. Upkeep moves such tasks all
+	// the time, and most find room within a second.
+	unplacedInPart = time.Second
+	// unplacedInPool is the same before other pools are asked for hosts. A pool that
+	// asks for them lends none, and its hosts wait for their upkeep.
+	unplacedInPool = 2500 * time.Millisecond
+)
 
 func (u *unplaced) add(s *job.Step, tasks int) {
 	u.tasks += tasks
@@ -477,12 +485,12 @@
 	}
 }
 
-// hosts returns how many hosts more the work needs.
+// hosts returns how many hosts more the work needs that found no room for so long.
 //
 // Load pattern: tasks that take half of a host and more, a few to a host at most,
 // beside others that last. Their sum fits into the pool, and no host has room for one.
-func (u *unplaced) hosts(now steady.Time, host worker.Resources) int {
-	if u.since == 0 || now.Sub(u.since) < unplacedAfter || host.CPU <= 0 {
+func (u *unplaced) hosts(now steady.Time, host worker.Resources, after time.Duration) int {
+	if u.since == 0 || now.Sub(u.since) < after || host.CPU <= 0 {
 		return 0
 	}
 	return min(u.tasks, max(1, int(math.Ceil(u.room.Share(host)))))
