Records of workers shrink after the ends that were listed there (TWICE)

Trace: the store is silent from 31.0 to 33.9 s; at 32.87 the part vohu23c#2 is given to a daemon with less load. The last records of the former owner take more than one transaction of 29 writes. The first one held the list of workers, without those on which nothing runs any more; those with the progress failed at 34.39 ("last progress not recorded"). The new owner did not know that these workers may hold ends, and started their tasks again. Ruled out: claims of other parts, the bound after acquiring, and reads by the new owner.

Change: a record that names more workers goes first and drops none; one that names fewer goes after the progress of the same batch, and what a failed write would have dropped stays known (leaving).

Spec "does not start again what had ended when its last records were cut off": failed 3 of 3 before, passes now.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -77,8 +77,10 @@
 	finals   []*entry
 	expired  []job.ID
 	workers  map[worker.ID]recordedWorker
-	depth    int
-	seen     map[*session]endNumber
+	// drops is set when workers lacks some that the record names.
+	drops bool
+	depth int
+	seen  map[*session]endNumber
 }
 
 // endNumber is an end of one life of a worker.
@@ -159,19 +161,8 @@
 		}
 	}
 	b.writes = append(b.writes, progress...)
-	if workers, due := o.workersToRecord(len(b.writes) > 0); due {
-		value, err := json.Marshal(workers)
-		if err != nil {
-			return nil, fmt.Errorf("encode workers: %w", err)
-		}
-		b.workers = workers
-		for id := range o.recorded {
-			// A worker that comes back takes nothing before it is recorded anew.
-			if w, ok := workers[id]; !ok || w.Tasks != nil {
-				delete(o.recorded, id)
-			}
-		}
-		b.writes = append([]store.Write{{Key: jobstore.WorkersKey(o.Shard), Value: value}}, b.writes...)
+	if err := o.collectWorkers(b); err != nil {
+		return nil, err
 	}
 	if o.part.Depth != o.recordedDepth {
 		// After all jobs that were accepted before the split: the new part's owner reads them.
@@ -205,11 +196,64 @@
 	return json.Unmarshal(b, (*plain)(w))
 }
 
-// workersToRecord returns the workers on which runs may be, and whether to record
-// them. The next owner starts nothing that an earlier one may have started before
-// all of them have answered, or their leases have ended. beside tells that other
-// records are written as well; workers that have left are dropped only then.
-func (o *Owner) workersToRecord(beside bool) (map[worker.ID]recordedWorker, bool) {
+// collectWorkers adds the record of the workers on which runs may be, if it is due.
+// The next owner starts nothing that an earlier one may have started before all of
+// them have answered, or their leases have ended.
+//
+// A batch may be cut in two. So a record with more workers is written first and
+// drops none, and a record with fewer is written after the ends that were listed there.
+func (o *Owner) collectWorkers(b *batch) error {
+	workers := o.usedWorkers()
+	added, named := false, 0
+	for id, w := range workers {
+		if w.Tasks != nil {
+			continue
+		}
+		named++
+		if _, ok := o.recorded[id]; !ok {
+			added = true
+		}
+	}
+	switch {
+	case added:
+		for _, former := range []map[worker.ID]string{o.recorded, o.leaving} {
+			for id, address := range former {
+				if w, ok := workers[id]; !ok || w.Tasks != nil {
+					workers[id] = recordedWorker{Address: address}
+				}
+			}
+		}
+	case named == len(o.recorded)+len(o.leaving):
+		return nil
+	case len(b.writes) == 0 && !o.closed:
+		// Workers that have left are dropped when other records are written as well.
+		return nil
+	default:
+		b.drops = true
+		for id, address := range o.recorded {
+			// A worker that comes back takes nothing before it is recorded anew.
+			if w, ok := workers[id]; !ok || w.Tasks != nil {
+				delete(o.recorded, id)
+				o.leaving[id] = address
+			}
+		}
+	}
+	value, err := json.Marshal(workers)
+	if err != nil {
+		return fmt.Errorf("encode workers: %w", err)
+	}
+	b.workers = workers
+	record := store.Write{Key: jobstore.WorkersKey(o.Shard), Value: value}
+	if b.drops {
+		b.writes = append(b.writes, record)
+	} else {
+		b.writes = append([]store.Write{record}, b.writes...)
+	}
+	return nil
+}
+
+// usedWorkers returns the workers on which runs may be.
+func (o *Owner) usedWorkers() map[worker.ID]recordedWorker {
 	workers := map[worker.ID]recordedWorker{}
 	for id, s := range o.sessions {
 		switch w := (recordedWorker{Address: s.Address}); {
@@ -226,17 +270,7 @@
 	for id, w := range o.unseen {
 		workers[id] = w
 	}
-	added, usable := false, 0
-	for id, w := range workers {
-		if w.Tasks != nil {
-			continue
-		}
-		usable++
-		if _, ok := o.recorded[id]; !ok {
-			added = true
-		}
-	}
-	return workers, added || (usable != len(o.recorded) && (beside || o.closed))
+	return workers
 }
 
 // tasks names the tasks of the runs, without duplicates.
@@ -278,12 +312,7 @@
 		o.Log.WithFields(logrus.Fields{"shard": o.Shard, "token": o.Token, "depth": b.depth, "jobs": len(o.jobs), "workers": len(o.sessions)}).Info("shard split")
 	}
 	if b.workers != nil {
-		o.recorded = map[worker.ID]string{}
-		for id, w := range b.workers {
-			if w.Tasks == nil {
-				o.recorded[id] = w.Address
-			}
-		}
+		o.settleWorkers(b)
 		o.schedule()
 	}
 	for s, n := range b.seen {
@@ -296,3 +325,18 @@
 		o.schedule()
 	}
 }
+
+// settleWorkers notes which workers the record names. The caller holds mu.
+func (o *Owner) settleWorkers(b *batch) {
+	if b.drops {
+		clear(o.leaving)
+	}
+	clear(o.recorded)
+	for id, w := range b.workers {
+		if _, leaves := o.leaving[id]; w.Tasks != nil || (leaves && o.sessions[id] == nil) {
+			continue
+		}
+		delete(o.leaving, id)
+		o.recorded[id] = w.Address
+	}
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -111,6 +111,8 @@
 	sessions map[worker.ID]*session
 	// recorded are the workers on which this owner may start runs, with their addresses.
 	recorded map[worker.ID]string
+	// leaving are named by the record as well, until a write without them has an answer.
+	leaving map[worker.ID]string
 	// unseen holds recorded workers that have not answered this owner yet.
 	unseen  map[worker.ID]recordedWorker
 	usage   map[string]worker.Resources
@@ -195,7 +197,7 @@
 	o := &Owner{
 		Config: c, acquired: steady.Now(), wake: make(chan struct{}, 1), commits: make(chan struct{}, 1),
 		jobs: map[job.ID]*entry{}, active: map[job.ID]*entry{}, sessions: map[worker.ID]*session{},
-		recorded: map[worker.ID]string{}, unseen: map[worker.ID]recordedWorker{}, usage: map[string]worker.Resources{},
+		recorded: map[worker.ID]string{}, leaving: map[worker.ID]string{}, unseen: map[worker.ID]recordedWorker{}, usage: map[string]worker.Resources{},
 		learned: map[string]*durations{}, arrived: map[job.ID]steady.Time{}, ready: make(chan struct{}),
 		advised: make(chan struct{}, 1), part: partition.Parse(c.Shard), elsewhere: map[job.ID]string{},
 	}
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -56,6 +57,34 @@
 	// workers were given to their part.
 	notOf  map[string][]worker.ID
 	claims map[worker.ID]uint64
+	// through is put between the store and owners that are started from then on.
+	through func(store.Transactional) store.Transactional
+}
+
+// cutStore cannot be reached any more after it has written a certain key.
+type cutStore struct {
+	store.Transactional
+	key string
+
+	mu         sync.Mutex
+	armed, cut bool
+}
+
+func (c *cutStore) arm() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.armed = true
+}
+
+func (c *cutStore) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut {
+		return 0, &store.UnavailableError{Cause: errors.New("cut")}
+	}
+	revision, err := c.Transactional.Commit(ctx, t)
+	c.cut = c.armed && err == nil && slices.ContainsFunc(t.Writes, func(w store.Write) bool { return w.Key == c.key })
+	return revision, err
 }
 
 const defaultDuration = 30 * time.Millisecond
@@ -153,10 +182,14 @@
 	quiet.SetOutput(io.Discard)
 	ownerKey := ownerKey + "/" + name
 	token := b.touch(ownerKey)
+	records := store.Transactional(b.store)
+	if b.through != nil {
+		records = b.through(records)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{cancel: cancel, done: make(chan struct{})}
 	o.Owner = shard.New(shard.Config{
-		Shard: name, Service: service, Token: token, OwnerKey: ownerKey, PartKey: "test/part/" + name, Store: b.store, Dialer: b.workers, Advisor: b.advisor,
+		Shard: name, Service: service, Token: token, OwnerKey: ownerKey, PartKey: "test/part/" + name, Store: records, Dialer: b.workers, Advisor: b.advisor,
 		Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopGrace: stopGrace, StatusRetention: time.Minute},
 		OrdersUntil: func() steady.Time {
 			o.mu.Lock()
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -15,6 +15,7 @@
 	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/jobstore"
 	"samphirestile.example/samphirestile/internal/shard"
+	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
@@ -267,6 +268,59 @@
 			Eventually(b.own().state, soon).WithArguments(j.ID).Should(Equal("completed"))
 		})
 
+		It("does not start again what had ended when its last records were cut off", func() {
+			b = newBench(4)
+			records := &cutStore{key: jobstore.WorkersKey("quoter")}
+			b.through = func(s store.Transactional) store.Transactional {
+				records.Transactional = s
+				return records
+			}
+			first := b.own()
+			var jobs []job.Job
+			for n := range jobstore.MaxBatch + 3 {
+				j := jobOf(n+1, job.Step{})
+				ends := 700 * time.Millisecond
+				if n == 0 {
+					// The record of this end is on its way when the others end.
+					ends = 450 * time.Millisecond
+				}
+				b.behave(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: ends})
+				jobs = append(jobs, j)
+				first.submit(j)
+			}
+			running := func() int {
+				n := 0
+				for _, id := range []string{"w0", "w1", "w2", "w3"} {
+					n += b.worker(id).Running()
+				}
+				return n
+			}
+			Eventually(running, soon).Should(Equal(len(jobs)))
+			b.store.SetFaults(cluster.StoreFaults{Down: true})
+			Eventually(running, soon).Should(BeZero())
+			time.Sleep(100 * time.Millisecond) // the owner learns of the ends
+			records.arm()
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				first.Close()
+			}()
+			time.Sleep(100 * time.Millisecond)
+			b.store.SetFaults(cluster.StoreFaults{})
+			Eventually(closed, soon).Should(BeClosed())
+			first.stop()
+			b.through = nil
+			// One worker answers the new owner at once, the others late.
+			for _, id := range []string{"w1", "w2", "w3"} {
+				b.worker(id).SetFaults(cluster.WorkerFaults{SlowHolds: 300 * time.Millisecond})
+			}
+			second := b.own()
+			for _, j := range jobs {
+				Eventually(second.state, soon).WithArguments(j.ID).Should(Equal("completed"))
+				Expect(b.workers.History.Starts(string(j.ID) + ".0.0.0")).To(Equal(1))
+			}
+		})
+
 		It("counts failures that two workers list in any order", func() {
 			b = newBench(2)
 			first := b.own()
