Give no shard away while the store does not answer

Now a daemon gives a shard away only while renewals of its lease are confirmed (renewInterval + renewTimeout).

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -90,6 +90,13 @@
 	return confirmed.Add(TTL)
 }
 
+// answered reports whether the last renewal was confirmed in time. A store that is
+// silent would keep a shard that is handed over without an owner until it answers.
+func (k *Keeper) answered(now steady.Time) bool {
+	id, confirmed := k.Lease()
+	return id != 0 && now.Sub(confirmed) < renewInterval+renewTimeout
+}
+
 // Run keeps the lease until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	first := true
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -112,6 +112,17 @@
 		}
 		Consistently(func() int { return total(first, second) }, time.Second).Should(Equal(len(shards)))
 	})
+	It("give no shard away while the store does not answer", func() {
+		first := start("x", "x1")
+		Eventually(first.served, 5*time.Second).Should(HaveLen(len(shards)))
+		second := start("y", "y1")
+		Eventually(first.owners.Members, time.Second).Should(Equal(2))
+		time.Sleep(shedAfter - renewInterval - renewTimeout - 300*time.Millisecond)
+		s.SetFaults(cluster.StoreFaults{Down: true})
+		Consistently(first.served, renewInterval+renewTimeout+300*time.Millisecond+2*calmTick).Should(HaveLen(len(shards)))
+		s.SetFaults(cluster.StoreFaults{})
+		Eventually(second.served, 3*shedAfter).ShouldNot(BeEmpty())
+	})
 	It("see the depths of parts", func() {
 		d := start("x", "x1")
 		_, err := s.Commit(context.Background(), store.Transaction{Writes: []store.Write{
--- a/internal/lease/owners.go
+++ b/internal/lease/owners.go
@@ -354,7 +354,7 @@
 		return "", 0
 	}
 	members, owned := o.loads()
-	if !overloaded(o.self, members, owned) {
+	if !overloaded(o.self, members, owned) || !o.keeper.answered(now) {
 		return "", 0
 	}
 	chosen := ""
