--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -277,6 +277,28 @@
 		Expect(units()).To(Equal(entry()))
 	})
 
+	It("guards against units that nobody uses after the answer to a raise was lost", func() {
+		backing.write(record{Limit: 8, Revision: 1, Holders: map[string]int{"s2": 2}})
+		var once sync.Once
+		raised, lost := 0, make(chan struct{})
+		backing.hook = func(apply func() (uint64, error)) (uint64, error) {
+			revision, err := apply()
+			once.Do(func() {
+				raised, err = entry(), &store.UnknownOutcomeError{}
+				// The daemon needs nothing any more; another one takes what is free.
+				seats.peer(2, 2, 30)
+				a.SetDemand(team, 0)
+				close(lost)
+			})
+			return revision, err
+		}
+		a.SetDemand(team, 6)
+		run()
+		<-lost
+		Expect(raised).To(Equal(6))
+		Eventually(entry, 20*tick).Should(BeZero())
+	})
+
 	It("guards against the use of units whose lowering may still apply later", func() {
 		a.SetDemand(team, 8)
 		run()
