Units that the record names already are confirmed before they are used

Change: a plan that uses more units than are confirmed is written also when the record stays the same.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -299,6 +299,14 @@
 		Eventually(entry, 20*tick).Should(BeZero())
 	})
 
+	It("guards against units that the record names already and the daemon does not use", func() {
+		backing.write(record{Limit: 8, Revision: 1, Holders: map[string]int{string(self): 3, "s2": 5}})
+		seats.peer(5, 5, 0)
+		a.SetDemand(team, 3)
+		run()
+		Eventually(units).Should(Equal(3))
+	})
+
 	It("guards against the use of units whose lowering may still apply later", func() {
 		a.SetDemand(team, 8)
 		run()
--- a/internal/allotment/plan.go
+++ b/internal/allotment/plan.go
@@ -181,10 +181,10 @@
 // checkPlan applies the caps and returns the plan if it changes the record, after
 // lowering the local counts.
 func (a *Allotments) checkPlan(t *team, p *plan) *plan {
-	uncertain := false
+	unconfirmed := false
 	for _, x := range p.seats {
 		x.u.cap = x.cap
-		uncertain = uncertain || (x.u.uncertain && !x.u.imported)
+		unconfirmed = unconfirmed || (x.u.uncertain && !x.u.imported) || x.entry > x.u.units
 	}
 	changed := len(p.next.Holders) != len(t.record.Holders)
 	raises := false
@@ -193,9 +193,9 @@
 		raises = raises || n > t.record.Holders[s]
 	}
 	changed = changed || (p.next.Limit != t.record.Limit && (raises || p.next.Limit < t.record.Limit))
-	// Also the same record is written again, or read after the conflict, while an earlier
-	// write may have left more units there than this daemon uses.
-	changed = changed || uncertain
+	// The same record is written again, or read after the conflict, if it may hold more
+	// units for this daemon than it knows of, or holds those that it wants to use.
+	changed = changed || unconfirmed
 	if !changed || (raises && p.next.sum() > p.next.Limit) {
 		return nil
 	}
