A read of an allotment's record costs half a write; three specs of membership are mended

Seen: "guards against an overload of all teams that exceeds the budget", 4,133 bytes of 4,096 in 1 of 75 whole runs of internal/membership: 2.10 store calls a daemon and interval. A read counted as a quarter of a write, though it moves as many bytes, so up to four reads a second fitted into the budget.

--- a/internal/allotment/adjust.go
+++ b/internal/allotment/adjust.go
@@ -15,8 +15,9 @@
 	maxBackoff = 32
 	// maxOverBackoff is the bound while the sum is over the limit and nothing may start.
 	maxOverBackoff = 4
-	// readCost is the price of a read in the budget of writes.
-	readCost = 0.25
+	// readCost is the price of a read in the budget of writes. A read moves as many bytes
+	// as a write and loads the store less.
+	readCost = 0.5
 	// askIntervals is the time between two extra heartbeats, in write intervals.
 	askIntervals = 2
 	// maxAttempts bounds the writes of one adjustment that meet a conflict.
