Claims raise the fencing token only while the ownership is certain

An owner whose lease may have ended still follows the claims. A claim that was written under its successor gave it the successor's own token, so its holds, stops and second attempts of starts would have passed the worker's fence.

--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -128,8 +128,13 @@
 }
 
 // raiseToken makes the token higher than those of all former owners of the worker.
+// A claim that was made under a successor of this owner would let its orders pass, so
+// claims count only while the ownership is certain.
 func (s *session) raiseToken() {
 	s.token = max(s.token, s.owner.Token)
+	if !s.owner.mayStart(steady.Now()) {
+		return
+	}
 	if name, revision := s.owner.claimOn(s.ID); name == s.owner.Shard {
 		s.token = max(s.token, revision)
 	}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -563,6 +563,28 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
 		Expect(errors.As(<-first, new(*shard.UnknownError))).To(BeTrue(), "the first may have been recorded")
 	})
+	It("gives no orders under a claim that came after its ownership had ended", func() {
+		b = newBench(1)
+		o := b.own()
+		j := jobOf(1, job.Step{})
+		b.behave(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: time.Hour})
+		o.submit(j)
+		Eventually(b.worker("w0").Running, soon).Should(Equal(1))
+		o.orders(shard.MaxWorkerLease)
+		claimed := b.touch("claim/w0")
+		b.mu.Lock()
+		b.claims["w0"] = claimed
+		b.mu.Unlock()
+		time.Sleep(2500 * time.Millisecond) // the owner has looked at the claims and held the worker
+		w := b.listed()["w0"]
+		_, err := b.workers.Dial(w).Stop(context.Background(), claimed-1, "0000000000000002.0.0.0", 1)
+		Expect(err).NotTo(HaveOccurred(), "the worker follows the claim")
+		o.orders(time.Hour)
+		Eventually(func() error {
+			_, err := b.workers.Dial(w).Stop(context.Background(), claimed-1, "0000000000000002.0.0.0", 1)
+			return err
+		}, 2*soon).Should(HaveOccurred())
+	})
 	It("starts nothing once its right to give leases has ended", func() {
 		b = newBench(1)
 		o := b.own()
