A large part that lacks a few workers gets them

Lasting tasks of the part cuhu38c stood from 23.6 to 31.5 s without room (four starts met hosts that had just gone down, then no worker suited), beside 15 other parts of the pool. The part asked for one to thirteen workers more than its 61, and a rise by less than a quarter was not recorded. Where it is known, parts with one worker to spare gave none, because half a worker more than is due was asked for. Hosts with lasting tasks that cannot be moved are not emptied in time.

Change: a part records its need also when it begins to lack workers; the part with most to spare gives one at least. Specs failed before (12 workers after 5 s, n 0), pass now.

--- a/internal/claim/assigner.go
+++ b/internal/claim/assigner.go
@@ -22,7 +22,7 @@
 	// balanceInterval is the pause between two looks at the sizes of the parts.
 	balanceInterval = 500 * time.Millisecond
 	// wantedInterval is the least time between two records of the wanted workers, and
-	// wantedShare by how much the number must have changed.
+	// wantedShare by how much the number must have changed unless the part begins to lack some.
 	wantedInterval = 500 * time.Millisecond
 	wantedShare    = 0.25
 	// splitMargin times the workers that a part wants is below what it has while it may
@@ -93,6 +93,8 @@
 	unsettled map[worker.ID]uint64
 	// wantedAt is when the wanted workers were last recorded.
 	wantedAt steady.Time
+	// workers is how many the part had at the last look.
+	workers int
 }
 
 // New returns an assigner that is not running yet.
@@ -177,6 +179,9 @@
 	}
 	maps.DeleteFunc(a.free, func(id worker.ID, _ steady.Time) bool { _, ok := listed[id]; return !ok })
 	maps.DeleteFunc(a.gone, func(id worker.ID, _ steady.Time) bool { _, ok := claims[id]; return !ok })
+	if own := held[part.Shard()]; own != nil {
+		a.workers = own.Workers
+	}
 	if len(free) > 0 {
 		return a.claim(ctx, part, free, held)
 	}
@@ -197,7 +202,9 @@
 func (a *Assigner) recordWanted(ctx context.Context, part partition.Part) error {
 	now, wanted, known := steady.Now(), a.Shard.Wanted(), a.Book.Wanted(part.Shard())
 	changed := max(wanted-known, known-wanted)
-	if changed == 0 || float64(changed) < wantedShare*float64(known) || now.Sub(a.wantedAt) < wantedInterval {
+	// However few a part lacks, the others give none before they know of it.
+	lacks := wanted > a.workers && known <= a.workers
+	if changed == 0 || (float64(changed) < wantedShare*float64(known) && !lacks) || now.Sub(a.wantedAt) < wantedInterval {
 		return nil
 	}
 	a.wantedAt = now
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -260,6 +260,21 @@
 		Eventually(count(second), soon).Should(BeNumerically(">=", 18))
 		Eventually(count(first), soon).Should(BeNumerically("<=", 6))
 	})
+	It("go to a part that lacks a few of many", func() {
+		p.depths[pool], p.depth = 1, 1
+		first, second := own(pool), own(pool+"#1")
+		Eventually(count(second), soon).Should(Equal(12))
+		want := func(s *part, n int) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.wanted = n
+		}
+		want(first, 10)
+		want(second, 11)
+		Eventually(func() int { return first.book.Wanted(pool + "#1") }, soon).Should(Equal(11))
+		want(second, 13)
+		Eventually(count(second), soon).Should(BeNumerically(">=", 13))
+	})
 	It("are emptied for a part that lacks them", func() {
 		p.depths[pool], p.depth = 1, 1
 		first := own(pool)
--- a/internal/partition/workers.go
+++ b/internal/partition/workers.go
@@ -148,7 +148,26 @@
 	if to == self || own+lack <= allowed {
 		return "", 0
 	}
-	return to, int(max(0, min(own, lack)) + 0.5)
+	n = int(max(0, min(own, lack)) + 0.5)
+	if n == 0 && held[to].Workers < held[to].Wanted && held.mostToSpare() == self {
+		n = 1
+	}
+	return to, n
+}
+
+// mostToSpare returns the part that has most workers beyond what it wants, or "".
+//
+// Load pattern: many small parts with one worker to spare each, beside a large one
+// that lacks a few. No small part has half a worker more than is due to it.
+func (h Holdings) mostToSpare() string {
+	best, most := "", 0
+	for shard, held := range h {
+		spare := held.Workers - held.Wanted
+		if spare > most || (spare == most && best != "" && shard < best) {
+			best, most = shard, spare
+		}
+	}
+	return best
 }
 
 // MissingKind returns a part that has no worker of a kind of which this part has
--- a/internal/partition/workers_test.go
+++ b/internal/partition/workers_test.go
@@ -30,6 +30,19 @@
 		return h["x"]
 	}
 
+	// oneToSpare is a large part b that lacks three beside fifteen small ones.
+	oneToSpare := func(first string) partition.Holdings {
+		held := partition.Holdings{"b": holding(20, 23), first: holding(4, 3)}
+		for i := range 14 {
+			held[fmt.Sprintf("c%02d", i)] = holding(4, 3)
+		}
+		if first != "a" {
+			held["a"] = held["c00"]
+			delete(held, "c00")
+		}
+		return held
+	}
+
 	It("are divided evenly, with every rack in each part", func() {
 		held := partition.Holdings{"a": {}, "b": {}, "c": {}, "d": {}}
 		all := workers(60, 3)
@@ -57,6 +70,8 @@
 		Entry("with the longer queue, while all lack some", partition.Holdings{"a": holding(60, 60), "b": holding(30, 120)}, "b", 30),
 		Entry("not while all lack as many", partition.Holdings{"a": holding(16, 30), "b": holding(16, 30)}, "", 0),
 		Entry("not by the part that lacks them", partition.Holdings{"a": holding(10, 20), "b": holding(20, 5)}, "", 0),
+		Entry("that lacks some, where each of the others has one to spare", oneToSpare("a"), "b", 1),
+		Entry("but by one of them at a time", oneToSpare("Z"), "b", 0),
 		Entry("not where there is one part", partition.Holdings{"a": holding(10, 20)}, "", 0),
 	)
 	It("are of every kind in each part", func() {
