A wave of upkeep takes hosts of full pools at the pace that ends in time

In the second half of a wave a pool that lacks hosts gave one at a time whatever its size: from 29.6 s on the last hosts went one after the other, until 47 s. Change: in the second half as many of its hosts go at once as leave the rest enough time. Spec: a table of four times; before, one host went in the second half whatever was left.

--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -494,7 +494,20 @@
 			}
 			return out
 		}
-		Expect(ids(nextHosts(w, progress, listed, surplus, false))).To(Equal([]fleet.HostID{"rest-0", "idle-0"}))
-		Expect(ids(nextHosts(w, progress, listed, surplus, true))).To(Equal([]fleet.HostID{"rest-0", "idle-0", "full-0"}))
+		Expect(ids(nextHosts(w, progress, listed, surplus, pace{}))).To(Equal([]fleet.HostID{"rest-0", "idle-0"}))
+		Expect(ids(nextHosts(w, progress, listed, surplus, pace{late: true, left: time.Minute, each: time.Second}))).To(Equal([]fleet.HostID{"rest-0", "idle-0", "full-0"}))
 	})
+	DescribeTable("takes as many of a pool that lacks hosts as end in time", func(p pace, n int) {
+		w, listed, progress := Wave{Number: 1, AtOnce: 100}, map[fleet.HostID]Host{}, map[fleet.HostID]*hostProgress{}
+		for i := range 40 {
+			id := fleet.HostID(fmt.Sprint("full-", i))
+			w.Hosts, listed[id], progress[id] = append(w.Hosts, id), Host{ID: id, Pool: "full", State: Up}, &hostProgress{}
+		}
+		Expect(nextHosts(w, progress, listed, map[fleet.ServiceID]int{"full": -3}, p)).To(HaveLen(n))
+	},
+		Entry("none in the first half", pace{left: 20 * time.Second, each: 4 * time.Second}, 0),
+		Entry("a part in the second", pace{late: true, left: 13 * time.Second, each: 4 * time.Second}, 13),
+		Entry("all in the end", pace{late: true, left: 3 * time.Second, each: 4 * time.Second}, 40),
+		Entry("all when it is over", pace{late: true, left: -time.Second, each: 4 * time.Second}, 40),
+	)
 })
--- a/internal/hosts/manager.go
+++ b/internal/hosts/manager.go
@@ -104,11 +104,14 @@
 	announced []fleet.HostID
 }
 
-// late reports whether the wave has used up the first part of its time. A time
-// of day that has jumped makes it late, which is the safe side.
-func (w *waveState) late() bool {
+// pace returns what the wave's time asks for. A time of day that has jumped makes
+// the wave late, which is the safe side.
+func (w *waveState) pace(upkeep time.Duration) pace {
 	elapsed := time.Duration(time.Now().UnixMilli()-w.openedMS) * time.Millisecond
-	return elapsed < 0 || elapsed > time.Duration(lateShare*float64(w.Within))
+	return pace{
+		late: elapsed < 0 || elapsed > time.Duration(lateShare*float64(w.Within)),
+		left: w.Within - max(0, elapsed), each: upkeep + emptyTime,
+	}
 }
 
 // waveRecord is the stored progress of a wave.
@@ -338,7 +341,7 @@
 		orders = append(orders, &order{host: h, known: ok && h.State == Up, repeated: true})
 	}
 	room := w.AtOnce - downHosts(w.progress)
-	for _, h := range nextHosts(w.Wave, w.progress, m.hosts, m.surpluses(now), w.late()) {
+	for _, h := range nextHosts(w.Wave, w.progress, m.hosts, m.surpluses(now), w.pace(m.UpkeepTime)) {
 		if m.transfers[h.ID] != nil || now < m.blocked[h.ID] {
 			continue
 		}
--- a/internal/hosts/wave.go
+++ b/internal/hosts/wave.go
@@ -1,6 +1,7 @@
 package hosts
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -44,40 +45,57 @@
 	// lateShare is the part of a wave's time after which pools that lack hosts
 	// have to give theirs as well.
 	lateShare = 0.5
+	// emptyTime is how long a host takes to be emptied: a lasting task is stopped and
+	// starts elsewhere, and a short one ends.
+	emptyTime = time.Second
 )
 
-// poolRoom tells how many of a pool's hosts may be emptied or down at once.
-func poolRoom(surplus int, late bool) int {
-	switch {
-	case surplus >= 0:
-		return surplus + 1
-	case late:
-		return 1
+// pace is what a wave's time tells of how many hosts must go at once.
+type pace struct {
+	// late is set in the last part of the wave's time, of which so much is left.
+	late bool
+	left time.Duration
+	// each is how long one host takes.
+	each time.Duration
+}
+
+// atOnce returns how many of so many hosts must go at once so that all go in time.
+func (p pace) atOnce(hosts int) int {
+	if !p.late {
+		return 0
+	}
+	if p.left <= p.each {
+		return hosts
 	}
-	return 0
+	return int(math.Ceil(float64(hosts) * float64(p.each) / float64(p.left)))
 }
 
+// poolRoom tells how many of a pool's hosts may be emptied or down at once; due are
+// those that have not gone yet.
+func poolRoom(surplus, due int, p pace) int { return max(0, surplus+1, p.atOnce(due)) }
+
 // nextHosts returns the hosts to empty now, in order. surplus tells by pool how
 // many hosts it has beyond what it wants; spare pools are not listed there.
 //
 // Load pattern: half of all hosts are due within half a minute, a few at once,
 // beside queues that fill their pools in turns. Hosts that are off go first,
 // then those of pools that have more than they want. A pool in its turn is left
-// alone in the first half of the wave's time.
-func nextHosts(w Wave, progress map[fleet.HostID]*hostProgress, listed map[fleet.HostID]Host, surplus map[fleet.ServiceID]int, late bool) []Host {
+// alone in the first half of the wave's time, and gives its hosts evenly in the second.
+func nextHosts(w Wave, progress map[fleet.HostID]*hostProgress, listed map[fleet.HostID]Host, surplus map[fleet.ServiceID]int, p pace) []Host {
 	down := 0
-	busy := map[fleet.ServiceID]int{}
+	busy, due := map[fleet.ServiceID]int{}, map[fleet.ServiceID]int{}
 	var candidates []Host
 	for _, id := range w.Hosts {
-		p := progress[id]
+		host := progress[id]
 		h, ok := listed[id]
-		if p.down() {
+		if host.down() {
 			down++
 			busy[h.Pool]++
 			continue
 		}
-		if ok && !p.begun() && h.State == Up {
+		if ok && !host.begun() && h.State == Up {
 			candidates = append(candidates, h)
+			due[h.Pool]++
 		}
 	}
 	sort.SliceStable(candidates, func(i, j int) bool {
@@ -93,7 +111,7 @@
 		if len(next) >= w.AtOnce-down+emptyAhead {
 			break
 		}
-		if s, inPool := surplus[h.Pool]; inPool && busy[h.Pool] >= poolRoom(s, late) {
+		if s, inPool := surplus[h.Pool]; inPool && busy[h.Pool] >= poolRoom(s, due[h.Pool], p) {
 			continue
 		}
 		busy[h.Pool]++
