--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,22 +1,13 @@
 #!/usr/bin/env bash
 # Runs the tests. Specs listed in KNOWN-RED.txt are passed over and printed.
-#
-# A line of KNOWN-RED.txt that starts with "package" names a package and a
-# regular expression of its specs, separated by " | ".
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-known_red=KNOWN-RED.txt
 declare -A skip
-if [ -f "$known_red" ]; then
-	while IFS='|' read -r kind package pattern; do
-		[ "$(echo "$kind" | xargs)" = package ] || continue
-		package=$(echo "$package" | xargs)
-		pattern=$(echo "$pattern" | sed 's/^ *//; s/ *$//')
-		echo "known red, passed over: $package: $pattern"
-		skip[$package]="${skip[$package]:+${skip[$package]}|}$pattern"
-	done <"$known_red"
-fi
+for package in $(scripts/known_red.sh); do
+	skip[$package]=$(scripts/known_red.sh "$package")
+	echo "known red, passed over: $package: ${skip[$package]}"
+done
 
 # Packages that start processes run alone and last, because load on the machine
 # changes what they measure. The others run three at a time: the specs of
