One way to count bytes of connections

The request path's gauges peer_listener_and_control_bytes_in and _out become samphirestile_traffic_bytes{peer="daemon"}, as on the job path.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -49,7 +50,7 @@
 	settings *settings.Settings
 	log      *logrus.Logger
 	secret   peerapi.Secret
-	traffic  *traffic
+	traffic  *metrics.Traffic
 
 	metrics    *metrics.Registry
 	store      *store.HTTPStore
@@ -78,7 +79,6 @@
 		settings: s,
 		log:      log,
 		secret:   peerapi.Secret(s.CellSecret),
-		traffic:  &traffic{},
 		metrics:  metrics.New(),
 		revoked:  keys.NewRevoked(),
 		upstream: upstream.NewClient(0),
@@ -89,8 +89,10 @@
 		return nil, fmt.Errorf("platform adapter: %w", err)
 	}
 	d.store = store
+	// Forwarded requests are counted with the control messages.
+	d.traffic = d.metrics.Traffic("daemon")
 	d.peerHTTP = &http.Client{Timeout: peerCallTimeout, Transport: &http.Transport{
-		DialContext:     d.traffic.dial,
+		DialContext:     d.traffic.Dial(&net.Dialer{}),
 		IdleConnTimeout: peerIdleTimeout,
 	}}
 	d.buildState()
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"runtime"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,52 +44,6 @@
 	}).Log(level, "request finished")
 }
 
-// traffic counts the bytes of control messages between daemons, including HTTP headers.
-type traffic struct{ in, out atomic.Int64 }
-
-type countedConn struct {
-	net.Conn
-	t *traffic
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.t.in.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.t.out.Add(int64(n))
-	return n, err
-}
-
-func (t *traffic) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{c, t}, nil
-}
-
-type countedListener struct {
-	net.Listener
-	t *traffic
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{c, l.t}, nil
-}
-
-// listener counts the connections of the peer listener; forwarded requests are
-// counted with the control messages there.
-func (t *traffic) listener(l net.Listener) net.Listener { return &countedListener{l, t} }
-
 const metricsInterval = time.Second
 
 // reportMetrics sets the gauges once a second.
@@ -113,8 +65,6 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	scope.Gauge("heap_bytes").Update(float64(memory.HeapInuse))
-	scope.Gauge("peer_listener_and_control_bytes_in").Update(float64(d.traffic.in.Load()))
-	scope.Gauge("peer_listener_and_control_bytes_out").Update(float64(d.traffic.out.Load()))
 	scope.Gauge("config_revision").Update(float64(d.config.Revision()))
 	scope.Gauge("requests_in_flight").Update(float64(d.gateway.InFlight()))
 	for service, s := range d.scheduler.Stats() {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -101,7 +101,7 @@
 		opened = append(opened, n)
 	}
 	l.serve(l.service, gateway.WrapListener(l.service.Listener(opened[0])))
-	l.serve(l.peer, d.traffic.listener(l.peer.Listener(opened[1])))
+	l.serve(l.peer, d.traffic.Listener(l.peer.Listener(opened[1])))
 	l.serve(l.operator, l.operator.Listener(opened[2]))
 	return l, nil
 }
--- a/internal/jobapi/client.go
+++ b/internal/jobapi/client.go
@@ -38,17 +38,9 @@
 // NewClients returns clients without connections, whose bytes are counted by traffic
 // unless it is nil.
 func NewClients(traffic *metrics.Traffic) *Clients {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return traffic.Conn(c), nil
-	}
 	return &Clients{
 		http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
-			DialContext:         dial,
+			DialContext:         traffic.Dial(&net.Dialer{Timeout: peerDialTimeout}),
 			MaxIdleConnsPerHost: peerIdleConnections, DisableCompression: true,
 		}},
 		byAddress: map[string]*oas.Client{},
--- a/internal/metrics/traffic.go
+++ b/internal/metrics/traffic.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"context"
 	"net"
 
 	"github.com/uber-go/tally/v4"
@@ -26,6 +27,17 @@
 	return &countedConn{Conn: c, traffic: t}
 }
 
+// Dial returns the dialer's DialContext with the bytes of its connections counted.
+func (t *Traffic) Dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return t.Conn(c), nil
+	}
+}
+
 // Listener returns the listener with the bytes of its connections counted.
 func (t *Traffic) Listener(l net.Listener) net.Listener { return countedListener{l, t} }
 
