--- a/internal/allotment/plan.go
+++ b/internal/allotment/plan.go
@@ -181,21 +181,19 @@
 // checkPlan applies the caps and returns the plan if it changes the record, after
 // lowering the local counts.
 func (a *Allotments) checkPlan(t *team, p *plan) *plan {
-	unconfirmed := false
+	changed := len(p.next.Holders) != len(t.record.Holders)
 	for _, x := range p.seats {
 		x.u.cap = x.cap
-		unconfirmed = unconfirmed || (x.u.uncertain && !x.u.imported) || x.entry > x.u.units
+		// The same record is written again, or read after the conflict, if it may hold more
+		// units for this daemon than it knows of, or holds those that it wants to use.
+		changed = changed || (x.u.uncertain && !x.u.imported) || x.entry > x.u.units
 	}
-	changed := len(p.next.Holders) != len(t.record.Holders)
 	raises := false
 	for s, n := range p.next.Holders {
 		changed = changed || n != t.record.Holders[s]
 		raises = raises || n > t.record.Holders[s]
 	}
 	changed = changed || (p.next.Limit != t.record.Limit && (raises || p.next.Limit < t.record.Limit))
-	// The same record is written again, or read after the conflict, if it may hold more
-	// units for this daemon than it knows of, or holds those that it wants to use.
-	changed = changed || unconfirmed
 	if !changed || (raises && p.next.sum() > p.next.Limit) {
 		return nil
 	}
--- a/internal/claim/assigner.go
+++ b/internal/claim/assigner.go
@@ -22,7 +22,7 @@
 	// balanceInterval is the pause between two looks at the sizes of the parts.
 	balanceInterval = 500 * time.Millisecond
 	// wantedInterval is the least time between two records of the wanted workers, and
-	// wantedShare by how much the number must have changed, but for work that lasts.
+	// wantedShare by how much the number must have changed unless lasting work has no room.
 	wantedInterval = 500 * time.Millisecond
 	wantedShare    = 0.25
 	// splitMargin times the workers that a part wants is below what it has while it may
@@ -204,7 +204,7 @@
 func (a *Assigner) recordWanted(ctx context.Context, part partition.Part) error {
 	now, wanted, known := steady.Now(), a.Shard.Wanted(), a.Book.Wanted(part.Shard())
 	changed := max(wanted-known, known-wanted)
-	// However few workers such work needs, the others give none before they know of it.
+	// Lasting work may lack less than wantedShare, and gets no worker before the others know.
 	lacks := a.Shard.Unplaced() && wanted > a.workers && known <= a.workers
 	if changed == 0 || (float64(changed) < wantedShare*float64(known) && !lacks) || now.Sub(a.wantedAt) < wantedInterval {
 		return nil
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -179,22 +179,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.shards[name] = s
-	switch name {
-	case hostsShard:
+	if isDuty(name) {
 		d.duties++
-		m := d.hostsManager(token)
-		s.manager = m
+		run := d.duty(name, token, s)
 		go func() {
 			defer close(s.done)
-			m.Run(ctx)
-		}()
-		return
-	case workersShard:
-		d.duties++
-		p := &roster.Publisher{Roster: d.roster, Store: d.store, From: roster.DigestFrom, OwnerKey: lease.OwnerKey(name), Token: token, Log: d.log}
-		go func() {
-			defer close(s.done)
-			p.Run(ctx)
+			run(ctx)
 		}()
 		return
 	}
@@ -221,6 +211,16 @@
 // isDuty reports whether what is owned under the name is no shard.
 func isDuty(name string) bool { return name == hostsShard || name == workersShard }
 
+// duty returns what the owner of a duty runs.
+func (d *Daemon) duty(name string, token uint64, s *served) func(context.Context) {
+	if name == workersShard {
+		p := &roster.Publisher{Roster: d.roster, Store: d.store, From: roster.DigestFrom, OwnerKey: lease.OwnerKey(name), Token: token, Log: d.log}
+		return p.Run
+	}
+	s.manager = d.hostsManager(token)
+	return s.manager.Run
+}
+
 // Stop implements lease.Runner.
 func (d *Daemon) Stop(name string, planned bool) {
 	d.mu.Lock()
--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -130,13 +130,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.digest.version
-	for _, c := range changes {
-		if c.Deleted {
-			r.digest.miss(digestID(c.Key))
-			continue
-		}
-		d.put(c.Entry)
-	}
+	r.digest.apply(changes, digestID, d.put)
 	r.noteChange(r.digest, before)
 }
 
--- a/internal/roster/digest_test.go
+++ b/internal/roster/digest_test.go
@@ -87,6 +87,13 @@
 		DeferCleanup(func() { cancel(); <-done })
 		return r, m
 	}
+	// knowing starts the roster of a daemon that owns a shard, and returns when it lists all workers.
+	knowing := func() (*roster.Roster, *meter) {
+		r, m := follow(true)
+		Eventually(func() int { return len(r.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		Eventually(r.Count, 5*time.Second).Should(Equal(workers))
+		return r, m
+	}
 	// publish starts the holder of the duty and returns what ends it.
 	publish := func(r *roster.Roster, m *meter) func() {
 		_, err := s.Commit(ctx, store.Transaction{Removals: []string{"own"}})
@@ -147,8 +154,7 @@
 	It("spares owners the entries of all workers and tells them what changes", func() {
 		publisher, pm := follow(false)
 		publish(publisher, pm)
-		owner, m := follow(true)
-		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		owner, m := knowing()
 		time.Sleep(3 * time.Second)
 		Expect(reads(m)).To(BeZero())
 		set("w007", "draining")
@@ -160,8 +166,7 @@
 	It("is not trusted any more once its publisher is lost", func() {
 		publisher, pm := follow(false)
 		stop := publish(publisher, pm)
-		owner, m := follow(true)
-		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		owner, m := knowing()
 		time.Sleep(3 * time.Second)
 		Expect(reads(m)).To(BeZero())
 		stop()
@@ -171,8 +176,7 @@
 	It("of a publisher that was lost long ago is not used by a new owner", func() {
 		publisher, pm := follow(false)
 		stop := publish(publisher, pm)
-		first, _ := follow(true)
-		Eventually(func() int { return len(first.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		knowing()
 		time.Sleep(2 * time.Second)
 		stop()
 		set("w007", "draining")
@@ -184,8 +188,7 @@
 	It("is kept by a successor, and not by a publisher that was deposed", func() {
 		former, fm := follow(false)
 		publish(former, fm)
-		owner, m := follow(true)
-		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		owner, m := knowing()
 		successor, sm := follow(false)
 		publish(successor, sm)
 		time.Sleep(4 * time.Second)
@@ -197,8 +200,7 @@
 	It("is right after answers on its writes were lost", func() {
 		publisher, pm := follow(false)
 		publish(publisher, pm)
-		owner, _ := follow(true)
-		Eventually(func() int { return len(owner.Of("svc")) }, 5*time.Second).Should(Equal(workers))
+		owner, _ := knowing()
 		time.Sleep(2 * time.Second)
 		pm.lost.Store(true)
 		set("w007", "draining")
@@ -212,8 +214,7 @@
 	It("shows workers that have moved as missing, however many do at once, and soon not at all", func() {
 		publisher, pm := follow(false)
 		publish(publisher, pm)
-		owner, _ := follow(true)
-		Eventually(func() int { return owner.Count() }, 5*time.Second).Should(Equal(workers))
+		owner, _ := knowing()
 		time.Sleep(2 * time.Second)
 		for n := range workers / 4 {
 			set(fmt.Sprintf("w%03d", n), "gone")
@@ -224,8 +225,7 @@
 	It("keeps workers whose entries lapsed with the store", func() {
 		publisher, pm := follow(false)
 		publish(publisher, pm)
-		owner, _ := follow(true)
-		Eventually(func() int { return owner.Count() }, 5*time.Second).Should(Equal(workers))
+		owner, _ := knowing()
 		time.Sleep(2 * time.Second)
 		mu.Lock()
 		for id := range states {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -210,13 +210,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.direct.version
-	for _, c := range changes {
-		if c.Deleted {
-			r.direct.miss(worker.ID(c.Key[len(r.prefix):]))
-			continue
-		}
-		r.put(c.Entry)
-	}
+	r.direct.apply(changes, func(key string) worker.ID { return worker.ID(key[len(r.prefix):]) }, func(e store.Entry) { r.put(e) })
 	r.direct.heardAt = steady.Now()
 	r.noteChange(r.direct, before)
 }
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -3,6 +3,7 @@
 import (
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/steady"
+	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
@@ -109,6 +110,17 @@
 	}
 }
 
+// apply takes changes in their order; id is the worker of a key.
+func (t *table) apply(changes []store.Event, id func(key string) worker.ID, put func(store.Entry)) {
+	for _, c := range changes {
+		if c.Deleted {
+			t.miss(id(c.Key))
+			continue
+		}
+		put(c.Entry)
+	}
+}
+
 // keepOnly notes that the workers that were not seen are not listed any more.
 func (t *table) keepOnly(seen map[worker.ID]bool) {
 	for id := range t.workers {
--- a/internal/shard/client.go
+++ b/internal/shard/client.go
@@ -423,15 +423,9 @@
 	for _, s := range o.sessions {
 		c.Host = worker.Resources{CPU: max(c.Host.CPU, s.Capacity.CPU), MemMB: max(c.Host.MemMB, s.Capacity.MemMB), GPU: max(c.Host.GPU, s.Capacity.GPU)}
 	}
-	// The sizes of tasks and hosts may not go together however much room there is.
-	o.partNeeds = o.needed(c, now)
-	if short := o.unplaced.hosts(now, c.Host, unplacedInPart); short > 0 {
-		o.partNeeds = max(o.partNeeds, o.present()+short)
-	}
-	wanted := capacity.HostsWanted(c)
-	if short := o.unplaced.hosts(now, c.Host, unplacedInPool); short > 0 {
-		wanted = max(wanted, o.present()+short)
-	}
+	// Sums hide that no single host may have room for a task.
+	o.partNeeds = max(o.needed(c, now), o.withUnplaced(now, c.Host, unplacedInPart))
+	wanted := max(capacity.HostsWanted(c), o.withUnplaced(now, c.Host, unplacedInPool))
 	if wanted != o.wanted {
 		o.wanted = wanted
 		o.Log.WithFields(logrus.Fields{
@@ -442,9 +436,13 @@
 	return Demand{Wanted: wanted, Settling: now.Sub(o.acquired) < demandSettle, Releasable: o.releasable()}, nil
 }
 
-// present returns how many listed workers the shard has.
-func (o *Owner) present() int {
-	n := 0
+// withUnplaced returns how many workers the shard has and lacks for lasting work that
+// has found no room for so long, or 0 if there is none.
+func (o *Owner) withUnplaced(now steady.Time, host worker.Resources, after time.Duration) int {
+	n := o.unplaced.hosts(now, host, after)
+	if n == 0 {
+		return 0
+	}
 	for _, s := range o.sessions {
 		if s.listed && !s.Missing {
 			n++
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -204,9 +204,11 @@
 // drops none, and a record with fewer is written after the ends that were listed there.
 func (o *Owner) collectWorkers(b *batch) error {
 	workers := o.usedWorkers()
+	// forAny reports whether runs of any task may be on a worker.
+	forAny := func(id worker.ID) bool { w, ok := workers[id]; return ok && w.Tasks == nil }
 	added, named := false, 0
-	for id, w := range workers {
-		if w.Tasks != nil {
+	for id := range workers {
+		if !forAny(id) {
 			continue
 		}
 		named++
@@ -218,7 +220,7 @@
 	case added:
 		for _, former := range []map[worker.ID]string{o.recorded, o.leaving} {
 			for id, address := range former {
-				if w, ok := workers[id]; !ok || w.Tasks != nil {
+				if !forAny(id) {
 					workers[id] = recordedWorker{Address: address}
 				}
 			}
@@ -232,7 +234,7 @@
 		b.drops = true
 		for id, address := range o.recorded {
 			// A worker that comes back takes nothing before it is recorded anew.
-			if w, ok := workers[id]; !ok || w.Tasks != nil {
+			if !forAny(id) {
 				delete(o.recorded, id)
 				o.leaving[id] = address
 			}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -381,9 +381,8 @@
 	})
 
 	Describe("that is asked to empty a worker", func() {
-		It("moves a lasting task only while enough others are at work", func() {
-			b = newBench(3)
-			o := b.own()
+		// runOnEach starts a lasting task on each of three workers, of which one may be away.
+		runOnEach := func(o *owner) {
 			j := jobOf(1, job.Step{Count: 3, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1})
 			for _, t := range []string{"0", "1", "2"} {
 				b.behave(string(j.ID)+".0.0."+t, cluster.Behaviour{Duration: time.Hour})
@@ -391,6 +390,11 @@
 			o.submit(j)
 			running := func() int { return b.worker("w0").Running() + b.worker("w1").Running() + b.worker("w2").Running() }
 			Eventually(running, soon).Should(Equal(3))
+		}
+		It("moves a lasting task only while enough others are at work", func() {
+			b = newBench(3)
+			o := b.own()
+			runOnEach(o)
 			time.Sleep(300 * time.Millisecond)
 			Eventually(func() bool { return b.empty(o, "w0") }, soon, "20ms").Should(BeTrue())
 			// No worker may take the task, so it is away, and the others must stay.
@@ -404,12 +408,7 @@
 		It("does not take for at work what the former owner has told to stop", func() {
 			b = newBench(3)
 			former := b.own()
-			j := jobOf(1, job.Step{Count: 3, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1})
-			for _, t := range []string{"0", "1", "2"} {
-				b.behave(string(j.ID)+".0.0."+t, cluster.Behaviour{Duration: time.Hour})
-			}
-			former.submit(j)
-			Eventually(func() int { return b.worker("w0").Running() + b.worker("w1").Running() + b.worker("w2").Running() }, soon).Should(Equal(3))
+			runOnEach(former)
 			time.Sleep(stopGrace + 700*time.Millisecond)
 			b.worker("w0").SetFaults(cluster.WorkerFaults{SlowStops: stopGrace})
 			Expect(b.empty(former, "w0")).To(BeFalse())
