--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -60,14 +60,16 @@
 
 // run is one run of a task on a worker.
 type run struct {
-	task    string
-	number  int
-	worker  *simWorker
-	kind    taskKind
-	began   time.Time
-	ended   time.Time // zero while it runs
-	how     string
-	noted   bool // the end was taken note of
+	task   string
+	number int
+	worker *simWorker
+	kind   taskKind
+	began  time.Time
+	ended  time.Time // zero while it runs
+	how    string
+	noted  bool // the end was taken note of
+	// lapsed is set if the worker's lease has lapsed after the end, before the end was taken note of.
+	lapsed  bool
 	end     int64
 	timer   *time.Timer
 	saved   string
@@ -340,8 +342,11 @@
 		w.mu.Unlock()
 		return
 	}
+	w.checkLease()
 	for len(w.ends) > 0 && w.ends[0].end <= o.AckedUpTo {
-		w.tasks.note(w.ends[0])
+		if !w.ends[0].lapsed {
+			w.tasks.note(w.ends[0])
+		}
 		w.ends = w.ends[1:]
 	}
 	if o.ExpiryMS > 0 {
@@ -380,9 +385,17 @@
 func (w *simWorker) lapse() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.checkLease()
+}
+
+// checkLease is lapse for a caller that holds mu.
+func (w *simWorker) checkLease() {
 	if w.clock() < w.leaseEnd {
 		return
 	}
+	for _, r := range w.ends {
+		r.lapsed = true
+	}
 	for _, r := range w.runs {
 		w.end(r, "lapsed")
 	}
