--- a/review/standin/ends.go
+++ b/review/standin/ends.go
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	id := newID()
-	c.tasks.describe(id, 0, taskKind{tenant: tenant, cpu: 40, mem: 90, work: wideWork})
+	c.tasks.describe(id, 0, taskKind{cpu: 40, mem: 90, work: wideWork})
 	if err := c.submit(id, map[string]any{"steps": []any{map[string]any{"count": wideTasks, "cpu": 40, "memMb": 90, "estimatedMs": 2000}}}); err != nil {
 		return nil, err
 	}
--- a/review/standin/hang.go
+++ b/review/standin/hang.go
@@ -40,7 +40,7 @@
 	var others []string
 	for range otherJobs {
 		id := newID()
-		c.tasks.describe(id, 0, taskKind{tenant: tenant, cpu: 100, mem: 100, lasts: true})
+		c.tasks.describe(id, 0, taskKind{cpu: 100, mem: 100, lasts: true})
 		job := map[string]any{"steps": []any{map[string]any{"count": 1, "cpu": 100, "memMb": 100, "longRunning": true}}}
 		if err := c.submit(id, job); err != nil {
 			return nil, err
@@ -52,7 +52,7 @@
 	if trouble {
 		width = largeTasks
 	}
-	c.tasks.describe(large, 0, taskKind{tenant: tenant, cpu: largeCPU, mem: largeMem, work: 1200 * time.Millisecond, savedBytes: checkpointBytes})
+	c.tasks.describe(large, 0, taskKind{cpu: largeCPU, mem: largeMem, work: 1200 * time.Millisecond, savedBytes: checkpointBytes})
 	job := map[string]any{"steps": []any{map[string]any{
 		"count": width, "cpu": largeCPU, "memMb": largeMem, "estimatedMs": 1200, "checkpointing": true,
 	}}}
--- a/review/standin/moved.go
+++ b/review/standin/moved.go
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	id := newID()
-	c.tasks.describe(id, 0, taskKind{tenant: tenant, cpu: 2000, mem: 2000, work: movedWork})
+	c.tasks.describe(id, 0, taskKind{cpu: 2000, mem: 2000, work: movedWork})
 	job := map[string]any{"steps": []any{map[string]any{"count": movedTasks, "cpu": 2000, "memMb": 2000, "estimatedMs": movedWork.Milliseconds()}}}
 	if err := c.submit(id, job); err != nil {
 		return nil, err
--- a/review/standin/orphan.go
+++ b/review/standin/orphan.go
@@ -40,7 +40,7 @@
 			step["after"] = []int{i - 1}
 		}
 		steps = append(steps, step)
-		c.tasks.describe(id, i, taskKind{tenant: tenant, cpu: 2000, mem: 2000, work: orphanWork})
+		c.tasks.describe(id, i, taskKind{cpu: 2000, mem: 2000, work: orphanWork})
 	}
 	if err := c.submit(id, map[string]any{"steps": steps}); err != nil {
 		return nil, err
--- a/review/standin/schedule.go
+++ b/review/standin/schedule.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	id, due := newID(), time.Now().Add(2*time.Second)
-	c.tasks.describe(id, 0, taskKind{tenant: tenant, cpu: 1000, mem: 1000, work: scheduledWork})
+	c.tasks.describe(id, 0, taskKind{cpu: 1000, mem: 1000, work: scheduledWork})
 	err = c.submit(id, map[string]any{
 		"maxRuns": occurrences, "startTimeMs": due.UnixMilli(), "intervalMs": interval.Milliseconds(),
 		"steps": []any{map[string]any{"count": 2, "cpu": 1000, "memMb": 1000, "estimatedMs": 400}},
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -16,7 +16,6 @@
 
 // taskKind is what the workers know about the tasks of one step of a job.
 type taskKind struct {
-	tenant   string
 	cpu, mem int64
 	work     time.Duration
 	lasts    bool
@@ -32,12 +31,10 @@
 	kinds map[string]taskKind // by ID.STEP
 	runs  []*run
 	byKey map[string][]*run // by task
-	cpu   map[string]int64  // in use, by tenant
-	onRun func(*run)
 }
 
 func newTasks(rec *record) *tasks {
-	return &tasks{rec: rec, kinds: map[string]taskKind{}, byKey: map[string][]*run{}, cpu: map[string]int64{}}
+	return &tasks{rec: rec, kinds: map[string]taskKind{}, byKey: map[string][]*run{}}
 }
 
 func (t *tasks) describe(id string, step int, k taskKind) {
@@ -80,19 +77,13 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, r)
 	t.byKey[r.task] = append(t.byKey[r.task], r)
-	t.cpu[r.kind.tenant] += r.kind.cpu
-	f := t.onRun
 	t.mu.Unlock()
 	t.rec.note("%s starts %s, run %d", r.worker.id, r.task, r.number)
-	if f != nil {
-		f(r)
-	}
 }
 
 func (t *tasks) finish(r *run, how string) {
 	t.mu.Lock()
 	r.ended, r.how = time.Now(), how
-	t.cpu[r.kind.tenant] -= r.kind.cpu
 	t.mu.Unlock()
 	t.rec.note("%s ends %s, run %d: %s", r.worker.id, r.task, r.number, how)
 }
@@ -103,13 +94,6 @@
 	t.mu.Unlock()
 }
 
-// inUse returns the cores that a tenant's tasks use, in thousandths.
-func (t *tasks) inUse(tenant string) int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.cpu[tenant]
-}
-
 // ofJob returns the runs of a job.
 func (t *tasks) ofJob(id string) []run {
 	t.mu.Lock()
