Show that one lost worker can keep all jobs of a pool from starting

Twelve jobs that last and lack a worker each end every scheduling pass, and the jobs behind them are never looked at.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 folder=$(dirname "$0")
-exec "$folder/../case.sh" moved "$folder"
+exec "$folder/../case.sh" starve "$folder"
--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -128,9 +128,13 @@
 		defer c.mu.Unlock()
 		machines := []any{}
 		for _, s := range c.workers {
+			state, id := "up", any(s.id)
+			if s.isLost() {
+				state, id = "down", nil
+			}
 			machines = append(machines, map[string]any{
-				"machine": "m-" + s.id, "pool": s.service, "state": "up", "zone": "nz-north-a", "labels": s.labels,
-				"capacity": map[string]int64{"cpu": s.cpu, "memMb": s.mem, "gpu": 0}, "id": s.id,
+				"machine": "m-" + s.id, "pool": s.service, "state": state, "zone": "nz-north-a", "labels": s.labels,
+				"capacity": map[string]int64{"cpu": s.cpu, "memMb": s.mem, "gpu": 0}, "id": id,
 			})
 		}
 		respond(w, http.StatusOK, map[string]any{"machines": machines, "nextToken": nil})
@@ -178,6 +182,9 @@
 		case <-c.ctx.Done():
 			return
 		case <-beat.C:
+			if w.isLost() {
+				return
+			}
 			if err := c.store.put("servers/"+w.id, w.entry(sequence)); err != nil {
 				c.rec.note("entry of %s: %v", w.id, err)
 			}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -72,6 +72,15 @@
 	return nil
 }
 
+// drop removes a key.
+func (s *kvStore) drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
 // get returns the value of a key.
 func (s *kvStore) get(key string) ([]byte, bool) {
 	s.mu.Lock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -94,6 +94,13 @@
 	t.mu.Unlock()
 }
 
+// started returns the number of runs.
+func (t *tasks) started() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.runs)
+}
+
 // ofJob returns the runs of a job.
 func (t *tasks) ofJob(id string) []run {
 	t.mu.Lock()
@@ -156,6 +163,8 @@
 	changed  chan struct{}
 	used     int64
 	usedMem  int64
+	// lost is set once the worker is gone for good.
+	lost bool
 }
 
 // clock returns the worker's clock, which starts at 0 with the worker.
@@ -174,6 +183,12 @@
 	}
 }
 
+func (w *simWorker) isLost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
+}
+
 type order struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
@@ -189,6 +204,9 @@
 	mux := http.NewServeMux()
 	handle := func(path string, f func(http.ResponseWriter, *http.Request, order)) {
 		mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
+			if w.isLost() {
+				panic(http.ErrAbortHandler) // the connection is reset, as by a machine without the process
+			}
 			if target := r.Header.Get("Samphirestile-Target-Instance"); target != "" && target != w.id {
 				respond(rw, http.StatusMisdirectedRequest, struct{}{})
 				return
