placement: reserve workers only where a long-running task can fit, and at most half of them

Callers saw accepted jobs that did not start while most of the pool was free: long-running tasks without a worker kept workers reserved, although the long-running tasks there never leave them enough room.

Cause: Reserve chose the least used worker whose full capacity suffices, for each long-running job that found none. What other long-running tasks use is not freed by waiting, so such a reservation has no end, and a handful of jobs reserved all workers of a small pool.

Reserve asks for room beside the long-running tasks, and reserves at most half of the open workers at a time.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,8 +12,9 @@
 	Used worker.Resources
 	// StepTasks is the number of tasks of the same step on the worker.
 	StepTasks int
-	// LongRunning is the number of long-running tasks on the worker.
-	LongRunning int
+	// LongRunning is the number of long-running tasks on the worker, and LongRunningUse what they use.
+	LongRunning    int
+	LongRunningUse worker.Resources
 	// Serving and BestEffort are the numbers of serving and of best-effort tasks on the worker.
 	Serving, BestEffort int
 	// FailureScore grows with each failed run and each start that the worker refused as
@@ -73,7 +74,7 @@
 		if c.Closed || c.Reserved || !c.Allowed || !CanRun(&c.Worker, r.Step) || !required.Fits(c.Free()) {
 			continue
 		}
-		if r.Step.MaxPerWorker > 0 && c.StepTasks >= r.Step.MaxPerWorker {
+		if c.full(r.Step) {
 			continue
 		}
 		cost := c.cost(r, required)
@@ -107,24 +108,44 @@
 	return cost
 }
 
-// Reserve returns the index of the worker to reserve for a long-running task that could
-// not be placed, or -1: the least used worker that can run it.
+// full reports whether the worker already runs as many tasks of the step as it may.
+func (c *Candidate) full(s *job.Step) bool {
+	return s.MaxPerWorker > 0 && c.StepTasks >= s.MaxPerWorker
+}
+
+// maxReservedFraction is the largest fraction of the open workers that is reserved at a time, so that other
+// tasks still find workers.
+const maxReservedFraction = 0.5
+
+// Reserve reserves a worker for a long-running task that could not be placed, and reports whether there is
+// one: the least used worker that has room for the task once all other than long-running tasks have ended.
 //
-// Load pattern: a stream of short tasks takes all capacity as soon as it is freed, so a
-// large long-running task would never find enough of it.
-func Reserve(workers []Candidate, r Request) int {
-	best := -1
+// Load pattern: a stream of short tasks takes all capacity as soon as it is freed, so a large long-running
+// task would never find enough of it. A worker whose long-running tasks leave too little room would be
+// reserved in vain, for as long as they run.
+func Reserve(workers []Candidate, s *job.Step) bool {
+	best, open, reserved := -1, 0, 0
+	required := s.RequiredResources()
 	for i := range workers {
 		c := &workers[i]
-		if c.Closed || c.Reserved || !c.Allowed || !CanRun(&c.Worker, r.Step) {
+		if c.Closed {
 			continue
 		}
-		if r.Step.MaxPerWorker > 0 && c.StepTasks >= r.Step.MaxPerWorker {
+		open++
+		if c.Reserved {
+			reserved++
+			continue
+		}
+		if !c.Allowed || !CanRun(&c.Worker, s) || c.full(s) || !required.Fits(c.Capacity.Minus(c.LongRunningUse)) {
 			continue
 		}
 		if best < 0 || c.Used.DominantShare(c.Capacity) < workers[best].Used.DominantShare(workers[best].Capacity) {
 			best = i
 		}
 	}
-	return best
+	if best < 0 || reserved+1 > max(1, int(maxReservedFraction*float64(open))) {
+		return false
+	}
+	workers[best].Reserved = true
+	return true
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -75,6 +75,37 @@
 	It("reserves the least used worker for a long-running task that could not be placed", func() {
 		workers := pool(2)
 		workers[0].Used, workers[1].Used = worker.Resources{CPU: 7500}, worker.Resources{CPU: 7000}
-		Expect(placement.Reserve(workers, placement.Request{Step: &job.Step{Need: worker.Resources{CPU: 2000}}})).To(Equal(1))
+		Expect(placement.Reserve(workers, &job.Step{Need: worker.Resources{CPU: 2000}})).To(BeTrue())
+		Expect([]bool{workers[0].Reserved, workers[1].Reserved}).To(Equal([]bool{false, true}))
+	})
+	// Guards against a pool in which long-running tasks without a worker keep all workers from other tasks.
+	It("reserves at most half of the workers", func() {
+		workers := pool(5)
+		for i := range workers {
+			workers[i].Used = worker.Resources{CPU: 7500}
+		}
+		reservations := 0
+		for range 5 {
+			if placement.Reserve(workers, &job.Step{Need: worker.Resources{CPU: 2000}}) {
+				reservations++
+			}
+		}
+		Expect(reservations).To(Equal(2))
+	})
+	// Guards against workers that are kept free in vain, for as long as their long-running tasks run.
+	It("reserves no worker that cannot take the task beside its long-running tasks", func() {
+		workers := pool(4)
+		for i := range workers {
+			workers[i].Used, workers[i].LongRunningUse = worker.Resources{CPU: 3000}, worker.Resources{CPU: 3000}
+		}
+		large := &job.Step{Need: worker.Resources{CPU: 6000}, LongRunning: true}
+		Expect(placement.Reserve(workers, large)).To(BeFalse())
+		workers[2].LongRunningUse = worker.Resources{CPU: 2000}
+		Expect(placement.Reserve(workers, large)).To(BeTrue())
+		spread := &job.Step{Need: worker.Resources{CPU: 1000}, LongRunning: true, MaxPerWorker: 1}
+		for i := range workers {
+			workers[i].Reserved, workers[i].StepTasks = false, 1
+		}
+		Expect(placement.Reserve(workers, spread)).To(BeFalse())
 	})
 })
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -377,20 +377,32 @@
 
 // needsPacing reports whether the worker runs both serving and best-effort tasks.
 func (s *session) needsPacing() bool {
-	serving, bestEffort := s.countTaskKinds()
-	return serving > 0 && bestEffort > 0
+	k := s.countTaskKinds()
+	return k.serving > 0 && k.bestEffort > 0
 }
 
-func (s *session) countTaskKinds() (serving, bestEffort int) {
+// taskKinds describes the tasks on a worker.
+type taskKinds struct {
+	serving, bestEffort, longRunning int
+	// longRunningUse is what the long-running tasks use.
+	longRunningUse worker.Resources
+}
+
+func (s *session) countTaskKinds() taskKinds {
+	var k taskKinds
 	for _, r := range s.runs {
 		if r.step.TailLatencyTarget > 0 {
-			serving++
+			k.serving++
 		}
 		if r.step.BestEffort {
-			bestEffort++
+			k.bestEffort++
+		}
+		if r.step.LongRunning {
+			k.longRunning++
+			k.longRunningUse = k.longRunningUse.Plus(r.step.RequiredResources())
 		}
 	}
-	return serving, bestEffort
+	return k
 }
 
 // adjustPace changes the speed of best-effort tasks according to the tail latency of the serving
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -176,12 +176,4 @@
 }
 
 // countLongRunning returns the number of long-running tasks on the worker.
-func (s *session) countLongRunning() int {
-	n := 0
-	for _, r := range s.runs {
-		if r.step.LongRunning {
-			n++
-		}
-	}
-	return n
-}
+func (s *session) countLongRunning() int { return s.countTaskKinds().longRunning }
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -217,10 +217,11 @@
 }
 
 func (p *placer) add(s *session) {
-	serving, bestEffort := s.countTaskKinds()
+	kinds := s.countTaskKinds()
 	p.sessions = append(p.sessions, s)
 	p.candidates = append(p.candidates, placement.Candidate{
-		Worker: s.Worker, Used: s.used, LongRunning: s.countLongRunning(), Serving: serving, BestEffort: bestEffort, FailureScore: s.failureScore(p.now),
+		Worker: s.Worker, Used: s.used, LongRunning: kinds.longRunning, LongRunningUse: kinds.longRunningUse, Serving: kinds.serving,
+		BestEffort: kinds.bestEffort, FailureScore: s.failureScore(p.now),
 		Closed: !s.usable(), Allowed: true, MaintenanceDue: p.owner.maintenanceDue[s.ID],
 	})
 }
@@ -284,9 +285,7 @@
 		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
 		if i < 0 {
 			if t.step.LongRunning {
-				if reservedIndex := placement.Reserve(p.candidates, placement.Request{Step: t.step}); reservedIndex >= 0 {
-					p.candidates[reservedIndex].Reserved = true
-				}
+				placement.Reserve(p.candidates, t.step)
 			}
 			result := p.unplacedResult(e, t)
 			if result == insufficientCapacity && t.step.LongRunning {
@@ -373,6 +372,7 @@
 	c.StepTasks++
 	if s.LongRunning {
 		c.LongRunning++
+		c.LongRunningUse = c.LongRunningUse.Plus(s.RequiredResources())
 	}
 	if s.TailLatencyTarget > 0 {
 		c.Serving++
