shard: bound a scheduling pass by the work it does, not by the jobs without a worker

Cause: a pass ended after 12 jobs for which some task found no worker, whatever that task lacked. Long-running jobs come first, so the same 12 ended each pass. The same count decided about copies of slow runs: a single job that lacked a worker, of any kind, stopped all of them in the pool.

- A need for which no worker qualifies is looked at once a pass; larger needs are covered by it, because free resources only decrease during a pass.
- Looks that place nothing are bounded by the workers examined, for long-running and for other jobs separately.
Jobs beyond the bound come first in the next passes, those skipped longest first.
- Copies may use the workers for which no blocked task waits.
- The tasks of a job are listed only when the job is looked at.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,8 @@
 	Closed bool
 	// Reserved workers get only the task for which they are reserved.
 	Reserved bool
+	// Contended is set if a task waits for free resources on the worker.
+	Contended bool
 	// MaintenanceDue is set if the worker's host goes down for maintenance soon.
 	MaintenanceDue bool
 	// Allowed is set if the queue has no advisor or the advisor approves the worker.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -108,4 +108,32 @@
 		}
 		Expect(placement.Reserve(workers, spread)).To(BeFalse())
 	})
+	It("says what a task without a worker lacks, and marks the workers that it waits for", func() {
+		workers := pool(3)
+		workers[0].Closed = true
+		workers[1].StepTasks = 1
+		workers[2].Used = worker.Resources{CPU: 8000}
+		spread := &job.Step{Need: worker.Resources{CPU: 1000}, MaxPerWorker: 1}
+		Expect(placement.FindShortage(workers, spread)).To(Equal(placement.Shortage{Open: true, Suitable: true, Room: true, Spread: true}))
+		Expect([]bool{workers[0].Contended, workers[1].Contended, workers[2].Contended}).To(Equal([]bool{false, false, true}))
+		Expect(placement.FindShortage(workers, &job.Step{RequiredLabel: "b"})).To(Equal(placement.Shortage{Open: true}))
+		Expect(placement.FindShortage(workers[:1], spread)).To(Equal(placement.Shortage{}))
+	})
+	It("does not look again for a task that needs at least as much as one without a worker", func() {
+		var u placement.Unplaceable
+		u.Add(&job.Step{Need: worker.Resources{CPU: 2000, MemMB: 1000}})
+		u.Add(&job.Step{Need: worker.Resources{CPU: 100}, RequiredLabel: "b"})
+		for _, s := range []job.Step{
+			{Need: worker.Resources{CPU: 2000, MemMB: 1000}}, {Need: worker.Resources{CPU: 3000, MemMB: 1000}, RequiredLabel: "a"},
+			{Need: worker.Resources{CPU: 200}, RequiredLabel: "b"},
+		} {
+			Expect(u.Covers(&s)).To(BeTrue(), "%+v", s)
+		}
+		for _, s := range []job.Step{
+			{Need: worker.Resources{CPU: 1999, MemMB: 1000}}, {Need: worker.Resources{CPU: 200}}, {Need: worker.Resources{CPU: 200}, RequiredLabel: "a"},
+			{Need: worker.Resources{CPU: 3000, MemMB: 1000}, BestEffort: true},
+		} {
+			Expect(u.Covers(&s)).To(BeFalse(), "%+v", s)
+		}
+	})
 })
--- a/internal/shard/copies.go
+++ b/internal/shard/copies.go
@@ -45,8 +45,7 @@
 	return placement.ShouldSpeculate(v)
 }
 
-// placeCopies starts speculative copies. It is called when no job was blocked by insufficient
-// capacity in this pass.
+// placeCopies starts speculative copies on workers for which no other task waits in this pass.
 func (p *placer) placeCopies(slow []*run) {
 	for _, r := range slow {
 		if !p.withinAccountLimit(r.entry, r.step, 1) {
@@ -55,7 +54,7 @@
 		t := readyTask{r.task, r.step}
 		rack := p.prepareCandidates(r.entry, t)
 		for i, s := range p.sessions {
-			if s == r.session {
+			if s == r.session || p.candidates[i].Contended {
 				p.candidates[i].Allowed = false
 			}
 		}
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -46,9 +46,9 @@
 	c := capacity.Demand{Rate: o.arrivals.PerSecond(time.Duration(now)).Plus(o.arrivals.PredictedGrowth(time.Duration(now)))}
 	for _, e := range o.active {
 		if !e.job.LongRunning() {
-			o.forEachReadyTask(e, now, func(_ job.TaskID, s *job.Step) {
+			for _, s := range o.readyTasks(e, now) {
 				c.Waiting = c.Waiting.Plus(resourceMilliseconds(s.RequiredResources(), 1, o.estimate(e.job.Queue, s)))
-			})
+			}
 			continue
 		}
 		for i := range e.job.Steps {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -151,6 +151,8 @@
 	unplaced unplacedWork
 	// unplacedLogged is set while the log says that such work has been unplaced for a while.
 	unplacedLogged bool
+	// skippingJobs is set while scheduling passes skip jobs.
+	skippingJobs bool
 	// workersWanted is how many of the pool's workers this partition needs, as last computed by
 	// Demand.
 	workersWanted int
@@ -188,6 +190,9 @@
 	// retryAt is the earliest time of the next start after a failed run, or after any
 	// ended run of a long-running task.
 	retryAt monotonic.Time
+	// skips is the number of consecutive scheduling passes, up to the last one, that ended before they
+	// looked at the job.
+	skips int
 	// noReadyTasks is set while no task can start before a run of the job finishes.
 	noReadyTasks bool
 	// path is the critical path of the remaining steps, computed at pathAt after pathDoneRuns
@@ -469,11 +474,11 @@
 		if !e.recovered || e.job.Account == "" {
 			continue
 		}
-		o.forEachIdleTask(e, now, func(t job.TaskID, s *job.Step) {
+		for t, s := range o.idleTasks(e, now) {
 			if u.mayInclude(t) {
 				usage[e.job.Account] = usage[e.job.Account].Plus(s.Need)
 			}
-		})
+		}
 	}
 	if bound, ok := o.uncontactedCapacity(); ok {
 		for account, r := range usage {
@@ -557,9 +562,9 @@
 			continue
 		}
 		d := demands[e.job.Account]
-		o.forEachReadyTask(e, monotonic.Now(), func(t job.TaskID, s *job.Step) {
+		for _, s := range o.readyTasks(e, monotonic.Now()) {
 			d.Waiting = d.Waiting.Plus(s.Need)
-		})
+		}
 		demands[e.job.Account] = d
 	}
 	return demands
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,22 +24,10 @@
 	// maxPathAge is the maximum age of a job's cached critical path, which is also recomputed when
 	// a run of the job completes.
 	maxPathAge = 500 * time.Millisecond
-	// maxBlockedJobs is the number of jobs with insufficient capacity after which a scheduling pass
-	// ends.
-	maxBlockedJobs = 12
-)
-
-// placementResult is the result of placing a job's ready tasks in one scheduling pass.
-type placementResult int
-
-const (
-	// allPlaced means that start commands were issued for all tasks.
-	allPlaced placementResult = iota
-	// deferred tasks wait for their account's limit, for the advisor or for a worker of the
-	// required kind; other jobs may still be placed.
-	deferred
-	// insufficientCapacity means that some task did not fit on any worker.
-	insufficientCapacity
+	// maxFruitlessScans bounds the workers that one scheduling pass examines for long-running jobs
+	// without placing a task, and likewise for other jobs. The next pass starts with the jobs that
+	// were skipped.
+	maxFruitlessScans = 4096
 )
 
 func (o *Owner) scheduleLoop(ctx context.Context) {
@@ -59,46 +48,59 @@
 	}
 }
 
-// forEachReadyTask calls f for each task that could start now. The caller holds mu.
-func (o *Owner) forEachReadyTask(e *jobEntry, now monotonic.Time, f func(job.TaskID, *job.Step)) {
-	if e.job.FinalState.IsFinal() || !e.stored || now < e.retryAt || e.noReadyTasks {
-		return
+// readyTasks iterates over the tasks that could start now. The caller holds mu.
+func (o *Owner) readyTasks(e *jobEntry, now monotonic.Time) iter.Seq2[job.TaskID, *job.Step] {
+	return func(yield func(job.TaskID, *job.Step) bool) {
+		if e.job.FinalState.IsFinal() || !e.stored || now < e.retryAt || e.noReadyTasks {
+			return
+		}
+		var uncontacted uncontactedRuns
+		if e.recovered {
+			uncontacted = o.uncontactedRuns(now)
+		}
+		for t, s := range o.idleTasks(e, now) {
+			if (s.Copyable() || !uncontacted.mayInclude(t)) && !yield(t, s) {
+				return
+			}
+		}
 	}
-	var uncontacted uncontactedRuns
-	if e.recovered {
-		uncontacted = o.uncontactedRuns(now)
+}
+
+// hasReadyTask reports whether a task could start now. The caller holds mu.
+func (o *Owner) hasReadyTask(e *jobEntry, now monotonic.Time) bool {
+	for range o.readyTasks(e, now) {
+		return true
 	}
-	o.forEachIdleTask(e, now, func(t job.TaskID, s *job.Step) {
-		if s.Copyable() || !uncontacted.mayInclude(t) {
-			f(t, s)
-		}
-	})
+	return false
 }
 
-// forEachIdleTask calls f for each task of the steps whose turn has come that is neither done nor has
-// a run of this owner. The caller holds mu.
-func (o *Owner) forEachIdleTask(e *jobEntry, now monotonic.Time, f func(job.TaskID, *job.Step)) {
-	unixMS := int64(0)
-	for k := range e.job.Occurrences() {
-		if e.job.Scheduled() {
-			if unixMS == 0 {
-				unixMS = o.unixMS(now)
-			}
-			if unixMS < e.job.DueMS(k) {
-				return
+// idleTasks iterates over the tasks of the steps whose turn has come that are neither done nor have a
+// run of this owner. The caller holds mu.
+func (o *Owner) idleTasks(e *jobEntry, now monotonic.Time) iter.Seq2[job.TaskID, *job.Step] {
+	return func(yield func(job.TaskID, *job.Step) bool) {
+		unixMS := int64(0)
+		for k := range e.job.Occurrences() {
+			if e.job.Scheduled() {
+				if unixMS == 0 {
+					unixMS = o.unixMS(now)
+				}
+				if unixMS < e.job.DueMS(k) {
+					return
+				}
 			}
-		}
-		if e.job.OccurrenceDone(k) {
-			continue
-		}
-		occurrence := e.job.Occurrence(k)
-		for i := range e.job.Steps {
-			if occurrence.Steps[i].Done == e.job.Steps[i].Count || !e.job.StepReady(k, i) {
+			if e.job.OccurrenceDone(k) {
 				continue
 			}
-			for index := range occurrence.Steps[i].Tasks {
-				if task := &occurrence.Steps[i].Tasks[index]; !task.Done && task.Active == 0 {
-					f(job.TaskID{Job: e.job.ID, Occurrence: k, Step: i, Index: index}, &e.job.Steps[i])
+			occurrence := e.job.Occurrence(k)
+			for i := range e.job.Steps {
+				if occurrence.Steps[i].Done == e.job.Steps[i].Count || !e.job.StepReady(k, i) {
+					continue
+				}
+				for index := range occurrence.Steps[i].Tasks {
+					task := &occurrence.Steps[i].Tasks[index]
+					if !task.Done && task.Active == 0 && !yield(job.TaskID{Job: e.job.ID, Occurrence: k, Step: i, Index: index}, &e.job.Steps[i]) {
+						return
+					}
 				}
 			}
 		}
@@ -118,16 +120,13 @@
 		return
 	}
 	var entries []*jobEntry
-	var ready [][]readyTask
 	var waiting []share.WaitingJob
 	for _, e := range o.active {
-		var tasks []readyTask
-		o.forEachReadyTask(e, now, func(t job.TaskID, s *job.Step) { tasks = append(tasks, readyTask{t, s}) })
-		if len(tasks) == 0 {
+		if !o.hasReadyTask(e, now) {
 			e.noReadyTasks = e.stored && now >= e.retryAt && !e.job.Scheduled() && !e.recovered
 			continue
 		}
-		entries, ready = append(entries, e), append(ready, tasks)
+		entries = append(entries, e)
 		waiting = append(waiting, o.newWaitingJob(e, now))
 	}
 	slow := o.runsToCopy(now)
@@ -136,29 +135,43 @@
 	if len(entries) == 0 && len(slow) == 0 {
 		return
 	}
-	p := &placer{owner: o, now: now, inherited: o.inheritedUsage(now)}
+	p := &placer{owner: o, now: now, inherited: o.inheritedUsage(now), index: make(map[*session]int, len(o.sessions))}
 	for _, s := range o.sessions {
 		p.add(s)
 	}
 	o.adviceRequests = o.adviceRequests[:0]
-	blocked := 0
+	skipped := 0
 	for _, i := range share.Order(waiting, now) {
-		if p.placeJob(entries[i], ready[i]) == insufficientCapacity {
-			blocked++
-		}
-		if blocked >= maxBlockedJobs {
-			break
+		e := entries[i]
+		if p.exhausted(e.job.LongRunning()) {
+			e.skips++
+			skipped++
+			continue
 		}
+		e.skips = 0
+		p.placeJob(e)
 	}
-	if blocked == 0 {
+	o.logSkippedJobs(skipped, len(entries))
+	if !p.exhausted(false) {
 		p.placeCopies(slow)
 	}
 	o.wakeAdviceLoop()
 }
 
+// logSkippedJobs logs when scheduling passes begin and cease to skip jobs. The caller holds mu.
+func (o *Owner) logSkippedJobs(skipped, waiting int) {
+	if (skipped > 0) == o.skippingJobs {
+		return
+	}
+	o.skippingJobs = skipped > 0
+	o.Log.WithFields(logrus.Fields{
+		"shard": o.Shard, "token": o.Token, "skipped": skipped, "waiting": waiting, "sessions": len(o.sessions),
+	}).Info("jobs looked at by turns")
+}
+
 func (o *Owner) newWaitingJob(e *jobEntry, now monotonic.Time) share.WaitingJob {
 	return share.WaitingJob{
-		LongRunning: e.job.LongRunning(), Priority: e.job.Priority, Deadline: e.accepted.Add(e.objective),
+		LongRunning: e.job.LongRunning(), Skips: e.skips, Priority: e.job.Priority, Deadline: e.accepted.Add(e.objective),
 		Remaining: o.remainingPath(e, now), Accepted: e.accepted, Usage: o.weightedUsage(e.job.Account),
 	}
 }
@@ -211,13 +224,32 @@
 	now        monotonic.Time
 	sessions   []*session
 	candidates []placement.Candidate
+	// index holds the position of each session in sessions and in candidates.
+	index map[*session]int
 	// inherited is what runs of earlier owners on workers that have not responded may use, by
 	// account.
 	inherited map[string]worker.Resources
+	// unplaceable holds the needs for which no worker qualifies any more in this pass.
+	unplaceable placement.Unplaceable
+	// fruitlessScans is the number of workers examined for tasks that found none: for long-running
+	// jobs and for others.
+	fruitlessScans struct{ longRunning, other int }
 }
 
+// scans returns the count of fruitless scans for a kind of jobs.
+func (p *placer) scans(longRunning bool) *int {
+	if longRunning {
+		return &p.fruitlessScans.longRunning
+	}
+	return &p.fruitlessScans.other
+}
+
+// exhausted reports whether no further jobs of a kind are looked at in this pass.
+func (p *placer) exhausted(longRunning bool) bool { return *p.scans(longRunning) >= maxFruitlessScans }
+
 func (p *placer) add(s *session) {
 	kinds := s.countTaskKinds()
+	p.index[s] = len(p.sessions)
 	p.sessions = append(p.sessions, s)
 	p.candidates = append(p.candidates, placement.Candidate{
 		Worker: s.Worker, Used: s.used, LongRunning: kinds.longRunning, LongRunningUse: kinds.longRunningUse, Serving: kinds.serving,
@@ -243,89 +275,91 @@
 			continue
 		}
 		rack = r.session.Rack()
-		for i, s := range p.sessions {
-			if s == r.session {
-				p.candidates[i].StepTasks++
-			}
+		if i, ok := p.index[r.session]; ok {
+			p.candidates[i].StepTasks++
 		}
 	}
 	return rack
 }
 
 // placeJob starts the job's ready tasks for which there is capacity.
-func (p *placer) placeJob(e *jobEntry, tasks []readyTask) placementResult {
-	worst := allPlaced
-	for i := 0; i < len(tasks); {
-		end := i
-		for end < len(tasks) && tasks[end].step == tasks[i].step && tasks[end].id.Occurrence == tasks[i].id.Occurrence {
-			end++
+func (p *placer) placeJob(e *jobEntry) {
+	var tasks []readyTask
+	for t, s := range p.owner.readyTasks(e, p.now) {
+		if len(tasks) > 0 && (s != tasks[0].step || t.Occurrence != tasks[0].id.Occurrence) {
+			p.placeStep(e, tasks)
+			tasks = tasks[:0]
 		}
-		if tasks[i].step.Gang {
-			worst = max(worst, p.placeGang(e, tasks[i:end]))
-		} else {
-			worst = max(worst, p.placeStep(e, tasks[i:end]))
+		if p.covered(e, s) {
+			continue
 		}
-		i = end
+		tasks = append(tasks, readyTask{t, s})
+	}
+	if len(tasks) > 0 {
+		p.placeStep(e, tasks)
 	}
-	return worst
 }
 
-func (p *placer) placeStep(e *jobEntry, tasks []readyTask) placementResult {
+// covered reports whether no worker qualifies for the step because none did for a smaller need. Steps
+// that have to be looked at for another reason are not covered: the advisor's decisions may be missing,
+// and workers are reserved and hosts requested for long-running tasks.
+func (p *placer) covered(e *jobEntry, s *job.Step) bool {
+	return !e.job.Advised && !s.LongRunning && p.unplaceable.Covers(s)
+}
+
+func (p *placer) placeStep(e *jobEntry, tasks []readyTask) {
+	if tasks[0].step.Gang {
+		p.placeGang(e, tasks)
+		return
+	}
 	// Many jobs may wait for an account at its limit, so this check precedes the scan of all
 	// workers.
 	if !p.withinAccountLimit(e, tasks[0].step, 1) {
-		return deferred
+		return
 	}
-	o := p.owner
 	rack := p.prepareCandidates(e, tasks[0])
 	for n, t := range tasks {
 		if !p.withinAccountLimit(e, t.step, 1) {
-			return deferred
+			return
 		}
 		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
 		if i < 0 {
-			if t.step.LongRunning {
-				placement.Reserve(p.candidates, t.step)
-			}
-			result := p.unplacedResult(e, t)
-			if result == insufficientCapacity && t.step.LongRunning {
-				o.unplaced.add(t.step, len(tasks)-n)
-			}
-			return result
+			p.recordShortage(e, t, len(tasks)-n)
+			return
 		}
 		p.startRun(e, t, i, 0)
 		rack = p.candidates[i].Rack()
 	}
-	return allPlaced
 }
 
-// unplacedResult returns why a task found no worker, and queues a request to the advisor if that
-// can help.
-func (p *placer) unplacedResult(e *jobEntry, t readyTask) placementResult {
+// recordShortage records that no worker qualifies for the remaining tasks of a step: it queues a request
+// to the advisor if that can help, and otherwise reserves a worker and requests hosts for long-running
+// tasks.
+func (p *placer) recordShortage(e *jobEntry, t readyTask, remaining int) {
+	*p.scans(e.job.LongRunning()) += len(p.candidates)
 	if p.queueAdviceRequest(e, t) {
-		return deferred
+		return
 	}
-	open, suitable := 0, 0
-	for i := range p.candidates {
-		c := &p.candidates[i]
-		if c.Closed {
-			continue
-		}
-		open++
-		if c.Allowed && placement.CanRun(&c.Worker, t.step) {
-			suitable++
-		}
+	shortage := placement.FindShortage(p.candidates, t.step)
+	if !e.job.Advised && !shortage.Spread {
+		p.unplaceable.Add(t.step)
+	}
+	if !t.step.LongRunning || t.step.Gang {
+		return
 	}
-	if open > 0 && suitable == 0 {
-		return deferred
+	if shortage.Room {
+		placement.Reserve(p.candidates, t.step)
+	}
+	// Further hosts of this kind do not help a task that none can run.
+	if shortage.Suitable || !shortage.Open {
+		p.owner.unplaced.add(t.step, remaining)
 	}
-	return insufficientCapacity
 }
 
 // placeGang starts all members or none.
-func (p *placer) placeGang(e *jobEntry, tasks []readyTask) placementResult {
+func (p *placer) placeGang(e *jobEntry, tasks []readyTask) {
 	if len(tasks) < tasks[0].step.Count || !p.withinAccountLimit(e, tasks[0].step, len(tasks)) {
-		return deferred
+		return
 	}
 	rack := p.prepareCandidates(e, tasks[0])
 	saved := append([]placement.Candidate(nil), p.candidates...)
@@ -334,7 +368,8 @@
 		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
 		if i < 0 {
 			p.candidates = saved
-			return p.unplacedResult(e, t)
+			p.recordGangShortage(e, t, len(chosen))
+			return
 		}
 		p.assign(i, t.step)
 		rack = p.candidates[i].Rack()
@@ -348,7 +383,19 @@
 	for n, t := range tasks {
 		p.startRun(e, t, chosen[n], number)
 	}
-	return allPlaced
+}
+
+// recordGangShortage records that a gang found workers only for some of its members.
+func (p *placer) recordGangShortage(e *jobEntry, t readyTask, found int) {
+	*p.scans(e.job.LongRunning()) += len(p.candidates) * found
+	if found == 0 {
+		p.recordShortage(e, t, 0)
+		return
+	}
+	*p.scans(e.job.LongRunning()) += len(p.candidates)
+	if !p.queueAdviceRequest(e, t) {
+		placement.FindShortage(p.candidates, t.step)
+	}
 }
 
 // withinAccountLimit reports whether the limit of the job's account allows the tasks. If not, it
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -12,6 +12,9 @@
 type WaitingJob struct {
 	// LongRunning jobs keep their resources until they are cancelled.
 	LongRunning bool
+	// Skips is the number of consecutive scheduling passes, up to the last one, that ended before they
+	// looked at the job.
+	Skips int
 	// Priority is 0 for the highest priority.
 	Priority int
 	// Deadline is the end of the job's objective.
@@ -28,7 +31,8 @@
 //
 // Load pattern: a queue has a demand of five times its mean for some seconds. Long-running
 // jobs come first, because their tasks wait for particular workers and must not be starved
-// by a stream of short ones. Jobs that can still meet their objective come before those that
+// by a stream of short ones. Within each kind, jobs that scheduling passes have skipped come first,
+// so that jobs without a worker cannot hide the others. Jobs that can still meet their objective come before those that
 // cannot, in order of increasing slack. Late jobs follow in the order of their
 // acceptance, so that none starves.
 func Order(jobs []WaitingJob, now monotonic.Time) []int {
@@ -41,6 +45,9 @@
 		if a.LongRunning != b.LongRunning {
 			return a.LongRunning
 		}
+		if a.Skips != b.Skips {
+			return a.Skips > b.Skips
+		}
 		if a.Priority != b.Priority {
 			return a.Priority < b.Priority
 		}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -31,6 +31,14 @@
 		}
 		Expect(share.Order(jobs, now)).To(Equal([]int{1, 2, 0}))
 	})
+	// Guards against jobs without a worker that hide the others of their kind in each pass.
+	It("places jobs that passes have skipped before others of their kind", func() {
+		jobs := []share.WaitingJob{
+			{Deadline: in(time.Second)}, {Deadline: in(3 * time.Second), Skips: 1}, {Deadline: in(2 * time.Second), Priority: 1, Skips: 2},
+			{LongRunning: true, Deadline: in(time.Minute)},
+		}
+		Expect(share.Order(jobs, now)).To(Equal([]int{3, 2, 1, 0}))
+	})
 	It("places the job of the account with the lowest usage first among jobs of equal slack", func() {
 		jobs := []share.WaitingJob{{Deadline: in(time.Second), Usage: 2}, {Deadline: in(time.Second), Usage: 1}}
 		Expect(share.Order(jobs, now)).To(Equal([]int{1, 0}))
