--- a/cmd/samphirestile-emulator/jobs.go
+++ b/cmd/samphirestile-emulator/jobs.go
@@ -65,7 +65,7 @@
 
 // ready reports whether the owner accepts requests.
 func ready(o *shard.Owner) bool {
-	_, err := o.Waiting(context.Background(), "")
+	_, err := o.Waiting(context.Background(), shard.Queue{})
 	return err == nil
 }
 
--- a/internal/emulator/bench/job.go
+++ b/internal/emulator/bench/job.go
@@ -155,7 +155,7 @@
 		if d.Owner() == nil {
 			return false
 		}
-		_, err := d.Owner().Waiting(context.Background(), "q")
+		_, err := d.Owner().Waiting(context.Background(), shard.Queue{Name: "q"})
 		return err == nil
 	}
 	if err := await("first owner", func() bool { return serving(first) }); err != nil {
--- a/internal/emulator/jobcell/daemon.go
+++ b/internal/emulator/jobcell/daemon.go
@@ -42,7 +42,7 @@
 	discardLog.SetOutput(io.Discard)
 	self := lease.Member{Name: name, Incarnation: name}
 	d := &Daemon{store: s, workers: w, service: service, renewer: lease.NewRenewer(s, self, discardLog), log: discardLog}
-	owners := lease.NewOwners(s, d.renewer, self, d, func(partition.Depths) []string { return []string{string(service)} }, discardLog)
+	owners := lease.NewOwners(s, d.renewer, self, d, func(partition.Depths, []fleet.ServiceID) []string { return []string{string(service)} }, discardLog)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	go d.renewer.Run(ctx)
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -30,6 +30,10 @@
 	waveRefreshInterval = 4 * confirmInterval
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 150 * time.Millisecond
+	// awaitTimeout bounds how long a call waits for a configuration, and awaitInterval is the interval between
+	// readings meanwhile.
+	awaitTimeout  = time.Second
+	awaitInterval = 50 * time.Millisecond
 	// maxRejectedLogged is how many invalid parts of one configuration are logged.
 	maxRejectedLogged = 10
 )
@@ -84,6 +88,25 @@
 	return age < 2*confirmInterval
 }
 
+// Await waits until a version, or a newer one, is in force, and reports whether it is before ctx is done or
+// awaitTimeout has passed.
+func (c *ConfigurationFollower) Await(ctx context.Context, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
+	defer cancel()
+	for {
+		if current, _ := c.Current(); current != nil && current.Version >= version {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		if err := c.refresh(ctx); err != nil {
+			c.log.WithError(err).WithField("version", version).Info("configuration not read; a call waits for it")
+		}
+		monotonic.Sleep(ctx, awaitInterval)
+	}
+}
+
 // Waves returns the maintenance waves that operators have requested.
 func (c *ConfigurationFollower) Waves() []hosts.Wave {
 	c.mu.Lock()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -76,10 +76,13 @@
 	f.deadline, _ = ctx.Deadline()
 	return f.err
 }
-func (f *fakeShard) State(context.Context, job.ID) (job.State, error) { return f.state, f.result() }
-func (f *fakeShard) Waiting(context.Context, string) (int, error)     { return 12, f.result() }
-func (f *fakeShard) Empty(context.Context, worker.ID) (bool, error)   { return false, f.result() }
-func (f *fakeShard) Reopen(context.Context, worker.ID) error          { return f.result() }
+func (f *fakeShard) State(context.Context, job.ID) (job.State, error)  { return f.state, f.result() }
+func (f *fakeShard) Waiting(context.Context, shard.Queue) (int, error) { return 12, f.result() }
+func (f *fakeShard) HoldsQueue(context.Context, shard.Queue) (bool, error) {
+	return len(f.submitted()) > 0, f.result()
+}
+func (f *fakeShard) Empty(context.Context, worker.ID) (bool, error) { return false, f.result() }
+func (f *fakeShard) Reopen(context.Context, worker.ID) error        { return f.result() }
 func (f *fakeShard) Demand(context.Context, []worker.ID) (shard.HostDemand, error) {
 	return shard.HostDemand{}, f.result()
 }
@@ -189,7 +192,7 @@
 		g = &entry.Gateway{
 			Configurations: follow, RevocationDeadline: revoke, Log: discardLog, Scope: tally.NoopScope,
 			Router: &entry.Router{
-				Find:   func(string) (jobapi.Shard, bool) { return f, owned },
+				Find:   func(fleet.ServiceID) (jobapi.Shard, bool) { return f, owned },
 				Lookup: &entry.Lookup{Store: s, Depths: func() partition.Depths { return depths }, Responds: follow.ConfirmedRecently}, Log: discardLog,
 			},
 			Protocol: entry.Protocol{
@@ -403,6 +406,22 @@
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() int { return post("k").Code }, "3s").Should(Equal(http.StatusServiceUnavailable), "no owner can record it any more")
 	})
+	// Guards against a job that a daemon with an older configuration hands to the former service of its queue.
+	It("submits a job again under the configuration that sends its queue elsewhere", func() {
+		ready()
+		f.fail(&shard.QueueMovedError{Version: 2})
+		w := make(chan int, 1)
+		go func() { w <- post("k").Code }()
+		Consistently(w, "100ms").ShouldNot(Receive())
+		f.fail(nil)
+		configure(2, "k")
+		Eventually(w, "2s").Should(Receive(Equal(http.StatusOK)))
+		Expect(f.submitted()[len(f.submitted())-1].ConfigVersion).To(Equal(int64(2)))
+		f.fail(&shard.QueueMovedError{Version: 3})
+		refused := post("k")
+		Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.Header().Get("Retry-After")).To(Equal("1"))
+	})
 	It("refuses at once while the shard has no owner", func() {
 		ready()
 		owned = false
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -100,10 +100,9 @@
 		ctx, cancel = g.untilRevocation(ctx, c)
 		defer cancel()
 	}
-	name := string(c.queue.Service)
 	switch {
 	case r.Method == http.MethodGet && c.id == "":
-		n, err := g.Router.Waiting(ctx, name, c.queue.Name)
+		n, err := g.Router.Waiting(ctx, c.queue)
 		if err != nil {
 			return err
 		}
@@ -112,7 +111,7 @@
 	case !job.ValidID(string(c.id)):
 		return invalidIDError(c.id)
 	case r.Method == http.MethodGet:
-		state, err := g.Router.State(ctx, name, c.id)
+		state, err := g.Router.State(ctx, c.queue, c.id)
 		if err != nil {
 			return err
 		}
@@ -121,7 +120,7 @@
 	case r.Method == http.MethodPost:
 		return g.submit(ctx, w, r, c)
 	case r.Method == http.MethodDelete:
-		if err := g.Router.Cancel(ctx, name, c.id); err != nil {
+		if err := g.Router.Cancel(ctx, c.queue, c.id); err != nil {
 			return err
 		}
 		c.status = http.StatusOK
@@ -188,6 +187,30 @@
 	if err != nil {
 		return &StatusError{Status: http.StatusBadRequest, Reason: "body: " + err.Error()}
 	}
+	for range maxBindingChanges {
+		var moved *shard.QueueMovedError
+		if err = g.submitBody(ctx, r, c, body); !errors.As(err, &moved) {
+			break
+		}
+		// A newer configuration than this daemon's sends the queue elsewhere, or nowhere.
+		if !g.Configurations.Await(ctx, moved.Version) {
+			err = g.Router.refuse(c.id, &StatusError{http.StatusServiceUnavailable, "the configuration is not up to date", staleRetryAfter})
+			break
+		}
+	}
+	if errors.As(err, new(*shard.QueueMovedError)) {
+		err = g.Router.refuse(c.id, err)
+	}
+	if err != nil {
+		return err
+	}
+	c.status = http.StatusOK
+	w.WriteHeader(c.status)
+	return nil
+}
+
+// submitBody submits the job in the body of a call under the configuration in force.
+func (g *Gateway) submitBody(ctx context.Context, r *http.Request, c *call, body []byte) error {
 	// The key may have been revoked while the body arrived.
 	if err := g.authorize(r, c); err != nil {
 		return g.refuse(r, c, err)
@@ -202,6 +225,7 @@
 		return err
 	}
 	j.ID, j.Queue, j.Service, j.Account = c.id, c.queue.Name, c.queue.Service, c.account
+	j.QueueAddress, j.ConfigVersion = c.queue.Address(), c.version
 	j.Priority, j.MaxAttempts, j.Stretch = c.queue.Priority, c.queue.MaxAttempts, c.queue.Stretch
 	j.Objective = c.queue.Objective
 	if a := c.queue.Advice; a != nil {
@@ -210,12 +234,7 @@
 	if err := j.Validate(); err != nil {
 		return err
 	}
-	if err := g.Router.Submit(ctx, string(j.Service), j); err != nil {
-		return err
-	}
-	c.status = http.StatusOK
-	w.WriteHeader(c.status)
-	return nil
+	return g.Router.Submit(ctx, j)
 }
 
 // writeError sends the response to a failed call.
@@ -237,6 +256,8 @@
 		}
 	case errors.As(err, new(*job.InvalidError)):
 		c.status = http.StatusBadRequest
+	case errors.As(err, new(*shard.QueueMovedError)):
+		c.status, retryAfter = http.StatusServiceUnavailable, staleRetryAfter
 	case errors.As(err, new(*shard.UnknownJobError)):
 		c.status = http.StatusGone
 	default:
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -31,7 +31,7 @@
 	NotRecorded
 )
 
-// Lookup looks a job up whose shard has no reachable owner.
+// Lookup looks jobs up in the store, without an owner.
 type Lookup struct {
 	Store  store.Transactional
 	Depths func() partition.Depths
@@ -53,7 +53,23 @@
 
 var errStoreSilent = errors.New("the store has not responded recently")
 
-// Find asks the store for the job. It reads the job's records, the ownership of its shard and
+// FindIn asks the store for the job in several pools.
+func (l *Lookup) FindIn(ctx context.Context, pools []fleet.ServiceID, id job.ID) (Presence, error) {
+	result := NotRecorded
+	var failures []error
+	for _, pool := range pools {
+		found, err := l.Find(ctx, pool, id)
+		if found == Recorded {
+			return Recorded, nil
+		}
+		if found == PresenceUnknown {
+			result, failures = PresenceUnknown, append(failures, err)
+		}
+	}
+	return result, errors.Join(failures...)
+}
+
+// Find asks the store for the job in one pool. It reads the job's records, the ownership of its shard and
 // the depth of its partition in one transaction, so that they belong to the same revision.
 func (l *Lookup) Find(ctx context.Context, pool fleet.ServiceID, id job.ID) (Presence, error) {
 	if !l.Responds() {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -90,6 +90,10 @@
 	ID      ID              `json:"id"`
 	Queue   string          `json:"queue"`
 	Service fleet.ServiceID `json:"service"`
+	// QueueAddress is the host and prefix of the queue; "" in records of earlier versions.
+	QueueAddress string `json:"queue_address,omitempty"`
+	// ConfigVersion is the version of the configuration under which the job was submitted.
+	ConfigVersion int64 `json:"config_version,omitempty"`
 	// Account is the client account of the API key; "" in an open queue.
 	Account string `json:"account,omitempty"`
 	Spec    string `json:"spec"`
--- a/internal/jobapi/client.go
+++ b/internal/jobapi/client.go
@@ -125,6 +125,8 @@
 		return &shard.NotOwnerError{Shard: name}
 	case oas.OutcomeCodeMoved:
 		return &shard.MovedError{Shard: out.Shard.Or("")}
+	case oas.OutcomeCodeQueueMoved:
+		return &shard.QueueMovedError{Version: out.Version.Or(0)}
 	case oas.OutcomeCodeNoJob:
 		return &shard.UnknownJobError{ID: id}
 	}
@@ -157,14 +159,27 @@
 }
 
 // Waiting implements Shard.
-func (r *remoteShard) Waiting(ctx context.Context, queue string) (int, error) {
-	out, err := r.client.Waiting(ctx, &oas.QueueReference{Shard: r.name, Queue: queue})
+func (r *remoteShard) Waiting(ctx context.Context, queue shard.Queue) (int, error) {
+	out, err := r.client.Waiting(ctx, r.queueReference(queue))
 	if err := outcomeError(r.name, "", out, err); err != nil {
 		return 0, err
 	}
 	return out.Count.Or(0), nil
 }
 
+// HoldsQueue implements Shard. A daemon of an earlier version does not have the call, and its answer is an error.
+func (r *remoteShard) HoldsQueue(ctx context.Context, queue shard.Queue) (bool, error) {
+	out, err := r.client.HoldsQueue(ctx, r.queueReference(queue))
+	if err := outcomeError(r.name, "", out, err); err != nil {
+		return false, err
+	}
+	return out.Holds.Or(true), nil
+}
+
+func (r *remoteShard) queueReference(queue shard.Queue) *oas.QueueReference {
+	return &oas.QueueReference{Shard: r.name, Queue: queue.Name, Address: oas.NewOptString(queue.Address)}
+}
+
 // Empty implements Shard.
 func (r *remoteShard) Empty(ctx context.Context, id worker.ID) (bool, error) {
 	out, err := r.client.EmptyWorker(ctx, &oas.WorkerReference{Shard: r.name, Worker: string(id)})
--- a/internal/jobapi/fenced.go
+++ b/internal/jobapi/fenced.go
@@ -41,7 +41,7 @@
 func (f *Fenced) Submit(ctx context.Context, j job.Job) error {
 	f.open.Set(j.ID, true)
 	err := f.Shard.Submit(ctx, j)
-	if err == nil || errors.As(err, new(*shard.RejectedError)) || errors.As(err, new(*shard.MovedError)) {
+	if err == nil || errors.As(err, new(*shard.RejectedError)) || errors.As(err, new(*shard.MovedError)) || errors.As(err, new(*shard.QueueMovedError)) {
 		f.open.Set(j.ID, false)
 	}
 	return f.check(err)
--- a/internal/jobapi/fenced_test.go
+++ b/internal/jobapi/fenced_test.go
@@ -73,7 +73,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); l.owner.Run(runCtx) }()
 	DeferCleanup(func() { cancel(); <-done })
-	Eventually(func() error { _, err := l.owner.Waiting(ctx, "q"); return err }, "3s").Should(Succeed())
+	Eventually(func() error { _, err := l.owner.Waiting(ctx, shard.Queue{Name: "q"}); return err }, "3s").Should(Succeed())
 	return l
 }
 
--- a/internal/jobapi/oas/oas_client_gen.go
+++ b/internal/jobapi/oas/oas_client_gen.go
@@ -45,6 +45,12 @@
 	//
 	// POST /jobs/emptyWorker
 	EmptyWorker(ctx context.Context, request *WorkerReference) (*Outcome, error)
+	// HoldsQueue invokes holdsQueue operation.
+	//
+	// Reports whether the shard holds jobs of a queue, finished or not.
+	//
+	// POST /jobs/holdsQueue
+	HoldsQueue(ctx context.Context, request *QueueReference) (*Outcome, error)
 	// OpenWorker invokes openWorker operation.
 	//
 	// Opens a worker to new runs again.
@@ -371,6 +377,89 @@
 	return result, nil
 }
 
+// HoldsQueue invokes holdsQueue operation.
+//
+// Reports whether the shard holds jobs of a queue, finished or not.
+//
+// POST /jobs/holdsQueue
+func (c *Client) HoldsQueue(ctx context.Context, request *QueueReference) (*Outcome, error) {
+	res, err := c.sendHoldsQueue(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendHoldsQueue(ctx context.Context, request *QueueReference) (res *Outcome, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("holdsQueue"),
+		semconv.HTTPRequestMethodKey.String("POST"),
+		semconv.URLTemplateKey.String("/jobs/holdsQueue"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, HoldsQueueOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/jobs/holdsQueue"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeHoldsQueueRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeHoldsQueueResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // OpenWorker invokes openWorker operation.
 //
 // Opens a worker to new runs again.
--- a/internal/jobapi/oas/oas_handlers_gen.go
+++ b/internal/jobapi/oas/oas_handlers_gen.go
@@ -462,6 +462,149 @@
 	}
 }
 
+// handleHoldsQueueRequest handles holdsQueue operation.
+//
+// Reports whether the shard holds jobs of a queue, finished or not.
+//
+// POST /jobs/holdsQueue
+func (s *Server) handleHoldsQueueRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("holdsQueue"),
+		semconv.HTTPRequestMethodKey.String("POST"),
+		semconv.HTTPRouteKey.String("/jobs/holdsQueue"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), HoldsQueueOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: HoldsQueueOperation,
+			ID:   "holdsQueue",
+		}
+	)
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeHoldsQueueRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Outcome
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    HoldsQueueOperation,
+			OperationSummary: "",
+			OperationID:      "holdsQueue",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *QueueReference
+			Params   = struct{}
+			Response = *Outcome
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.HoldsQueue(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.HoldsQueue(ctx, request)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeHoldsQueueResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleOpenWorkerRequest handles openWorker operation.
 //
 // Opens a worker to new runs again.
--- a/internal/jobapi/oas/oas_json_gen.go
+++ b/internal/jobapi/oas/oas_json_gen.go
@@ -402,6 +402,18 @@
 			s.Shard.Encode(e)
 		}
 	}
+	{
+		if s.Version.Set {
+			e.FieldStart("version")
+			s.Version.Encode(e)
+		}
+	}
+	{
+		if s.Holds.Set {
+			e.FieldStart("holds")
+			s.Holds.Encode(e)
+		}
+	}
 	{
 		if s.Overload.Set {
 			e.FieldStart("overload")
@@ -462,19 +474,21 @@
 	}
 }
 
-var jsonFieldsNameOfOutcome = [12]string{
+var jsonFieldsNameOfOutcome = [14]string{
 	0:  "code",
 	1:  "reason",
 	2:  "shard",
-	3:  "overload",
-	4:  "retry_after_ms",
-	5:  "state",
-	6:  "count",
-	7:  "empty",
-	8:  "wanted",
-	9:  "settling",
-	10: "releasable",
-	11: "report",
+	3:  "version",
+	4:  "holds",
+	5:  "overload",
+	6:  "retry_after_ms",
+	7:  "state",
+	8:  "count",
+	9:  "empty",
+	10: "wanted",
+	11: "settling",
+	12: "releasable",
+	13: "report",
 }
 
 // Decode decodes Outcome from json.
@@ -516,6 +530,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"shard\"")
 			}
+		case "version":
+			if err := func() error {
+				s.Version.Reset()
+				if err := s.Version.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "holds":
+			if err := func() error {
+				s.Holds.Reset()
+				if err := s.Holds.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"holds\"")
+			}
 		case "overload":
 			if err := func() error {
 				s.Overload.Reset()
@@ -700,6 +734,8 @@
 		*s = OutcomeCodeNoJob
 	case OutcomeCodeMoved:
 		*s = OutcomeCodeMoved
+	case OutcomeCodeQueueMoved:
+		*s = OutcomeCodeQueueMoved
 	default:
 		*s = OutcomeCode(v)
 	}
@@ -737,11 +773,18 @@
 		e.FieldStart("queue")
 		e.Str(s.Queue)
 	}
+	{
+		if s.Address.Set {
+			e.FieldStart("address")
+			s.Address.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfQueueReference = [2]string{
+var jsonFieldsNameOfQueueReference = [3]string{
 	0: "shard",
 	1: "queue",
+	2: "address",
 }
 
 // Decode decodes QueueReference from json.
@@ -777,6 +820,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"queue\"")
 			}
+		case "address":
+			if err := func() error {
+				s.Address.Reset()
+				if err := s.Address.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"address\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/jobapi/oas/oas_operations_gen.go
+++ b/internal/jobapi/oas/oas_operations_gen.go
@@ -9,6 +9,7 @@
 	CancelOperation      OperationName = "Cancel"
 	DemandOperation      OperationName = "Demand"
 	EmptyWorkerOperation OperationName = "EmptyWorker"
+	HoldsQueueOperation  OperationName = "HoldsQueue"
 	OpenWorkerOperation  OperationName = "OpenWorker"
 	ReportOperation      OperationName = "Report"
 	StateOperation       OperationName = "State"
--- a/internal/jobapi/oas/oas_request_decoders_gen.go
+++ b/internal/jobapi/oas/oas_request_decoders_gen.go
@@ -227,6 +227,77 @@
 	}
 }
 
+func (s *Server) decodeHoldsQueueRequest(r *http.Request) (
+	req *QueueReference,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request QueueReference
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
+
 func (s *Server) decodeOpenWorkerRequest(r *http.Request) (
 	req *WorkerReference,
 	rawBody []byte,
--- a/internal/jobapi/oas/oas_request_encoders_gen.go
+++ b/internal/jobapi/oas/oas_request_encoders_gen.go
@@ -52,6 +52,20 @@
 	return nil
 }
 
+func encodeHoldsQueueRequest(
+	req *QueueReference,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
+
 func encodeOpenWorkerRequest(
 	req *WorkerReference,
 	r *http.Request,
--- a/internal/jobapi/oas/oas_response_decoders_gen.go
+++ b/internal/jobapi/oas/oas_response_decoders_gen.go
@@ -163,6 +163,56 @@
 	return res, validate.UnexpectedStatusCodeWithResponse(resp)
 }
 
+func decodeHoldsQueueResponse(resp *http.Response) (res *Outcome, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Outcome
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+}
+
 func decodeOpenWorkerResponse(resp *http.Response) (res *Outcome, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/jobapi/oas/oas_response_encoders_gen.go
+++ b/internal/jobapi/oas/oas_response_encoders_gen.go
@@ -49,6 +49,19 @@
 	return nil
 }
 
+func encodeHoldsQueueResponse(response *Outcome, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeOpenWorkerResponse(response *Outcome, w http.ResponseWriter, span trace.Span) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/internal/jobapi/oas/oas_router_gen.go
+++ b/internal/jobapi/oas/oas_router_gen.go
@@ -29,13 +29,16 @@
 	rn7AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn11AllowedHeaders = map[string]string{
+	rn8AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 	rn12AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn13AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
+	rn10AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -177,6 +180,31 @@
 						return
 					}
 
+				case 'h': // Prefix: "holdsQueue"
+
+					if l := len("holdsQueue"); len(elem) >= l && elem[0:l] == "holdsQueue" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleHoldsQueueRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: rn5AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
 				case 'o': // Prefix: "openWorker"
 
 					if l := len("openWorker"); len(elem) >= l && elem[0:l] == "openWorker" {
@@ -193,7 +221,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn5AllowedHeaders,
+								allowedHeaders: rn6AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -218,7 +246,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn6AllowedHeaders,
+								allowedHeaders: rn7AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -255,7 +283,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "POST",
-									allowedHeaders: rn7AllowedHeaders,
+									allowedHeaders: rn8AllowedHeaders,
 									acceptPost:     "application/json",
 									acceptPatch:    "",
 								})
@@ -280,7 +308,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "POST",
-									allowedHeaders: rn11AllowedHeaders,
+									allowedHeaders: rn12AllowedHeaders,
 									acceptPost:     "application/json",
 									acceptPatch:    "",
 								})
@@ -307,7 +335,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn12AllowedHeaders,
+								allowedHeaders: rn13AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -334,7 +362,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn9AllowedHeaders,
+							allowedHeaders: rn10AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -530,6 +558,31 @@
 						}
 					}
 
+				case 'h': // Prefix: "holdsQueue"
+
+					if l := len("holdsQueue"); len(elem) >= l && elem[0:l] == "holdsQueue" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = HoldsQueueOperation
+							r.summary = ""
+							r.operationID = "holdsQueue"
+							r.operationGroup = ""
+							r.pathPattern = "/jobs/holdsQueue"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
 				case 'o': // Prefix: "openWorker"
 
 					if l := len("openWorker"); len(elem) >= l && elem[0:l] == "openWorker" {
--- a/internal/jobapi/oas/oas_schemas_gen.go
+++ b/internal/jobapi/oas/oas_schemas_gen.go
@@ -249,6 +249,10 @@
 	Reason OptString   `json:"reason"`
 	// The shard that holds the job; set if the code is moved.
 	Shard OptString `json:"shard"`
+	// The version of the configuration that binds the queue; set if the code is queue_moved.
+	Version OptInt64 `json:"version"`
+	// The shard holds jobs of the queue.
+	Holds OptBool `json:"holds"`
 	// Distinguishes a full queue from an unavailable service.
 	Overload     OptBool   `json:"overload"`
 	RetryAfterMs OptInt64  `json:"retry_after_ms"`
@@ -280,6 +284,16 @@
 	return s.Shard
 }
 
+// GetVersion returns the value of Version.
+func (s *Outcome) GetVersion() OptInt64 {
+	return s.Version
+}
+
+// GetHolds returns the value of Holds.
+func (s *Outcome) GetHolds() OptBool {
+	return s.Holds
+}
+
 // GetOverload returns the value of Overload.
 func (s *Outcome) GetOverload() OptBool {
 	return s.Overload
@@ -340,6 +354,16 @@
 	s.Shard = val
 }
 
+// SetVersion sets the value of Version.
+func (s *Outcome) SetVersion(val OptInt64) {
+	s.Version = val
+}
+
+// SetHolds sets the value of Holds.
+func (s *Outcome) SetHolds(val OptBool) {
+	s.Holds = val
+}
+
 // SetOverload sets the value of Overload.
 func (s *Outcome) SetOverload(val OptBool) {
 	s.Overload = val
@@ -388,12 +412,13 @@
 type OutcomeCode string
 
 const (
-	OutcomeCodeOk       OutcomeCode = "ok"
-	OutcomeCodeRejected OutcomeCode = "rejected"
-	OutcomeCodeNotOwner OutcomeCode = "not_owner"
-	OutcomeCodeUnknown  OutcomeCode = "unknown"
-	OutcomeCodeNoJob    OutcomeCode = "no_job"
-	OutcomeCodeMoved    OutcomeCode = "moved"
+	OutcomeCodeOk         OutcomeCode = "ok"
+	OutcomeCodeRejected   OutcomeCode = "rejected"
+	OutcomeCodeNotOwner   OutcomeCode = "not_owner"
+	OutcomeCodeUnknown    OutcomeCode = "unknown"
+	OutcomeCodeNoJob      OutcomeCode = "no_job"
+	OutcomeCodeMoved      OutcomeCode = "moved"
+	OutcomeCodeQueueMoved OutcomeCode = "queue_moved"
 )
 
 // AllValues returns all OutcomeCode values.
@@ -405,6 +430,7 @@
 		OutcomeCodeUnknown,
 		OutcomeCodeNoJob,
 		OutcomeCodeMoved,
+		OutcomeCodeQueueMoved,
 	}
 }
 
@@ -423,6 +449,8 @@
 		return []byte(s), nil
 	case OutcomeCodeMoved:
 		return []byte(s), nil
+	case OutcomeCodeQueueMoved:
+		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -449,6 +477,9 @@
 	case OutcomeCodeMoved:
 		*s = OutcomeCodeMoved
 		return nil
+	case OutcomeCodeQueueMoved:
+		*s = OutcomeCodeQueueMoved
+		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
@@ -458,6 +489,8 @@
 type QueueReference struct {
 	Shard string `json:"shard"`
 	Queue string `json:"queue"`
+	// Host and prefix of the queue. Jobs recorded without one are matched by the name of the queue.
+	Address OptString `json:"address"`
 }
 
 // GetShard returns the value of Shard.
@@ -470,6 +503,11 @@
 	return s.Queue
 }
 
+// GetAddress returns the value of Address.
+func (s *QueueReference) GetAddress() OptString {
+	return s.Address
+}
+
 // SetShard sets the value of Shard.
 func (s *QueueReference) SetShard(val string) {
 	s.Shard = val
@@ -480,6 +518,11 @@
 	s.Queue = val
 }
 
+// SetAddress sets the value of Address.
+func (s *QueueReference) SetAddress(val OptString) {
+	s.Address = val
+}
+
 // Ref: #/components/schemas/ReportRequest
 type ReportRequest struct {
 	Shard string `json:"shard"`
--- a/internal/jobapi/oas/oas_server_gen.go
+++ b/internal/jobapi/oas/oas_server_gen.go
@@ -26,6 +26,12 @@
 	//
 	// POST /jobs/emptyWorker
 	EmptyWorker(ctx context.Context, req *WorkerReference) (*Outcome, error)
+	// HoldsQueue implements holdsQueue operation.
+	//
+	// Reports whether the shard holds jobs of a queue, finished or not.
+	//
+	// POST /jobs/holdsQueue
+	HoldsQueue(ctx context.Context, req *QueueReference) (*Outcome, error)
 	// OpenWorker implements openWorker operation.
 	//
 	// Opens a worker to new runs again.
--- a/internal/jobapi/oas/oas_unimplemented_gen.go
+++ b/internal/jobapi/oas/oas_unimplemented_gen.go
@@ -40,6 +40,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// HoldsQueue implements holdsQueue operation.
+//
+// Reports whether the shard holds jobs of a queue, finished or not.
+//
+// POST /jobs/holdsQueue
+func (UnimplementedHandler) HoldsQueue(ctx context.Context, req *QueueReference) (r *Outcome, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // OpenWorker implements openWorker operation.
 //
 // Opens a worker to new runs again.
--- a/internal/jobapi/oas/oas_validators_gen.go
+++ b/internal/jobapi/oas/oas_validators_gen.go
@@ -44,6 +44,8 @@
 		return nil
 	case "moved":
 		return nil
+	case "queue_moved":
+		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
--- a/internal/jobapi/pool.go
+++ b/internal/jobapi/pool.go
@@ -97,7 +97,7 @@
 }
 
 // Waiting implements Shard.
-func (p *Pool) Waiting(ctx context.Context, queue string) (int, error) {
+func (p *Pool) Waiting(ctx context.Context, queue shard.Queue) (int, error) {
 	counts := make([]int, p.partitionCount())
 	err := p.forEachPartition(func(i int, s Shard) (err error) {
 		counts[i], err = s.Waiting(ctx, queue)
@@ -110,6 +110,16 @@
 	return sum, err
 }
 
+// HoldsQueue implements Shard.
+func (p *Pool) HoldsQueue(ctx context.Context, queue shard.Queue) (bool, error) {
+	holds := make([]bool, p.partitionCount())
+	err := p.forEachPartition(func(i int, s Shard) (err error) {
+		holds[i], err = s.HoldsQueue(ctx, queue)
+		return err
+	})
+	return slices.Contains(holds, true), err
+}
+
 // forWorker calls the partition that has claimed a worker, or all if that is unknown.
 //
 // A demand peak of a large pool and a maintenance wave drain hundreds of hosts, with several
--- a/internal/jobapi/server.go
+++ b/internal/jobapi/server.go
@@ -20,7 +20,10 @@
 	Submit(ctx context.Context, j job.Job) error
 	Cancel(ctx context.Context, id job.ID) error
 	State(ctx context.Context, id job.ID) (job.State, error)
-	Waiting(ctx context.Context, queue string) (int, error)
+	// Waiting returns how many jobs of a queue have no started task.
+	Waiting(ctx context.Context, queue shard.Queue) (int, error)
+	// HoldsQueue reports whether the shard has jobs of a queue, finished or not.
+	HoldsQueue(ctx context.Context, queue shard.Queue) (bool, error)
 	// Empty drains a worker, which then gets no new runs, and reports whether it has none left.
 	Empty(ctx context.Context, id worker.ID) (bool, error)
 	// Reopen ends the draining of a worker.
@@ -74,12 +77,16 @@
 	out.Reason = oas.NewOptString(err.Error())
 	var rejected *shard.RejectedError
 	var moved *shard.MovedError
+	var queueMoved *shard.QueueMovedError
 	switch {
 	case errors.As(err, new(*shard.UnknownOutcomeError)):
 		out.Code = oas.OutcomeCodeUnknown
 	case errors.As(err, &moved):
 		out.Code = oas.OutcomeCodeMoved
 		out.Shard = oas.NewOptString(moved.Shard)
+	case errors.As(err, &queueMoved):
+		out.Code = oas.OutcomeCodeQueueMoved
+		out.Version = oas.NewOptInt64(queueMoved.Version)
 	case errors.As(err, &rejected):
 		out.Code = oas.OutcomeCodeRejected
 		out.Reason = oas.NewOptString(rejected.Reason)
@@ -122,11 +129,23 @@
 // Waiting implements oas.Handler.
 func (s *Server) Waiting(ctx context.Context, req *oas.QueueReference) (*oas.Outcome, error) {
 	return s.with(req.Shard, func(l Shard) (*oas.Outcome, error) {
-		n, err := l.Waiting(ctx, req.Queue)
+		n, err := l.Waiting(ctx, queueOf(req))
 		return encode(&oas.Outcome{Count: oas.NewOptInt(n)}, err)
 	})
 }
 
+// HoldsQueue implements oas.Handler.
+func (s *Server) HoldsQueue(ctx context.Context, req *oas.QueueReference) (*oas.Outcome, error) {
+	return s.with(req.Shard, func(l Shard) (*oas.Outcome, error) {
+		holds, err := l.HoldsQueue(ctx, queueOf(req))
+		return encode(&oas.Outcome{Holds: oas.NewOptBool(holds)}, err)
+	})
+}
+
+func queueOf(req *oas.QueueReference) shard.Queue {
+	return shard.Queue{Name: req.Queue, Address: req.Address.Or("")}
+}
+
 // EmptyWorker implements oas.Handler.
 func (s *Server) EmptyWorker(ctx context.Context, req *oas.WorkerReference) (*oas.Outcome, error) {
 	return s.with(req.Shard, func(l Shard) (*oas.Outcome, error) {
--- a/internal/jobconfig/jobconfig.go
+++ b/internal/jobconfig/jobconfig.go
@@ -31,6 +31,9 @@
 	Advice *Advice
 }
 
+// Address identifies the queue to clients, whatever its name and service are in a version of the configuration.
+func (q *Queue) Address() string { return strings.ToLower(q.Host) + q.Prefix }
+
 // Advice is the duration of calls to the advisor of a queue.
 type Advice struct {
 	Decision, PerWorker time.Duration
@@ -124,6 +127,16 @@
 	return name, ok
 }
 
+// QueueAt returns the queue with an address.
+func (c *Configuration) QueueAt(address string) (*Queue, bool) {
+	for i := range c.Queues {
+		if c.Queues[i].Address() == address {
+			return &c.Queues[i], true
+		}
+	}
+	return nil, false
+}
+
 // Queue returns a queue by name.
 func (c *Configuration) Queue(name string) (*Queue, bool) {
 	for i := range c.Queues {
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -136,7 +136,7 @@
 
 // shardNames lists the shards that need an owner: the partitions of the pools that serve
 // queues, and the singleton roles.
-func (d *Daemon) shardNames(depths partition.Depths) []string {
+func (d *Daemon) shardNames(depths partition.Depths, _ []fleet.ServiceID) []string {
 	c, _ := d.configurations.Current()
 	if c == nil {
 		return nil
@@ -280,7 +280,7 @@
 	service := partition.Parse(name).Pool
 	workerLease := min(shard.MaxWorkerLease, b.MaxLease/2)
 	return shard.Config{
-		Shard: name, Service: service, Token: token, OwnerKey: lease.OwnerKey(name), PartitionKey: lease.PartitionKey(name), Store: d.store,
+		Shard: name, Service: service, Token: token, OwnerKey: lease.OwnerKey(name), PartitionKey: lease.PartitionKey(name), Store: d.store, Bindings: d.owners,
 		Dialer: d.workers, Advisor: d.advisor, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
 		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention},
 		LatestWorkerLeaseEnd: func() monotonic.Time { return d.renewer.ValidUntil(id).Add(workerLease) },
@@ -441,7 +441,7 @@
 	gateway := &entry.Gateway{
 		Configurations: d.configurations, RevocationDeadline: d.settings.Bounds.Revoke,
 		Router: &entry.Router{
-			Find:   func(name string) (jobapi.Shard, bool) { return d.pool(fleet.ServiceID(name)) },
+			Find: d.pool, Bindings: d.owners,
 			Lookup: &entry.Lookup{Store: d.store, Depths: d.owners.Depths, Responds: d.configurations.ConfirmedRecently}, Log: d.log,
 		},
 		Log: d.log, Scope: d.metrics.Scope(),
--- a/internal/jobstore/chain.go
+++ b/internal/jobstore/chain.go
@@ -17,7 +17,7 @@
 	keyPrefix = "samphirestile/"
 	// reservedEntries is the number of transaction entries used by two conditions and the chain key.
 	reservedEntries = 3
-	// MaxBatch is the maximum number of writes and removals in one batch.
+	// MaxBatch is the maximum number of writes, removals and conditions in one batch.
 	MaxBatch = store.MaxTransactionEntries - reservedEntries
 	// retryDelay is the delay before a batch without a response is sent again.
 	retryDelay = 100 * time.Millisecond
@@ -41,6 +41,18 @@
 	return fmt.Sprintf("ownership of shard %s lost: it has another owner or none", e.Shard)
 }
 
+// PreconditionError reports a batch that was not committed, and never will be, because one of its own
+// conditions does not hold.
+type PreconditionError struct {
+	Shard string
+	// Current holds the records that the conditions name.
+	Current []store.Entry
+}
+
+func (e *PreconditionError) Error() string {
+	return fmt.Sprintf("batch of shard %s not committed: a condition of the batch does not hold", e.Shard)
+}
+
 // Chain commits batches sequentially. Each batch is conditional on the revisions of the
 // ownership key and of the chain key, and writes the latter. A batch of an owner that lost
 // ownership and a delayed duplicate of an earlier batch therefore fail.
@@ -104,7 +116,10 @@
 
 // Commit writes one batch and returns once it is committed. It retries until the outcome is
 // definite. After an *OwnershipLostError or the end of ctx the batch may have been committed.
-func (c *Chain) Commit(ctx context.Context, writes []store.Write, removals []string) error {
+//
+// The batch may have conditions of its own. They must not hold again once they have failed, because an
+// earlier attempt may still arrive after Commit has returned a *PreconditionError.
+func (c *Chain) Commit(ctx context.Context, writes []store.Write, removals []string, conditions ...store.Condition) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sequence++
@@ -114,7 +129,7 @@
 	defer c.setState(0, false)
 	for {
 		t := store.Transaction{
-			Conditions: []store.Condition{{Key: c.ownerKey, Version: c.token}, {Key: chainKey(c.shard), Version: c.revision}},
+			Conditions: append([]store.Condition{{Key: c.ownerKey, Version: c.token}, {Key: chainKey(c.shard), Version: c.revision}}, conditions...),
 			Writes:     writes, Removals: removals,
 		}
 		// A duplicate of the batch is harmless: only the first one satisfies the chain condition.
@@ -125,7 +140,7 @@
 		}
 		var condition *store.ConditionError
 		if errors.As(err, &condition) {
-			committed, err := c.resolve(condition, sequence)
+			committed, err := c.resolve(condition, sequence, len(conditions) > 0)
 			if committed || err != nil {
 				return err
 			}
@@ -152,13 +167,16 @@
 }
 
 // resolve decides whether the failed condition is due to an earlier attempt of this batch, which it
-// reports as committed, to an abandoned batch or to another owner.
-func (c *Chain) resolve(failed *store.ConditionError, sequence string) (committed bool, err error) {
+// reports as committed, to an abandoned batch, to another owner or, if it has any, to a condition of the batch.
+func (c *Chain) resolve(failed *store.ConditionError, sequence string, conditional bool) (committed bool, err error) {
 	owner, ok := failed.Find(c.ownerKey)
 	if !ok || owner.Version != c.token {
 		return false, &OwnershipLostError{c.shard}
 	}
 	chain, ok := failed.Find(chainKey(c.shard))
+	if conditional && chain.Version == c.revision {
+		return false, &PreconditionError{c.shard, failed.Current}
+	}
 	committed = ok && string(chain.Value) == sequence
 	if !committed && !(ok && c.abandoned[string(chain.Value)]) {
 		return false, &OwnershipLostError{c.shard}
--- a/internal/jobstore/chain_test.go
+++ b/internal/jobstore/chain_test.go
@@ -74,6 +74,38 @@
 		Expect(c.Commit(ctx, write("3"), nil)).To(Succeed())
 		Expect(value()).To(Equal("3"))
 	})
+	// Guards against an owner that repeats for ever a batch whose own condition failed, or that takes it for the loss
+	// of its ownership.
+	It("does not commit a batch whose own condition does not hold, and goes on", func() {
+		c := acquire()
+		revision, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: "bound", Value: []byte("a")}}})
+		Expect(err).NotTo(HaveOccurred())
+		bound := store.Condition{Key: "bound", Version: revision}
+		Expect(c.Commit(ctx, write("1"), nil, bound)).To(Succeed())
+		_, err = s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: "bound", Value: []byte("b")}}})
+		Expect(err).NotTo(HaveOccurred())
+		for range 2 {
+			var failed *jobstore.PreconditionError
+			Expect(errors.As(c.Commit(ctx, write("2"), nil, bound), &failed)).To(BeTrue())
+			Expect(failed.Current).To(ContainElement(HaveField("Key", "bound")))
+		}
+		Expect(value()).To(Equal("1"))
+		Expect(c.Commit(ctx, write("3"), nil)).To(Succeed())
+		Expect(value()).To(Equal("3"))
+	})
+	It("commits a batch with a condition of its own once when the response of the store is lost", func() {
+		c := acquire()
+		revision, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: "bound"}}})
+		Expect(err).NotTo(HaveOccurred())
+		s.SetFaults(cluster.StoreFaults{LoseAnswers: true})
+		before := s.Commits()
+		done := make(chan error)
+		go func() { done <- c.Commit(ctx, write("1"), nil, store.Condition{Key: "bound", Version: revision}) }()
+		time.Sleep(50 * time.Millisecond)
+		s.SetFaults(cluster.StoreFaults{})
+		Expect(<-done).To(Succeed())
+		Expect(s.Commits()).To(Equal(before + 1))
+	})
 	It("hedges a lost call instead of waiting for its timeout", func() {
 		c := acquire()
 		s.SetFaults(cluster.StoreFaults{LostCalls: 2})
--- a/internal/lease/handover_test.go
+++ b/internal/lease/handover_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/store"
@@ -61,7 +62,7 @@
 		self := Member{Name: "x", Address: "x:1", Incarnation: "x1"}
 		renewer := NewRenewer(s, self, discardLog)
 		Expect(renewer.acquire(ctx)).To(Succeed())
-		o = NewOwners(s, renewer, self, r, func(partition.Depths) []string { return []string{"a", "b", "c"} }, discardLog)
+		o = NewOwners(s, renewer, self, r, func(partition.Depths, []fleet.ServiceID) []string { return []string{"a", "b", "c"} }, discardLog)
 		peer, err := json.Marshal(Member{Name: "y", Address: "y:1", Incarnation: "y1"})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = s.Store.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: memberPrefix + "y", Value: peer}}})
@@ -143,7 +144,7 @@
 		self := Member{Name: "x", Address: "x:1", Incarnation: "x1"}
 		renewer := NewRenewer(s, self, discardLog)
 		Expect(renewer.acquire(ctx)).To(Succeed())
-		o := NewOwners(s, renewer, self, r, func(partition.Depths) []string { return []string{"a"} }, discardLog)
+		o := NewOwners(s, renewer, self, r, func(partition.Depths, []fleet.ServiceID) []string { return []string{"a"} }, discardLog)
 		records, revision, err := s.List(ctx, prefix)
 		Expect(err).NotTo(HaveOccurred())
 		o.Replace(records, revision)
@@ -221,7 +222,7 @@
 		self := Member{Name: "x", Address: "x:1", Incarnation: "x1"}
 		renewer := NewRenewer(s, self, discardLog)
 		Expect(renewer.acquire(ctx)).To(Succeed())
-		o := NewOwners(s, renewer, self, r, func(partition.Depths) []string { return []string{"a", "b"} }, discardLog)
+		o := NewOwners(s, renewer, self, r, func(partition.Depths, []fleet.ServiceID) []string { return []string{"a", "b"} }, discardLog)
 		records, revision, err := s.List(ctx, prefix)
 		Expect(err).NotTo(HaveOccurred())
 		o.Replace(records, revision)
--- a/internal/lease/invalid_test.go
+++ b/internal/lease/invalid_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/store"
@@ -48,7 +49,7 @@
 		}))
 		self, r := Member{Name: "x", Address: "x:1", Incarnation: "x1"}, &runner{shards: map[string]uint64{}}
 		renewer := NewRenewer(s, self, log)
-		o := NewOwners(s, renewer, self, r, func(partition.Depths) []string { return shards }, log)
+		o := NewOwners(s, renewer, self, r, func(partition.Depths, []fleet.ServiceID) []string { return shards }, log)
 		runCtx, cancel := context.WithCancel(ctx)
 		var group sync.WaitGroup
 		group.Go(func() { renewer.Run(runCtx) })
@@ -106,7 +107,7 @@
 		s, r := cluster.NewStore(), &runner{shards: map[string]uint64{}}
 		self := Member{Name: "x", Address: "x:1", Incarnation: "x1"}
 		renewer := NewRenewer(s, self, log)
-		o := NewOwners(s, renewer, self, r, func(partition.Depths) []string { return []string{"a", name} }, log)
+		o := NewOwners(s, renewer, self, r, func(partition.Depths, []fleet.ServiceID) []string { return []string{"a", name} }, log)
 		entries := []store.Entry{
 			{Key: memberPrefix + name, Value: value, Version: 1}, {Key: OwnerKey(name), Value: value, Version: 2, Created: 2}, {Key: PartitionKey(name), Value: value, Version: 3},
 		}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/store"
@@ -62,7 +63,7 @@
 		d := &daemon{runner: &runner{shards: map[string]uint64{}}}
 		backing := store.Hedged{Transactional: s}
 		d.renewer = NewRenewer(backing, self, discardLog)
-		d.owners = NewOwners(backing, d.renewer, self, d.runner, func(partition.Depths) []string { return shards }, discardLog)
+		d.owners = NewOwners(backing, d.renewer, self, d.runner, func(partition.Depths, []fleet.ServiceID) []string { return shards }, discardLog)
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
 		group.Go(func() { d.renewer.Run(ctx) })
@@ -77,7 +78,7 @@
 		discardLog.SetOutput(io.Discard)
 		self, r := Member{Name: "x", Address: "x:1", Incarnation: "x1"}, &runner{shards: map[string]uint64{}}
 		renewer := NewRenewer(s, self, discardLog)
-		o := NewOwners(s, renewer, self, r, func(partition.Depths) []string { passes.Add(1); return shards }, discardLog)
+		o := NewOwners(s, renewer, self, r, func(partition.Depths, []fleet.ServiceID) []string { passes.Add(1); return shards }, discardLog)
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
 		group.Go(func() { renewer.Run(ctx) })
--- a/internal/lease/owners.go
+++ b/internal/lease/owners.go
@@ -11,6 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"samphirestile.example/samphirestile/internal/binding"
+	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/follow"
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/partition"
@@ -49,7 +51,7 @@
 	renewer  *Renewer
 	self     Member
 	runner   Runner
-	shards   func(partition.Depths) []string
+	shards   func(partition.Depths, []fleet.ServiceID) []string
 	log      *logrus.Logger
 	// rejections reports records that are read again and again.
 	rejections *follow.Rejections
@@ -59,7 +61,9 @@
 	members  map[string]Member
 	owners   map[string]owner
 	// depths holds the depths of pool partitions. It is replaced, not modified, on a change.
-	depths   partition.Depths
+	depths partition.Depths
+	// bindings holds the bindings of queues by key.
+	bindings map[string]binding.Recorded
 	vacant   map[string]monotonic.Time
 	running  map[string]ownership
 	stopping bool
@@ -86,12 +90,14 @@
 	lease store.LeaseID
 }
 
-// NewOwners returns an Owners. The function shards lists the shards that need an owner,
-// given the depths of pool partitions.
-func NewOwners(s store.Transactional, r *Renewer, self Member, runner Runner, shards func(partition.Depths) []string, log *logrus.Logger) *Owners {
+// NewOwners returns an Owners. The function shards lists the shards that need an owner, given the depths
+// of pool partitions and the services that accept or may hold jobs.
+func NewOwners(
+	s store.Transactional, r *Renewer, self Member, runner Runner, shards func(partition.Depths, []fleet.ServiceID) []string, log *logrus.Logger,
+) *Owners {
 	o := &Owners{
 		store: s, renewer: r, self: self, runner: runner, shards: shards, log: log, rejections: follow.NewRejections(log),
-		members: map[string]Member{}, owners: map[string]owner{}, depths: partition.Depths{}, vacant: map[string]monotonic.Time{}, ended: map[string]uint64{},
+		members: map[string]Member{}, owners: map[string]owner{}, depths: partition.Depths{}, bindings: map[string]binding.Recorded{}, vacant: map[string]monotonic.Time{}, ended: map[string]uint64{},
 		running: map[string]ownership{}, wake: make(chan struct{}, 1),
 	}
 	o.follower = follow.New(follow.Config{Store: s, Prefix: prefix, Target: o, RelistInterval: relistInterval, Log: log})
@@ -179,8 +185,15 @@
 	defer o.mu.Unlock()
 	members, owners := len(o.members), len(o.owners)
 	o.members, o.owners = map[string]Member{}, map[string]owner{}
+	bound := map[string]bool{}
 	for _, e := range records {
 		o.put(e)
+		bound[e.Key] = true
+	}
+	for key, b := range o.bindings {
+		if !bound[key] && b.Revision <= revision {
+			delete(o.bindings, key)
+		}
 	}
 	o.revision = max(o.revision, revision)
 	if len(o.members) != members || len(o.owners) != owners {
@@ -205,6 +218,10 @@
 		}
 		return
 	}
+	if strings.HasPrefix(e.Key, bindingPrefix) {
+		o.putBinding(e)
+		return
+	}
 	m, err := decodeMember(e.Value)
 	if err != nil {
 		o.rejections.Report(e.Key, err)
@@ -239,6 +256,7 @@
 		if shard, ok := strings.CutPrefix(e.Key, ownerPrefix); ok {
 			delete(o.owners, shard)
 		}
+		delete(o.bindings, e.Key)
 	}
 	o.changedAt = monotonic.Now()
 	o.notify()
@@ -333,7 +351,7 @@
 		return nil
 	}
 	var vacant []string
-	for _, shard := range o.shards(o.depths) {
+	for _, shard := range o.shards(o.depths, o.boundServices()) {
 		if _, ok := o.owners[shard]; ok {
 			delete(o.vacant, shard)
 			continue
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -70,9 +70,17 @@
 	}
 }
 
+// record is one write of a commit.
+type record struct {
+	store.Write
+	// first is the job whose first record this is, which requires that its queue is bound to the shard's
+	// service; nil for other records.
+	first *jobEntry
+}
+
 // batch holds the writes of one commit.
 type batch struct {
-	writes   []store.Write
+	writes   []record
 	removals []string
 	jobs     []*jobEntry
 	progress []*jobEntry
@@ -95,6 +103,19 @@
 func (o *Owner) commit(ctx context.Context) error {
 	o.commitMu.Lock()
 	defer o.commitMu.Unlock()
+	for {
+		// Jobs whose queues are not bound yet wait; all other changes are written.
+		bindErr := o.bindQueues(ctx)
+		err := o.commitChanges(ctx)
+		if !errors.As(err, new(*jobstore.PreconditionError)) || ctx.Err() != nil {
+			return errors.Join(bindErr, err)
+		}
+	}
+}
+
+// commitChanges writes all changes. After a *jobstore.PreconditionError the bindings of some queues have changed,
+// and the jobs that were not recorded for that reason have none.
+func (o *Owner) commitChanges(ctx context.Context) error {
 	o.mu.Lock()
 	b, err := o.collect()
 	o.mu.Unlock()
@@ -103,10 +124,12 @@
 	}
 	writes, removals := b.writes, b.removals
 	for len(writes)+len(removals) > 0 {
-		w := writes[:min(len(writes), jobstore.MaxBatch)]
-		r := removals[:min(len(removals), jobstore.MaxBatch-len(w))]
+		o.mu.Lock()
+		w, conditions := o.nextBatch(writes)
+		o.mu.Unlock()
+		r := removals[:min(len(removals), jobstore.MaxBatch-len(w)-len(conditions))]
 		began := monotonic.Now()
-		if err := o.chain.Commit(ctx, w, r); err != nil {
+		if err := o.chain.Commit(ctx, storeWrites(w), r, conditions...); err != nil {
 			o.mu.Lock()
 			for _, e := range b.progress {
 				e.dirty = true
@@ -117,9 +140,19 @@
 				// The successor decides from here on; unknown outcomes stay unknown here.
 				<-ctx.Done()
 			}
+			if errors.As(err, new(*jobstore.PreconditionError)) {
+				err = errors.Join(err, o.rebind(ctx, w))
+			}
 			return fmt.Errorf("write %d records and remove %d: %w", len(w), len(r), err)
 		}
 		o.recordCommit(monotonic.Now().Sub(began))
+		o.mu.Lock()
+		for _, written := range w {
+			if written.first != nil {
+				written.first.recorded = true
+			}
+		}
+		o.mu.Unlock()
 		writes, removals = writes[len(w):], removals[len(r):]
 	}
 	o.mu.Lock()
@@ -128,20 +161,47 @@
 	return nil
 }
 
+// nextBatch returns the first records that fit into one transaction together with their conditions. The caller
+// holds mu.
+func (o *Owner) nextBatch(records []record) ([]record, []store.Condition) {
+	for n := min(len(records), jobstore.MaxBatch); ; n-- {
+		if conditions := o.bindingConditions(records[:n]); n+len(conditions) <= jobstore.MaxBatch || n <= 1 {
+			return records[:n], conditions
+		}
+	}
+}
+
+func storeWrites(records []record) []store.Write {
+	writes := make([]store.Write, len(records))
+	for i, r := range records {
+		writes[i] = r.Write
+	}
+	return writes
+}
+
 // collect gathers unrecorded changes. Jobs are written before progress, so that a batch split over
 // two transactions leaves no progress without its job.
 func (o *Owner) collect() (*batch, error) {
 	b := &batch{processed: map[*session]completionNumber{}}
 	o.urgent = false
 	now := time.Now().UnixMilli()
-	var progress []store.Write
+	var progress []record
+	unbound := false
 	for id, e := range o.jobs {
+		var first *jobEntry
+		if o.needsBinding(e) {
+			if e.bindingRevision == 0 {
+				unbound = true
+				continue
+			}
+			first = e
+		}
 		if !e.stored && !e.job.FinalState.IsFinal() {
 			value, err := json.Marshal(e.job.Job)
 			if err != nil {
 				return nil, fmt.Errorf("encode job %s: %w", id, err)
 			}
-			b.writes = append(b.writes, store.Write{Key: jobstore.JobPrefix(o.Shard) + string(id), Value: value})
+			b.writes = append(b.writes, record{store.Write{Key: jobstore.JobPrefix(o.Shard) + string(id), Value: value}, first})
 			b.jobs = append(b.jobs, e)
 		}
 		if e.dirty {
@@ -150,7 +210,7 @@
 				return nil, err
 			}
 			e.dirty = false
-			progress = append(progress, store.Write{Key: jobstore.ProgressPrefix(o.Shard) + string(id), Value: value})
+			progress = append(progress, record{store.Write{Key: jobstore.ProgressPrefix(o.Shard) + string(id), Value: value}, first})
 			b.progress = append(b.progress, e)
 			if e.job.FinalState.IsFinal() {
 				b.finals = append(b.finals, e)
@@ -162,6 +222,11 @@
 			b.removals = append(b.removals, jobstore.ProgressPrefix(o.Shard)+string(id))
 		}
 	}
+	if unbound {
+		// They arrived after bindQueues, or their queues could not be bound.
+		o.urgent = true
+		o.requestCommit()
+	}
 	b.writes = append(b.writes, progress...)
 	if err := o.collectWorkers(b); err != nil {
 		return nil, err
@@ -170,7 +235,7 @@
 		// Written after all jobs that were accepted before the split: the new partition's owner
 		// reads them.
 		b.depth = o.partition.Depth
-		b.writes = append(b.writes, store.Write{Key: o.PartitionKey, Value: partition.EncodeDepth(b.depth)})
+		b.writes = append(b.writes, record{Write: store.Write{Key: o.PartitionKey, Value: partition.EncodeDepth(b.depth)}})
 	}
 	for _, s := range o.sessions {
 		b.processed[s] = completionNumber{s.incarnation, s.processed}
@@ -250,11 +315,11 @@
 		return fmt.Errorf("encode record of %d workers: %w", len(workers), err)
 	}
 	b.workers = workers
-	record := store.Write{Key: jobstore.WorkersKey(o.Shard), Value: value}
+	write := record{Write: store.Write{Key: jobstore.WorkersKey(o.Shard), Value: value}}
 	if b.dropsWorkers {
-		b.writes = append(b.writes, record)
+		b.writes = append(b.writes, write)
 	} else {
-		b.writes = append([]store.Write{record}, b.writes...)
+		b.writes = append([]record{write}, b.writes...)
 	}
 	return nil
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -72,6 +72,8 @@
 	Token    uint64
 	OwnerKey string
 	Store    store.Transactional
+	// Bindings are the bindings of queues to services; nil means that jobs are accepted from any queue.
+	Bindings Bindings
 	Dialer   worker.Dialer
 	Advisor  worker.Advisor
 	Bounds   Bounds
@@ -171,6 +173,14 @@
 	storedChan chan struct{}
 	stored     bool
 	dirty      bool
+	// recorded is set once some record of the job is in the store. bindingRevision is the revision of the
+	// binding under which the first one may be written; 0 means that it is not known yet.
+	recorded        bool
+	bindingRevision uint64
+	// heldElsewhere and refused are set if the job was dropped before it was recorded: another shard holds it,
+	// or its queue is bound to another service.
+	heldElsewhere bool
+	refused       error
 	// finalStoredChan is closed once the final state is in the store.
 	finalStoredChan chan struct{}
 	finalStored     bool
--- a/internal/shard/partition_test.go
+++ b/internal/shard/partition_test.go
@@ -155,7 +155,7 @@
 		r, err := pool().Report(ctx, shard.ReportRequest{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.HostsWanted).To(Equal(d.Wanted))
-		Expect(pool().Waiting(ctx, "q")).To(BeZero())
+		Expect(pool().Waiting(ctx, shard.Queue{Name: "q"})).To(BeZero())
 		delete(owners, "quoter#1")
 		_, err = pool().Demand(ctx, nil)
 		Expect(errors.As(err, new(*shard.NotOwnerError))).To(BeTrue())
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -84,9 +84,15 @@
 		o.logAdmission(&j, decision, workers, nil)
 		o.requestCommit()
 	} else {
+		e.raiseVersion(j.ConfigVersion)
 		o.mu.Unlock()
 	}
-	return wait(ctx, e.storedChan, recordTimeout)
+	if err := wait(ctx, e.storedChan, recordTimeout); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return e.refused
 }
 
 // wait returns nil if done is closed within the limit.
@@ -120,7 +126,15 @@
 		o.finishJob(e, job.Cancelled)
 	}
 	o.mu.Unlock()
-	return wait(ctx, e.finalStoredChan, recordTimeout)
+	if err := wait(ctx, e.finalStoredChan, recordTimeout); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if e.heldElsewhere {
+		return &UnknownJobError{id}
+	}
+	return e.refused
 }
 
 // finishJob sets a job's final state and stops its remaining runs. The caller holds mu.
@@ -166,8 +180,20 @@
 	return e.job.VisibleState(e.finalStored), nil
 }
 
+// Queue names a queue. Jobs of earlier versions were recorded without the address, and are matched by name.
+type Queue struct {
+	Name, Address string
+}
+
+func (q Queue) has(j *job.Job) bool {
+	if j.QueueAddress == "" {
+		return j.Queue == q.Name
+	}
+	return j.QueueAddress == q.Address
+}
+
 // Waiting returns how many jobs of a queue have no started task.
-func (o *Owner) Waiting(_ context.Context, queue string) (int, error) {
+func (o *Owner) Waiting(_ context.Context, queue Queue) (int, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.open || o.closed {
@@ -175,9 +201,25 @@
 	}
 	n := 0
 	for _, e := range o.active {
-		if e.job.Queue == queue && !e.job.Started {
+		if queue.has(&e.job.Job) && !e.job.Started {
 			n++
 		}
 	}
 	return n, nil
 }
+
+// HoldsQueue reports whether the shard has jobs of a queue, finished or not. Jobs that finished under an earlier
+// owner, and those of earlier versions, were recorded without the address; they count as jobs of any queue.
+func (o *Owner) HoldsQueue(_ context.Context, queue Queue) (bool, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.open || o.closed || !o.ownershipCertain(monotonic.Now()) {
+		return false, &NotOwnerError{o.Shard}
+	}
+	for _, e := range o.jobs {
+		if e.job.QueueAddress == "" || e.job.QueueAddress == queue.Address {
+			return true, nil
+		}
+	}
+	return false, nil
+}
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -89,6 +89,9 @@
 	wrapStore func(store.Transactional) store.Transactional
 	// wrapDialer wraps the connections to the workers of owners that are started from then on.
 	wrapDialer func(worker.Dialer) worker.Dialer
+	// service and bindings are those of owners that are started from then on.
+	service  fleet.ServiceID
+	bindings shard.Bindings
 	// log receives the log lines of owners that are started from then on.
 	log io.Writer
 	// simulated is set for specs on simulated time. Their owners must be stopped before the clock is removed.
@@ -126,7 +129,7 @@
 
 func newFixture(workers int) *fixture {
 	f := &fixture{
-		store: cluster.NewStore(), behaviours: map[string]cluster.Behaviour{}, hidden: map[worker.ID]bool{},
+		store: cluster.NewStore(), service: service, behaviours: map[string]cluster.Behaviour{}, hidden: map[worker.ID]bool{},
 		excludedWorkers: map[string][]worker.ID{}, claims: map[worker.ID]uint64{},
 		config: &jobconfig.Configuration{Version: 1, Accounts: map[string]jobconfig.Account{}}, log: io.Discard,
 	}
@@ -226,10 +229,11 @@
 	if f.wrapDialer != nil {
 		dialer = f.wrapDialer(dialer)
 	}
+	own := f.service
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{cancel: cancel, done: make(chan struct{})}
 	o.Owner = shard.New(shard.Config{
-		Shard: name, Service: service, Token: token, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advisor: f.advisor,
+		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advisor: f.advisor,
 		Bounds: shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute},
 		LatestWorkerLeaseEnd: func() monotonic.Time {
 			o.mu.Lock()
@@ -241,7 +245,7 @@
 		},
 		Workers: func() map[worker.ID]worker.Worker {
 			all := f.listed()
-			maps.DeleteFunc(all, func(id worker.ID, _ worker.Worker) bool { return f.excluded(name, id) })
+			maps.DeleteFunc(all, func(id worker.ID, w worker.Worker) bool { return f.excluded(name, id) || w.Service != own })
 			return all
 		},
 		Claim: func(id worker.ID) (string, uint64) {
--- /dev/null
+++ b/internal/store/existing.go
@@ -0,0 +1,22 @@
+package store
+
+import (
+	"context"
+	"errors"
+)
+
+// Existing returns the records of those keys that exist, at most MaxTransactionEntries keys, as of one revision.
+func Existing(ctx context.Context, s Transactional, keys []string) ([]Entry, error) {
+	probe := Transaction{}
+	for _, key := range keys {
+		probe.Conditions = append(probe.Conditions, Condition{Key: key})
+	}
+	// The transaction writes nothing, so it may be hedged. Keys that exist fail a condition, and the store
+	// returns their records.
+	_, err := Hedge(ctx, HedgeDelay/2, HasDefiniteOutcome, func(ctx context.Context) (uint64, error) { return s.Commit(ctx, probe) })
+	var exist *ConditionError
+	if errors.As(err, &exist) {
+		return exist.Current, nil
+	}
+	return nil, err
+}
