jobdaemon: own each pool that may hold jobs, also without a queue

Cause: the shards that need an owner, the pools that are given hosts and the size of the cluster came from the queues of the configuration in force. A pool that holds jobs of an earlier one was in none of them.

- They come from the bindings of queues too, which are in the store and outlive all daemons.
- A pool without a queue in force is not split further.
- The soak sends its queue from one service to the other, in series, beside all other faults, and reports accepted jobs that are answered 410.
The stand-in has several services.

--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -134,15 +134,15 @@
 	return out, ok, err
 }
 
-// shardNames lists the shards that need an owner: the partitions of the pools that serve
-// queues, and the singleton roles.
-func (d *Daemon) shardNames(depths partition.Depths, _ []fleet.ServiceID) []string {
+// shardNames lists the shards that need an owner: the partitions of the pools that serve queues or may hold
+// jobs, and the singleton roles.
+func (d *Daemon) shardNames(depths partition.Depths, bound []fleet.ServiceID) []string {
 	c, _ := d.configurations.Current()
 	if c == nil {
 		return nil
 	}
 	names := []string{hostsShard, workersShard}
-	for _, pool := range servedPools(c) {
+	for _, pool := range poolsInUse(c, bound) {
 		for _, p := range depths.Partitions(pool) {
 			names = append(names, p.Shard())
 		}
@@ -150,16 +150,23 @@
 	return names
 }
 
-// servedPools lists the services of all queues.
-func servedPools(c *jobconfig.Configuration) []fleet.ServiceID {
+// poolsInUse lists the services of all queues, and those to which queues are or were bound: they may hold jobs that
+// were accepted under an earlier configuration.
+func poolsInUse(c *jobconfig.Configuration, bound []fleet.ServiceID) []fleet.ServiceID {
 	var pools []fleet.ServiceID
 	seen := map[fleet.ServiceID]bool{}
-	for i := range c.Queues {
-		if s := c.Queues[i].Service; !seen[s] {
+	add := func(s fleet.ServiceID) {
+		if !seen[s] {
 			seen[s] = true
 			pools = append(pools, s)
 		}
 	}
+	for i := range c.Queues {
+		add(c.Queues[i].Service)
+	}
+	for _, s := range bound {
+		add(s)
+	}
 	return pools
 }
 
@@ -309,13 +316,13 @@
 	})
 }
 
-// pools lists the pools that serve queues.
+// pools lists the pools that serve queues or may hold jobs.
 func (d *Daemon) pools() []fleet.ServiceID {
 	c, _ := d.configurations.Current()
 	if c == nil {
 		return nil
 	}
-	return servedPools(c)
+	return poolsInUse(c, d.owners.BoundServices())
 }
 
 func (d *Daemon) sparePools() map[fleet.ServiceID]bool {
@@ -385,7 +392,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run} {
+	for _, run := range []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run, d.endBindings} {
 		group.Go(func() { run(background) })
 	}
 	d.log.WithFields(logrus.Fields{
--- a/internal/jobdaemon/partitions.go
+++ b/internal/jobdaemon/partitions.go
@@ -20,22 +20,31 @@
 const claimsRetryDelay = 150 * time.Millisecond
 
 // wantedDepth returns the depth to which a partition should be split. Pools with an advisor
-// are not split: the advisor may allow only few workers, and a partition may have none of them.
+// are not split: the advisor may allow only few workers, and a partition may have none of them. Pools
+// that only finish the jobs of a former configuration are not split either.
 func (d *Daemon) wantedDepth(pool fleet.ServiceID, currentDepth int, cpuBound bool) int {
 	c, _ := d.configurations.Current()
 	if c == nil {
 		return currentDepth
 	}
+	serves := false
 	for i := range c.Queues {
-		if c.Queues[i].Service == pool && c.Queues[i].Advice != nil {
+		if c.Queues[i].Service != pool {
+			continue
+		}
+		serves = true
+		if c.Queues[i].Advice != nil {
 			return currentDepth
 		}
 	}
+	if !serves {
+		return currentDepth
+	}
 	return partition.WantedDepth(d.clusterSize(c), currentDepth, cpuBound)
 }
 
 func (d *Daemon) clusterSize(c *jobconfig.Configuration) partition.ClusterSize {
-	return partition.ClusterSize{Workers: d.roster.Count(), Pools: len(servedPools(c)), Daemons: d.owners.Members()}
+	return partition.ClusterSize{Workers: d.roster.Count(), Pools: len(poolsInUse(c, d.owners.BoundServices())), Daemons: d.owners.Members()}
 }
 
 // partitioned reports whether any pool has, or should have, several partitions.
--- a/test/soak/cell_test.go
+++ b/test/soak/cell_test.go
@@ -13,6 +13,7 @@
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
 	"samphirestile.example/samphirestile/internal/emulator/process"
 	"samphirestile.example/samphirestile/internal/emulator/relay"
+	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/worker"
 	"samphirestile.example/samphirestile/platform"
 	"samphirestile.example/samphirestile/platform/standin"
@@ -20,7 +21,11 @@
 
 const (
 	daemonCount = 3
-	workerCount = 6
+	// workerCount is the number of workers of both services together.
+	workerCount = 12
+	// service and otherService run the jobs of the queue by turns.
+	service      = fleet.ServiceID("pool")
+	otherService = fleet.ServiceID("other")
 	// readyTimeout allows for the start of the daemons on a busy machine.
 	readyTimeout = 20 * time.Second
 )
@@ -42,6 +47,10 @@
 	dir, program string
 	platform     *standin.Platform
 	nodes        []*daemonNode
+
+	mu sync.Mutex
+	// version is the version of the last configuration.
+	version int
 }
 
 // startCell starts the platform and the daemons. The daemons' addresses are derived
@@ -63,10 +72,14 @@
 		return cluster.Behaviour{Duration: time.Duration(50+outcomes.IntN(400)) * time.Millisecond, Fails: outcomes.IntN(50) == 0}
 	}
 	var err error
-	if c.platform, err = standin.Start("pool", workerCount, worker.Resources{CPU: 8000, MemMB: 16_000}, behaviour); err != nil {
+	capacity := worker.Resources{CPU: 8000, MemMB: 16_000}
+	if c.platform, err = standin.Start(service, workerCount/2, capacity, behaviour); err != nil {
 		return nil, err
 	}
-	if err := c.platform.Configure(1, queue); err != nil {
+	if err := c.platform.AddWorkers(otherService, workerCount/2, capacity); err != nil {
+		return c, err
+	}
+	if err := c.bindQueue(service); err != nil {
 		return c, err
 	}
 	for i := range daemonCount {
@@ -87,6 +100,16 @@
 	return c, c.awaitReady()
 }
 
+// bindQueue writes a configuration that sends the queue to a service. The other service has no queue then.
+func (c *cell) bindQueue(service fleet.ServiceID) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	q := queue
+	q.Service = service
+	return c.platform.Configure(c.version, q)
+}
+
 // startDaemon starts the node's daemon unless it is running.
 func (c *cell) startDaemon(n *daemonNode) error {
 	n.mu.Lock()
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -46,6 +46,7 @@
 		Entry("cancelled and shown as completed too", result{accepted: true, cancelSent: true, cancelledAt: now, final: job.Cancelled, shown: states{job.Cancelled: now, job.Completed: now}}, nil, nil, nil, 1),
 		Entry("completed before the cancel was acknowledged", result{accepted: true, cancelSent: true, cancelledAt: now, final: job.Completed, finalAt: now}, both, nil, nil, 0),
 		Entry("completed after the cancel was acknowledged", result{accepted: true, cancelSent: true, cancelledAt: now.Add(-2 * time.Second), final: job.Completed, finalAt: now}, both, nil, nil, 2),
+		Entry("accepted and denied", result{accepted: true, acceptedAt: now, goneAt: now.Add(time.Second), final: job.Completed, finalAt: now}, both, nil, nil, 1),
 		Entry("accepted, with a cancel answered with 410", result{accepted: true, cancelSent: true, cancelGone: true, final: job.Cancelled}, nil, nil, nil, 1),
 		Entry("accepted, with a cancel that was never answered", result{accepted: true, cancelSent: true, final: job.Cancelled}, nil, nil, nil, 1),
 	)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -12,12 +12,13 @@
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
 	"samphirestile.example/samphirestile/internal/emulator/process"
 	"samphirestile.example/samphirestile/internal/emulator/relay"
+	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/worker"
 	"samphirestile.example/samphirestile/platform/standin"
 )
 
 const (
-	faultKinds = 12
+	faultKinds = 14
 	// maxOrderDelay bounds the time after which a delayed order takes effect.
 	maxOrderDelay = 6 * time.Second
 	// workerTime is how long faults of workers are injected after all others.
@@ -203,6 +204,16 @@
 	case 10:
 		s.record("worker %s crashes", w)
 		s.cell.platform.Workers.Find(w).Crash()
+	case 11, 12:
+		// Jobs that were accepted before stay with their service. Versions follow each other within a second.
+		for range 1 + r.IntN(3) {
+			target := []fleet.ServiceID{service, otherService}[r.IntN(2)]
+			s.record("queue sent to service %s", target)
+			if err := s.cell.bindQueue(target); err != nil {
+				s.record("configuration not written: %v", err)
+			}
+			time.Sleep(randomDuration(r, 0, 600*time.Millisecond))
+		}
 	default:
 		s.disturbWorker(r)
 	}
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -33,7 +33,10 @@
 	finalAt time.Time
 	final   job.State
 	// shown holds when the latest call was sent that showed each state.
-	shown map[job.State]time.Time
+	shown      map[job.State]time.Time
+	acceptedAt time.Time
+	// goneAt is when a call for the state was sent that was answered with 410.
+	goneAt time.Time
 
 	cancelSent bool
 	// cancelledAt is when a cancel was answered with 2xx, cancelGone whether one was answered with 410.
@@ -163,7 +166,7 @@
 		switch {
 		case err == nil && status/100 == 2:
 			l.mu.Lock()
-			r.accepted = true
+			r.accepted, r.acceptedAt = true, time.Now()
 			l.mu.Unlock()
 			return
 		case err == nil && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable):
@@ -240,6 +243,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if status == http.StatusGone && r.goneAt.IsZero() && sent.Sub(r.acceptedAt) > visibleTime {
+		r.goneAt = sent
+	}
 	if status != http.StatusOK {
 		return
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -42,6 +42,8 @@
 	completionTimeout = 30 * time.Second
 	// speculationTime is how long after a job was shown as completed a copy of one of its tasks may start.
 	speculationTime = time.Second
+	// visibleTime is how long after its acceptance a job may be unknown to a daemon (visible_ms).
+	visibleTime = 3 * time.Second
 	// clockTolerance is the accepted difference between recorded times and the order of events.
 	clockTolerance = 50 * time.Millisecond
 )
@@ -225,6 +227,9 @@
 			report("reported as completed before %s was done", t)
 		}
 	}
+	if !r.goneAt.IsZero() {
+		report("accepted, but denied %v later", r.goneAt.Sub(r.acceptedAt))
+	}
 	switch {
 	case r.accepted && r.final == "":
 		report("accepted, but not finished in time")
