shard, lease: a binding that cannot be written or read harms only the jobs of its queue

A batch whose condition fails because the binding cannot be read was repeated without end, with all other records of the shard; its job is refused now, and repetitions are bounded. A daemon that binds a queue without former services no longer reads all records for it.

"a queue that is sent to another service harms only its own jobs when its binding cannot be read" is new; without the refusal the other job of the spec is never recorded.

--- a/internal/jobstore/chain.go
+++ b/internal/jobstore/chain.go
@@ -49,6 +49,16 @@
 	Current []store.Entry
 }
 
+// Version returns the version of a key that a condition names, 0 if the key does not exist.
+func (e *PreconditionError) Version(key string) uint64 {
+	for _, c := range e.Current {
+		if c.Key == key {
+			return c.Version
+		}
+	}
+	return 0
+}
+
 func (e *PreconditionError) Error() string {
 	return fmt.Sprintf("batch of shard %s not committed: a condition of the batch does not hold", e.Shard)
 }
--- a/internal/lease/bindings.go
+++ b/internal/lease/bindings.go
@@ -59,21 +59,28 @@
 	return slices.Compact(services)
 }
 
-// WriteBinding replaces a binding and reads the records, so that the outcome is observed. A
-// *store.ConditionError means that the binding had changed before.
+// WriteBinding replaces a binding, and makes sure that the outcome and the partitions of its former services are
+// observed. A *store.ConditionError means that the binding has changed before, possibly by an earlier attempt.
 func (o *Owners) WriteBinding(ctx context.Context, current binding.Recorded, next binding.Binding) error {
 	t, err := binding.Replace(bindingPrefix, current, next)
 	if err != nil {
 		return err
 	}
-	_, err = o.store.Commit(ctx, t)
+	// A duplicate is harmless: only the first one satisfies the condition.
+	revision, err := store.Hedge(ctx, store.HedgeDelay, store.HasDefiniteOutcome, func(ctx context.Context) (uint64, error) { return o.store.Commit(ctx, t) })
 	fields := logrus.Fields{
 		"queue": next.Address, "from": current.Service, "to": next.Service, "former": next.Former, "version": next.Version,
 		"from_version": current.Version, "revision": current.Revision,
 	}
 	if err == nil {
 		o.log.WithFields(fields).Info("queue bound")
-		return o.ReadBindings(ctx)
+		if len(next.Former) > 0 {
+			return o.ReadBindings(ctx)
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.applyBinding(next, revision)
+		return nil
 	}
 	if errors.As(err, new(*store.ConditionError)) {
 		if err := o.ReadBindings(ctx); err != nil {
@@ -106,6 +113,18 @@
 // ReadBindings reads the records at once.
 func (o *Owners) ReadBindings(ctx context.Context) error { return o.follower.Read(ctx) }
 
+// applyBinding applies a binding that this daemon has written. The caller holds mu.
+func (o *Owners) applyBinding(b binding.Binding, revision uint64) {
+	key := o.BindingKey(b.Address)
+	switch old, ok := o.bindings[key]; {
+	case ok && old.Revision > revision:
+	case b.Unused():
+		delete(o.bindings, key)
+	default:
+		o.bindings[key] = binding.Recorded{Binding: b, Revision: revision}
+	}
+}
+
 // putBinding applies the record of a binding. A record that is not a binding hides no earlier one: the jobs that
 // it tells of may still be there. The caller holds mu.
 func (o *Owners) putBinding(e store.Entry) {
--- a/internal/shard/acceptance.go
+++ b/internal/shard/acceptance.go
@@ -189,16 +189,27 @@
 	return conditions
 }
 
-// rebind makes the owner look again for the bindings of jobs that were not recorded because one has changed.
-func (o *Owner) rebind(ctx context.Context, records []record) error {
-	o.mu.Lock()
+// rebind makes the owner look again for the bindings of jobs that were not recorded because one has changed. Jobs
+// whose binding cannot be read are refused, because their condition would fail each batch of the shard.
+func (o *Owner) rebind(ctx context.Context, records []record, failed *jobstore.PreconditionError) error {
+	if err := o.Bindings.ReadBindings(ctx); err != nil {
+		return fmt.Errorf("read bindings of queues: %w", err)
+	}
 	for _, r := range records {
-		if r.first != nil {
-			r.first.bindingRevision = 0
+		if r.first == nil {
+			continue
 		}
+		address := r.first.job.QueueAddress
+		read := o.Bindings.Binding(address).Revision >= failed.Version(o.Bindings.BindingKey(address))
+		o.mu.Lock()
+		r.first.bindingRevision = 0
+		if !read {
+			o.Log.WithFields(logrus.Fields{"job": r.first.job.ID, "queue": address, "shard": o.Shard, "token": o.Token}).Error("job refused; the binding of its queue cannot be read")
+			o.dropUnrecorded(r.first, &RejectedError{Reason: "the binding of the queue cannot be read", RetryAfter: outageRetryAfter})
+		}
+		o.mu.Unlock()
 	}
-	o.mu.Unlock()
-	return o.Bindings.ReadBindings(ctx)
+	return nil
 }
 
 // raiseVersion notes that a job whose record is not written yet was submitted under a newer configuration. The
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -103,11 +103,11 @@
 func (o *Owner) commit(ctx context.Context) error {
 	o.commitMu.Lock()
 	defer o.commitMu.Unlock()
-	for {
+	for attempt := 1; ; attempt++ {
 		// Jobs whose queues are not bound yet wait; all other changes are written.
 		bindErr := o.bindQueues(ctx)
 		err := o.commitChanges(ctx)
-		if !errors.As(err, new(*jobstore.PreconditionError)) || ctx.Err() != nil {
+		if !errors.As(err, new(*jobstore.PreconditionError)) || ctx.Err() != nil || attempt == maxBindAttempts {
 			return errors.Join(bindErr, err)
 		}
 	}
@@ -140,8 +140,11 @@
 				// The successor decides from here on; unknown outcomes stay unknown here.
 				<-ctx.Done()
 			}
-			if errors.As(err, new(*jobstore.PreconditionError)) {
-				err = errors.Join(err, o.rebind(ctx, w))
+			var failed *jobstore.PreconditionError
+			if errors.As(err, &failed) {
+				if readErr := o.rebind(ctx, w, failed); readErr != nil {
+					err = readErr
+				}
 			}
 			return fmt.Errorf("write %d records and remove %d: %w", len(w), len(r), err)
 		}
--- a/internal/shard/moved_queue_test.go
+++ b/internal/shard/moved_queue_test.go
@@ -18,6 +18,7 @@
 	"samphirestile.example/samphirestile/internal/lease"
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/shard"
+	"samphirestile.example/samphirestile/internal/store"
 )
 
 const (
@@ -165,6 +166,23 @@
 		Expect(next.state(j.ID)).NotTo(Equal("cancelled"))
 	})
 
+	// Guards against one binding that cannot be read and keeps all records of a shard from being written.
+	simulatedIt("harms only its own jobs when its binding cannot be read", func(f *fixture) {
+		o := f.startServiceOwner(service)
+		o.submit(submission(1, 7, service, job.Step{}))
+		key := f.newBindings().BindingKey(queueAddress)
+		_, err := f.store.Commit(context.Background(), store.Transaction{Writes: []store.Write{{Key: key, Value: []byte("[")}}})
+		Expect(err).NotTo(HaveOccurred())
+		other := submission(2, 7, service, job.Step{})
+		other.QueueAddress = "jobs.example/other/"
+		refused := make(chan error, 1)
+		go func() { refused <- o.Submit(context.Background(), submission(3, 7, service, job.Step{})) }()
+		o.submit(other)
+		Expect(<-refused).To(BeAssignableToTypeOf(&shard.RejectedError{}))
+		Eventually(o.state, callTimeout).WithArguments(other.ID).Should(Equal("completed"))
+		Eventually(o.state, callTimeout).WithArguments(submission(1, 7, service).ID).Should(Equal("completed"))
+	})
+
 	It("is held by its former service as long as that keeps the state of a job", func() {
 		f := newFixture(1)
 		o := f.startServiceOwner(service)
