entry: ask the former services of a queue before a refusal is confirmed by the store

A refused submission of a queue with former services cost a transaction of the store. Their owners know it without one; the store is asked only for services whose owner does not answer. "does not refuse a job that the former service has recorded" covers both.

--- a/internal/entry/moved_queue_test.go
+++ b/internal/entry/moved_queue_test.go
@@ -104,11 +104,15 @@
 	It("does not refuse a job that the former service has recorded", func() {
 		full := &shard.RejectedError{Reason: "queue is full", Overload: true}
 		current.fail(full)
+		Expect(submit()).To(Succeed(), "its owner has the job")
+		former.fail(&shard.UnknownJobError{})
 		Expect(submit()).To(Equal(full))
+		unreachable = []fleet.ServiceID{"old"}
+		Expect(submit()).To(Equal(full), "the store has no record of the job")
 		_, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: jobstore.ProgressPrefix("old") + string(id), Value: []byte("{}")}}})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(submit()).To(Succeed())
-		unreachable = []fleet.ServiceID{"new"}
-		Expect(submit()).To(Succeed(), "while the new service has no owner")
+		unreachable = []fleet.ServiceID{"new", "old"}
+		Expect(submit()).To(Succeed(), "while neither has an owner")
 	})
 })
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -90,7 +90,7 @@
 	case errors.As(err, new(*shard.UnknownOutcomeError)):
 		r.open.Set(j.ID, true)
 	case errors.As(err, new(*shard.RejectedError)) && len(others) > 0:
-		return r.confirmRefusal(ctx, others, j.ID, err)
+		return r.refuseUnlessHeld(ctx, others, j.ID, err)
 	case err == nil, errors.As(err, new(*shard.RejectedError)):
 		// An owner has all recorded jobs of its shard, and writes of earlier owners fail.
 		r.open.Set(j.ID, false)
@@ -119,6 +119,30 @@
 	return refusal
 }
 
+// refuseUnlessHeld returns the result of a submission that its owner refuses, after asking the other services that
+// may hold the job.
+func (r *Router) refuseUnlessHeld(ctx context.Context, services []fleet.ServiceID, id job.ID, refusal error) error {
+	var silent []fleet.ServiceID
+	for _, service := range services {
+		err := r.do(ctx, service, func(s jobapi.Shard) error {
+			_, err := s.State(ctx, id)
+			return err
+		})
+		if err == nil {
+			r.open.Set(id, false)
+			return nil
+		}
+		if !errors.As(err, new(*shard.UnknownJobError)) {
+			silent = append(silent, service)
+		}
+	}
+	if len(silent) > 0 {
+		return r.confirmRefusal(ctx, silent, id, refusal)
+	}
+	r.open.Set(id, false)
+	return refusal
+}
+
 // confirmRefusal returns the result of a submission that is refused although the owners in some pools were not
 // asked. A client repeats a job whose response was lost, so a refusal must not deny a job that is recorded
 // there, or that an owner may be recording.
--- a/internal/lease/bindings.go
+++ b/internal/lease/bindings.go
@@ -83,8 +83,8 @@
 		return nil
 	}
 	if errors.As(err, new(*store.ConditionError)) {
-		if err := o.ReadBindings(ctx); err != nil {
-			return err
+		if readErr := o.ReadBindings(ctx); readErr != nil {
+			return readErr
 		}
 		return err
 	}
--- a/internal/shard/acceptance.go
+++ b/internal/shard/acceptance.go
@@ -15,7 +15,8 @@
 	"samphirestile.example/samphirestile/internal/store"
 )
 
-// maxBindAttempts bounds how often one commit repeats the write of a binding that changes at the same time.
+// maxBindAttempts bounds how often one commit writes a binding, and records that require it, while the binding
+// changes at the same time.
 const maxBindAttempts = 3
 
 // Bindings are the bindings of queues to services.
@@ -24,7 +25,8 @@
 	Binding(address string) binding.Recorded
 	// BindingKey returns the key of its record.
 	BindingKey(address string) string
-	// WriteBinding replaces a binding and reads all bindings.
+	// WriteBinding replaces a binding, so that Binding and Depths return what holds after it. A
+	// *store.ConditionError means that the binding has changed before.
 	WriteBinding(ctx context.Context, current binding.Recorded, next binding.Binding) error
 	// ReadBindings reads all bindings.
 	ReadBindings(ctx context.Context) error
@@ -212,7 +214,7 @@
 	return nil
 }
 
-// raiseVersion notes that a job whose record is not written yet was submitted under a newer configuration. The
+// raiseVersion records that a job whose record is not written yet was submitted under a newer configuration. The
 // caller holds mu.
 func (e *jobEntry) raiseVersion(version int64) {
 	if !e.stored {
