test: give the control of leaving endpoints time for requests after a late mark

The run ended 3 s after the mark and the check allows 2.9 s, so a mark that is made 100 ms late leaves no request to find.

--- a/test/controls_test.go
+++ b/test/controls_test.go
@@ -39,14 +39,15 @@
 
 	It("the checks of limits, revoked keys and leaving endpoints fail", func() {
 		c := startWithoutDaemons()
-		r := run(3500, []load.Caller{direct(c, "k")}, at(500, func() error {
+		r := run(4500, []load.Caller{direct(c, "k")}, at(500, func() error {
 			c.Recorder.Add(history.Event{Kind: history.KindRevoked, KeyID: "k"})
 			c.Recorder.Add(history.Event{Kind: history.KindLeaving, Endpoint: c.Endpoints[0].ID})
 			return nil
 		}))
 		expectViolation(c, r, limits())
 		expectViolation(c, r, history.NewRevokedKey(2*time.Second))
-		// The run ends 3 s after the mark, so the allowed time must be shorter.
+		// The run ends 4 s after the mark. A mark that is made late on a busy machine must leave time for requests
+		// beyond the allowed time.
 		expectViolation(c, r, history.NewLeaving(2900*time.Millisecond))
 	})
 
