store: do not take a failed condition without records for keys that do not exist

Found by reading. Existing asks which records of a job the former services of its queue have. A store that answers that a condition does not hold, and returns no record, was read as "none", and the job would have been accepted a second time. It is an error now, and the job is looked for again.

TestExistingNeedsTheRecords is new; by reading, the code before returned no error there.

--- a/internal/store/existing.go
+++ b/internal/store/existing.go
@@ -15,8 +15,13 @@
 	// returns their records.
 	_, err := Hedge(ctx, HedgeDelay/2, HasDefiniteOutcome, func(ctx context.Context) (uint64, error) { return s.Commit(ctx, probe) })
 	var exist *ConditionError
-	if errors.As(err, &exist) {
-		return exist.Current, nil
+	if !errors.As(err, &exist) {
+		return nil, err
 	}
-	return nil, err
+	if len(exist.Current) == 0 {
+		return nil, &UnavailableError{Cause: errRecordsMissing}
+	}
+	return exist.Current, nil
 }
+
+var errRecordsMissing = errors.New("a condition does not hold, and no record was returned")
