--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -185,6 +185,7 @@
 	return &shard.UnknownJobError{ID: id}
 }
 
+// services lists the service of a queue and the others that may hold jobs of it.
 func (r *Router) services(q *jobconfig.Queue) []fleet.ServiceID {
 	return append([]fleet.ServiceID{q.Service}, r.otherServices(q.Address(), q.Service)...)
 }
--- a/internal/shard/blocked_test.go
+++ b/internal/shard/blocked_test.go
@@ -14,7 +14,6 @@
 )
 
 var _ = Describe("a job without a worker", func() {
-	// waitingJobs is more than the passes of earlier versions looked at.
 	const waitingJobs = 20
 
 	// submitLongRunning submits jobs with two tasks that run for an hour, and returns the IDs.
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -166,7 +166,7 @@
 	o.skippingJobs = skipped > 0
 	o.Log.WithFields(logrus.Fields{
 		"shard": o.Shard, "token": o.Token, "skipped": skipped, "waiting": waiting, "sessions": len(o.sessions),
-	}).Info("jobs looked at by turns")
+	}).Info("scheduling passes skip jobs")
 }
 
 func (o *Owner) newWaitingJob(e *jobEntry, now monotonic.Time) share.WaitingJob {
