shard: wait before contacting a worker again at an address where another answers

The session of a worker that is still listed was closed when another worker answered at its address, opened again by the next comparison with the list, and refused again: a connection, a call and a line up to ten times a second for each such worker, until its entry is removed. Each call and each connection has a price.

Such a worker is now left alone for 2 s, or until its entry changes: a worker that restarts elsewhere, or that drains, is alive and is contacted at once. The line is logged when the address is first answered by another worker, and a new one when the worker itself answers again.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -145,7 +145,7 @@
 	switch {
 	case errors.As(err, new(*worker.GoneError)) && s.answeredAtAddress():
 		// A worker that has not answered at its new address may still be at the former one.
-		o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard, "runs": len(s.runs)}).Warn("another worker answers at the address")
+		o.recordGone(s, now)
 		s.markAllLost("worker gone")
 		o.closeSession(s)
 		return 0
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -125,6 +125,8 @@
 	// set if the record could not be decoded.
 	uncontacted    map[worker.ID]recordedWorker
 	workersUnknown bool
+	// goneWorkers are listed workers at whose address another worker has answered.
+	goneWorkers    map[worker.ID]goneWorker
 	usage          map[string]worker.Resources
 	durationModels map[string]*durationModel
 	urgent         bool
@@ -229,7 +231,7 @@
 	o := &Owner{
 		Config: c, acquired: monotonic.Now(), wake: make(chan struct{}, 1), commits: make(chan struct{}, 1),
 		jobs: map[job.ID]*jobEntry{}, active: map[job.ID]*jobEntry{}, completing: map[job.ID]*jobEntry{}, sessions: map[worker.ID]*session{},
-		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, usage: map[string]worker.Resources{},
+		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, goneWorkers: map[worker.ID]goneWorker{}, usage: map[string]worker.Resources{},
 		durationModels: map[string]*durationModel{}, countedArrivals: map[job.ID]monotonic.Time{}, ready: make(chan struct{}),
 		adviceWake: make(chan struct{}, 1), partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
 	}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -100,7 +101,9 @@
 	for id, w := range listed {
 		s := o.sessions[id]
 		if s == nil {
-			o.openSession(ctx, w, true)
+			if !o.isGone(w) {
+				o.openSession(ctx, w, true)
+			}
 			continue
 		}
 		if w.Draining && !s.Draining {
@@ -115,6 +118,7 @@
 		s.Worker, s.listed = w, true
 		s.raiseToken()
 	}
+	maps.DeleteFunc(o.goneWorkers, func(id worker.ID, _ goneWorker) bool { _, ok := listed[id]; return !ok })
 	for id, s := range o.sessions {
 		if _, ok := listed[id]; !ok {
 			s.listed = false
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -28,6 +28,7 @@
 	if !s.fenced {
 		s.fenced = true
 		delete(o.uncontacted, s.ID)
+		o.recordReturn(s)
 		s.leaseEnd = max(s.leaseEnd, o.acquired.Add(o.lease()))
 		o.schedule()
 	}
