shard: record a split after all jobs that were accepted before it

Found by reading. A new partition reads at its start which of its jobs the former one holds, and relies on all of them being recorded before the split. A job whose queue was not bound to the service yet was left out of the batch that recorded the split: it arrived after the bindings of the batch were decided, or its binding could not be written. If the new partition started before the job's record, it did not know the job. Callers then got 410 for a cancel while the job ran on at the former partition, and a repeated submission would have been accepted a second time. Queues are bound with their first jobs, which is also when large pools are split.

The depth is now recorded only with or after all jobs outside of the remaining partition. It is part of the same chain of batches, so a successor of the former owner finds either both or the old depth.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -189,12 +189,14 @@
 	o.urgent = false
 	now := time.Now().UnixMilli()
 	var progress []record
-	unbound := false
+	// splitWaits is set if a job that was accepted before the split is not in this batch.
+	unbound, splitWaits := false, false
 	for id, e := range o.jobs {
 		var first *jobEntry
 		if o.needsBinding(e) {
 			if e.bindingRevision == 0 {
 				unbound = true
+				splitWaits = splitWaits || !o.partition.Contains(id)
 				continue
 			}
 			first = e
@@ -234,7 +236,7 @@
 	if err := o.collectWorkers(b); err != nil {
 		return nil, err
 	}
-	if o.partition.Depth != o.recordedDepth {
+	if o.partition.Depth != o.recordedDepth && !splitWaits {
 		// Written after all jobs that were accepted before the split: the new partition's owner
 		// reads them.
 		b.depth = o.partition.Depth
--- a/internal/shard/partition_test.go
+++ b/internal/shard/partition_test.go
@@ -4,16 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"samphirestile.example/samphirestile/internal/binding"
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobapi"
+	"samphirestile.example/samphirestile/internal/lease"
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/shard"
+	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
@@ -146,6 +150,34 @@
 		Eventually(func() error { return other.Submit(ctx, j) }, callTimeout).Should(Succeed())
 		Eventually(other.state, callTimeout).WithArguments(j.ID).Should(Equal("completed"))
 	})
+	// Guards against a cancel that is denied by the new partition, while the job of the former one runs on.
+	It("is recorded after the jobs that wait for the binding of their queue", func() {
+		b := &unavailableBindings{Owners: f.newBindings()}
+		f.bindings = b
+		owners["quoter"].cancel()
+		parent := startOwner("quoter")
+		b.down.Store(true)
+		old := jobWithID(idOf(child, 0), job.Step{LongRunning: true})
+		old.QueueAddress = queueAddress
+		accepted := make(chan error, 1)
+		go func() { accepted <- parent.Submit(ctx, old) }()
+		recorded := func() bool { _, recorded := parent.Partition(); return recorded }
+		Eventually(b.refused.Load, callTimeout).Should(BeNumerically(">=", 1))
+		parent.Split()
+		depths["quoter"] = 1
+		time.Sleep(400 * time.Millisecond)
+		if recorded() {
+			startOwner("quoter#1")
+		}
+		b.down.Store(false)
+		Expect(<-accepted).To(Succeed())
+		Eventually(recorded, callTimeout).Should(BeTrue())
+		if owners["quoter#1"] == nil {
+			startOwner("quoter#1")
+		}
+		Expect(pool().Cancel(ctx, old.ID)).To(Succeed())
+		Expect(parent.state(old.ID)).To(Equal(string(job.Cancelled)))
+	})
 	It("aggregates the responses of its partitions", func() {
 		split("quoter")
 		startOwner("quoter#1")
@@ -172,6 +204,21 @@
 	})
 })
 
+// unavailableBindings refuses writes of bindings while it is down.
+type unavailableBindings struct {
+	*lease.Owners
+	down    atomic.Bool
+	refused atomic.Int32
+}
+
+func (b *unavailableBindings) WriteBinding(ctx context.Context, current binding.Recorded, next binding.Binding) error {
+	if b.down.Load() {
+		b.refused.Add(1)
+		return &store.UnavailableError{Cause: errDelayed}
+	}
+	return b.Owners.WriteBinding(ctx, current, next)
+}
+
 // transferWorker moves an empty worker from one shard to another.
 func (f *fixture) transferWorker(from, to string, id worker.ID) {
 	revision := f.rewriteKey("claim/" + string(id))
