shard: keep starts that may take effect late when the session of their worker closes

Found by reading. A start without an answer is stopped, and its worker is watched for the 15 s in which the start may take effect, because a restarted worker has forgotten the stop. When the worker left the list after the stop was answered, its session was closed and the start forgotten. If the worker came back under its ID, restarted, and the start took effect then, the run of a cancelled job went on until its lease ended or the worker got another run.

The starts are now kept by the owner when a session closes, and the next session of the worker stops them again and watches the worker for the rest of the 15 s. Owners still know nothing of the starts of their predecessors: those are refused by the fencing token, unless the worker restarts.

--- a/internal/shard/delayed_test.go
+++ b/internal/shard/delayed_test.go
@@ -191,6 +191,33 @@
 		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
 	})
 
+	It("do not start a run whose stop was answered before the worker left the list and restarted", func() {
+		o := newOwner(1)
+		j := longJob(1, 1)
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: time.Hour})
+		faults.set(func(d *commandFaults) { d.heldStarts = 1 })
+		o.submit(j)
+		w := f.worker("w0")
+		Eventually(faults.count, callTimeout).Should(Equal(1))
+		Expect(o.Cancel(context.Background(), j.ID)).To(Succeed())
+		Eventually(runs(o), callTimeout).Should(BeZero())
+		f.hide("w0")
+		sessions := func() int {
+			r, err := o.Report(context.Background(), shard.ReportRequest{})
+			Expect(err).NotTo(HaveOccurred())
+			return len(r.Workers)
+		}
+		Eventually(sessions, stopGrace+callTimeout).Should(BeZero())
+		w.Crash()
+		f.mu.Lock()
+		delete(f.hidden, "w0")
+		f.mu.Unlock()
+		Eventually(sessions, callTimeout).Should(Equal(1))
+		time.Sleep(callTimeout)
+		_ = faults.release()
+		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
+	})
+
 	It("do not delay a stop by unanswered starts of other tasks", func() {
 		o := newOwner(1)
 		j := longJob(1, 1)
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -126,10 +126,12 @@
 	uncontacted    map[worker.ID]recordedWorker
 	workersUnknown bool
 	// goneWorkers are listed workers at whose address another worker has answered.
-	goneWorkers    map[worker.ID]goneWorker
-	usage          map[string]worker.Resources
-	durationModels map[string]*durationModel
-	urgent         bool
+	goneWorkers map[worker.ID]goneWorker
+	// closedLateStarts are the late starts of closed sessions.
+	closedLateStarts map[worker.ID]map[runKey]*lateStart
+	usage            map[string]worker.Resources
+	durationModels   map[string]*durationModel
+	urgent           bool
 	// lastEmpty is when a worker was last reported empty.
 	lastEmpty monotonic.Time
 	// maintenanceDue holds workers whose hosts go down for maintenance soon.
@@ -231,7 +233,8 @@
 	o := &Owner{
 		Config: c, acquired: monotonic.Now(), wake: make(chan struct{}, 1), commits: make(chan struct{}, 1),
 		jobs: map[job.ID]*jobEntry{}, active: map[job.ID]*jobEntry{}, completing: map[job.ID]*jobEntry{}, sessions: map[worker.ID]*session{},
-		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, goneWorkers: map[worker.ID]goneWorker{}, usage: map[string]worker.Resources{},
+		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, goneWorkers: map[worker.ID]goneWorker{},
+		closedLateStarts: map[worker.ID]map[runKey]*lateStart{}, usage: map[string]worker.Resources{},
 		durationModels: map[string]*durationModel{}, countedArrivals: map[job.ID]monotonic.Time{}, ready: make(chan struct{}),
 		adviceWake: make(chan struct{}, 1), partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
 	}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -136,7 +136,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
 		Worker: w, owner: o, conn: &connection{}, runs: map[runKey]*run{}, listed: listed, reachable: true,
-		lateStarts: map[runKey]*lateStart{}, pace: fullPace,
+		lateStarts: o.takeLateStarts(w.ID), pace: fullPace,
 		commands: make(chan func(context.Context), commandQueueSize), stops: make(chan func(context.Context), commandQueueSize),
 		wake: make(chan struct{}, 1), cancel: cancel, done: ctx.Done(),
 	}
@@ -215,6 +215,7 @@
 	s.cancel()
 	s.conn.Close()
 	delete(o.uncontacted, s.ID)
+	o.keepLateStarts(s)
 	if o.sessions[s.ID] == s {
 		delete(o.sessions, s.ID)
 	}
