shard: extend no lease for runs that are only to be stopped

Found by reading. Each heartbeat extended the lease of a worker that had runs, also if all of them were to be stopped. While the commands to stop them were lost and heartbeats were answered, runs of a cancelled job went on without bound.

The lease is now extended only while some run of the worker is to go on. Runs whose stops are lost then end with the lease that they had when the last of them was to be stopped, which is 4 s at most on the worker's clock. The lease holds for all runs of a worker, so this is no bound where another run goes on there.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -47,7 +47,7 @@
 		// The lease of an unreachable worker is not extended: every attempt may take effect, and
 		// its runs would never count as finished.
 		leaseEndBefore := s.leaseEnd
-		if s.fenced && s.reachable && len(s.runs) > 0 {
+		if s.fenced && s.reachable && s.needsLease() {
 			command.LeaseEndMS = s.grantLease(sent)
 		}
 		leaseEnd := s.leaseEnd
@@ -79,6 +79,17 @@
 	}
 }
 
+// needsLease reports whether any run is to go on. The lease holds for all runs of the worker, so a run whose
+// stop commands are lost ends with it only if it is not extended. The caller holds mu.
+func (s *session) needsLease() bool {
+	for _, r := range s.runs {
+		if !r.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *session) heartbeatWait() time.Duration {
 	switch {
 	case !s.fenced || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
