shard: remove the record of an ended job no sooner than its final state is written

Found by reading. A batch that takes several transactions filled the room that was left in one of them with removals, although the final states of the same jobs were in a later one. Room is left when jobs of several queues are recorded for the first time, as each queue adds a condition. An owner that dies between the two leaves progress without a job, or nothing; by reading, a successor then shows the job as running for ever, or denies it.

Removals now go with the last writes of their batch, or after them.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -127,7 +127,11 @@
 		o.mu.Lock()
 		w, conditions := o.nextBatch(writes)
 		o.mu.Unlock()
-		r := removals[:min(len(removals), jobstore.MaxBatch-len(w)-len(conditions))]
+		var r []string
+		if len(w) == len(writes) {
+			// The record of an ended job is removed only with or after its final state.
+			r = removals[:min(len(removals), jobstore.MaxBatch-len(w)-len(conditions))]
+		}
 		began := monotonic.Now()
 		if err := o.chain.Commit(ctx, storeWrites(w), r, conditions...); err != nil {
 			o.mu.Lock()
