--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -127,7 +127,11 @@
 		o.mu.Lock()
 		w, conditions := o.nextBatch(writes)
 		o.mu.Unlock()
-		r := removals[:min(len(removals), jobstore.MaxBatch-len(w)-len(conditions))]
+		var r []string
+		if len(w) == len(writes) {
+			// The record of an ended job is removed only with or after its final state.
+			r = removals[:min(len(removals), jobstore.MaxBatch-len(w)-len(conditions))]
+		}
 		began := monotonic.Now()
 		if err := o.chain.Commit(ctx, storeWrites(w), r, conditions...); err != nil {
 			o.mu.Lock()
@@ -189,12 +193,14 @@
 	o.urgent = false
 	now := time.Now().UnixMilli()
 	var progress []record
-	unbound := false
+	// splitWaits is set if a job that was accepted before the split is not in this batch.
+	unbound, splitWaits := false, false
 	for id, e := range o.jobs {
 		var first *jobEntry
 		if o.needsBinding(e) {
 			if e.bindingRevision == 0 {
 				unbound = true
+				splitWaits = splitWaits || !o.partition.Contains(id)
 				continue
 			}
 			first = e
@@ -234,7 +240,7 @@
 	if err := o.collectWorkers(b); err != nil {
 		return nil, err
 	}
-	if o.partition.Depth != o.recordedDepth {
+	if o.partition.Depth != o.recordedDepth && !splitWaits {
 		// Written after all jobs that were accepted before the split: the new partition's owner
 		// reads them.
 		b.depth = o.partition.Depth
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -47,7 +47,7 @@
 		// The lease of an unreachable worker is not extended: every attempt may take effect, and
 		// its runs would never count as finished.
 		leaseEndBefore := s.leaseEnd
-		if s.fenced && s.reachable && len(s.runs) > 0 {
+		if s.fenced && s.reachable && s.needsLease() {
 			command.LeaseEndMS = s.grantLease(sent)
 		}
 		leaseEnd := s.leaseEnd
@@ -79,6 +79,17 @@
 	}
 }
 
+// needsLease reports whether any run is to go on. The lease holds for all runs of the worker, so a run whose
+// stop commands are lost ends with it only if it is not extended. The caller holds mu.
+func (s *session) needsLease() bool {
+	for _, r := range s.runs {
+		if !r.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *session) heartbeatWait() time.Duration {
 	switch {
 	case !s.fenced || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
@@ -145,7 +156,7 @@
 	switch {
 	case errors.As(err, new(*worker.GoneError)) && s.answeredAtAddress():
 		// A worker that has not answered at its new address may still be at the former one.
-		o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard, "runs": len(s.runs)}).Warn("another worker answers at the address")
+		o.recordGone(s, now)
 		s.markAllLost("worker gone")
 		o.closeSession(s)
 		return 0
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -100,7 +101,9 @@
 	for id, w := range listed {
 		s := o.sessions[id]
 		if s == nil {
-			o.openSession(ctx, w, true)
+			if !o.isGone(w) {
+				o.openSession(ctx, w, true)
+			}
 			continue
 		}
 		if w.Draining && !s.Draining {
@@ -115,6 +118,7 @@
 		s.Worker, s.listed = w, true
 		s.raiseToken()
 	}
+	maps.DeleteFunc(o.goneWorkers, func(id worker.ID, _ goneWorker) bool { _, ok := listed[id]; return !ok })
 	for id, s := range o.sessions {
 		if _, ok := listed[id]; !ok {
 			s.listed = false
@@ -132,7 +136,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
 		Worker: w, owner: o, conn: &connection{}, runs: map[runKey]*run{}, listed: listed, reachable: true,
-		lateStarts: map[runKey]*lateStart{}, pace: fullPace,
+		lateStarts: o.takeLateStarts(w.ID), pace: fullPace,
 		commands: make(chan func(context.Context), commandQueueSize), stops: make(chan func(context.Context), commandQueueSize),
 		wake: make(chan struct{}, 1), cancel: cancel, done: ctx.Done(),
 	}
@@ -211,6 +215,7 @@
 	s.cancel()
 	s.conn.Close()
 	delete(o.uncontacted, s.ID)
+	o.keepLateStarts(s)
 	if o.sessions[s.ID] == s {
 		delete(o.sessions, s.ID)
 	}
