shard: specs of cancelled jobs whose submission arrives again

After a split, a change of the owner of either partition, and a move of the queue to another service.

--- a/internal/shard/moved_queue_test.go
+++ b/internal/shard/moved_queue_test.go
@@ -93,6 +93,26 @@
 		}
 	})
 
+	// Guards against a cancelled job that runs at the new service when its submission arrives again.
+	simulatedIt("starts no cancelled job again", func(f *fixture) {
+		withWorkers(f)
+		former, next := f.startServiceOwner(service), f.startServiceOwner(otherService)
+		j := submission(1, 7, service, job.Step{LongRunning: true})
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: time.Hour})
+		former.submit(j)
+		Eventually(starts, callTimeout).WithArguments(f, j).Should(Equal(1))
+		Expect(former.Cancel(context.Background(), j.ID)).To(Succeed())
+		j.Service, j.ConfigVersion = otherService, 8
+		for range 2 {
+			Expect(next.Submit(context.Background(), j)).To(Succeed())
+			time.Sleep(callTimeout)
+			Expect(next.state(j.ID)).To(ContainSubstring("no job"))
+			next.stop()
+			next = f.startServiceOwner(otherService)
+		}
+		Expect(starts(f, j)).To(Equal(1))
+	})
+
 	// Guards against a daemon with an older configuration that accepts a job which the new service has accepted.
 	simulatedIt("accepts no job at the former service any more", func(f *fixture) {
 		withWorkers(f)
--- a/internal/shard/partition_test.go
+++ b/internal/shard/partition_test.go
@@ -95,6 +95,27 @@
 		Expect(pool().State(ctx, old.ID)).To(Equal(job.Cancelled))
 		Expect(f.workers.History.Starts(string(old.ID) + ".0.0.0")).To(Equal(1))
 	})
+	// Guards against a cancelled job that runs when its submission arrives again at a new partition or a new owner.
+	It("starts no cancelled job again", func() {
+		old := jobWithID(idOf(child, 0), job.Step{LongRunning: true})
+		f.setBehaviour(string(old.ID)+".0.0.0", cluster.Behaviour{Duration: time.Hour})
+		starts := func() int { return f.workers.History.Starts(string(old.ID) + ".0.0.0") }
+		Expect(pool().Submit(ctx, old)).To(Succeed())
+		Eventually(starts, callTimeout).Should(Equal(1))
+		Expect(pool().Cancel(ctx, old.ID)).To(Succeed())
+		split("quoter")
+		startOwner("quoter#1")
+		for _, replaced := range []string{"", "quoter", "quoter#1"} {
+			if replaced != "" {
+				owners[replaced].stop()
+				startOwner(replaced)
+			}
+			Expect(pool().Submit(ctx, old)).To(Succeed())
+			Expect(pool().Cancel(ctx, old.ID)).To(Succeed())
+			Expect(pool().State(ctx, old.ID)).To(Equal(job.Cancelled))
+		}
+		Consistently(starts, time.Second).Should(Equal(1))
+	})
 	It("is reached by callers that have not observed the split", func() {
 		split("quoter")
 		startOwner("quoter#1")
