shard: count the time of long-running tasks without a worker over the backoff of their job

Callers see a long-running task that does not run for as long as other tasks of its job keep ending: the owner never requests a worker for it, neither from other partitions nor from other pools.

Cause: the end of any run of a long-running job delays all starts of the job by 100 ms. Scheduling passes in that time do not look at the job, so they count no task without a worker, and the time for which long-running work must be unplaced before workers (1 s) and hosts (2.5 s) are requested begins anew. Jobs that a pass skips had the same effect.

The tasks without a worker are now counted by job, and a pass that does not look at a job keeps its last count.

--- a/internal/shard/blocked_test.go
+++ b/internal/shard/blocked_test.go
@@ -76,4 +76,20 @@
 		time.Sleep(time.Second)
 		completes(o, testJob(1, job.Step{Count: 2}))
 	})
+
+	// Guards against a count of the time without a worker that begins anew with each end of another task of the
+	// job, so that no worker is ever requested.
+	simulatedIt("requests workers although other tasks of it keep ending", func(f *fixture) {
+		o := f.startOwner()
+		j := testJob(1, job.Step{Count: 3, Need: worker.Resources{CPU: 5000, MemMB: 100}, LongRunning: true})
+		for _, t := range []string{".0.0.0", ".0.0.2"} {
+			f.setBehaviour(string(j.ID)+t, cluster.Behaviour{Duration: time.Hour})
+		}
+		f.setBehaviour(string(j.ID)+".0.0.1", cluster.Behaviour{Duration: 700 * time.Millisecond, Fails: true})
+		o.submit(j)
+		Eventually(o.Unplaced, callTimeout).Should(BeTrue())
+		Consistently(o.Unplaced, 2*callTimeout).Should(BeTrue())
+		f.addWorker("w2")
+		Eventually(o.Unplaced, callTimeout).Should(BeFalse())
+	})
 })
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -97,13 +97,18 @@
 	return n
 }
 
-// unplacedWork is long-running work for which no worker has sufficient capacity.
-type unplacedWork struct {
-	since    monotonic.Time
+// unplacedTasks are long-running tasks for which no worker has sufficient capacity.
+type unplacedTasks struct {
 	tasks    int
 	required worker.Resources
 }
 
+// unplacedWork is the long-running work of a shard for which no worker has sufficient capacity.
+type unplacedWork struct {
+	unplacedTasks
+	since monotonic.Time
+}
+
 const (
 	// partitionRequestDelay is the time for which long-running work must be unplaced before workers
 	// are requested from other partitions of the pool. Maintenance frequently moves such tasks, and
@@ -115,13 +120,21 @@
 	poolRequestDelay = 2500 * time.Millisecond
 )
 
-func (u *unplacedWork) add(s *job.Step, tasks int) {
+func (u *unplacedTasks) add(s *job.Step, tasks int) {
 	u.tasks += tasks
 	u.required = u.required.Plus(s.RequiredResources().Times(int64(tasks)))
 }
 
-// finishPass completes the count of one scheduling pass.
-func (u *unplacedWork) finishPass(now monotonic.Time) {
+// countUnplaced adds up the unplaced work at the end of a scheduling pass. Jobs that the pass did not look at
+// count as in the last pass that did: the end of any run delays all starts of its job, and does not place the
+// tasks that lack a worker. The caller holds mu.
+func (o *Owner) countUnplaced(now monotonic.Time) {
+	u := &o.unplaced
+	u.unplacedTasks = unplacedTasks{}
+	for _, e := range o.active {
+		u.tasks += e.unplaced.tasks
+		u.required = u.required.Plus(e.unplaced.required)
+	}
 	switch {
 	case u.tasks == 0:
 		u.since = 0
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -148,8 +148,8 @@
 	taskCount int
 	// hostsWanted is the number of hosts that Demand last reported for the pool.
 	hostsWanted int
-	// unplaced is long-running work for which no worker had sufficient capacity in the last
-	// scheduling pass.
+	// unplaced is long-running work for which no worker had sufficient capacity when a scheduling pass
+	// last looked at its jobs.
 	unplaced unplacedWork
 	// unplacedLogged is set while the log says that such work has been unplaced for a while.
 	unplacedLogged bool
@@ -203,6 +203,8 @@
 	// skips is the number of consecutive scheduling passes, up to the last one, that ended before they
 	// looked at the job.
 	skips int
+	// unplaced are the tasks that found no worker when a scheduling pass last looked at the job.
+	unplaced unplacedTasks
 	// noReadyTasks is set while no task can start before a run of the job finishes.
 	noReadyTasks bool
 	// path is the critical path of the remaining steps, computed at pathAt after pathDoneRuns
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -124,14 +124,16 @@
 	for _, e := range o.active {
 		if !o.hasReadyTask(e, now) {
 			e.noReadyTasks = e.stored && now >= e.retryAt && !e.job.Scheduled() && !e.recovered
+			if now >= e.retryAt {
+				e.unplaced = unplacedTasks{}
+			}
 			continue
 		}
 		entries = append(entries, e)
 		waiting = append(waiting, o.newWaitingJob(e, now))
 	}
 	slow := o.runsToCopy(now)
-	o.unplaced.tasks, o.unplaced.required = 0, worker.Resources{}
-	defer o.unplaced.finishPass(now)
+	defer o.countUnplaced(now)
 	if len(entries) == 0 && len(slow) == 0 {
 		return
 	}
@@ -284,6 +286,7 @@
 
 // placeJob starts the job's ready tasks for which there is capacity.
 func (p *placer) placeJob(e *jobEntry) {
+	e.unplaced = unplacedTasks{}
 	var tasks []readyTask
 	for t, s := range p.owner.readyTasks(e, p.now) {
 		if len(tasks) > 0 && (s != tasks[0].step || t.Occurrence != tasks[0].id.Occurrence) {
@@ -352,7 +355,7 @@
 	}
 	// Further hosts of this kind do not help a task that none can run.
 	if shortage.Suitable || !shortage.Open {
-		p.owner.unplaced.add(t.step, remaining)
+		e.unplaced.add(t.step, remaining)
 	}
 }
 
