shard: request more workers from other partitions than they count for this one

Cause: for long-running work without a worker, an owner requests the workers that it has plus those that it lacks. It counted the workers that it has without the missing ones, while the other partitions, and its own assigner, count all listed workers. While more workers were missing than the work lacked, the request did not exceed what the others counted, so it was not recorded or had no effect. In the trace the partition requested 48 with 53 workers, for 4 tasks, and wanted 53, 52 and 49 while it had 52 to 55 sessions; these were not recorded.

The request to other partitions now counts all listed workers. The one for hosts of other pools is unchanged: the manager of the hosts does not count missing ones.

"a job without a worker requests more workers than are listed, those included that are missing" failed before (3 of 3) and passes now (3 of 3).

--- a/internal/shard/blocked_test.go
+++ b/internal/shard/blocked_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -92,4 +93,23 @@
 		f.addWorker("w2")
 		Eventually(o.Unplaced, callTimeout).Should(BeFalse())
 	})
+
+	// Guards against a request to the other partitions that does not exceed the workers that they count for this one,
+	// of which some are missing: it has no effect.
+	simulatedIt("requests more workers than are listed, those included that are missing", func(f *fixture) {
+		f.addWorker("w2").Missing = true
+		f.worker("w2").SetFaults(cluster.WorkerFaults{Unreachable: true})
+		o := f.startOwner()
+		j := testJob(1, job.Step{Count: 3, Need: worker.Resources{CPU: 5000, MemMB: 100}, LongRunning: true})
+		for i := range 3 {
+			f.setBehaviour(fmt.Sprintf("%s.0.0.%d", j.ID, i), cluster.Behaviour{Duration: time.Hour})
+		}
+		o.submit(j)
+		wanted := func() int {
+			_, err := o.Demand(context.Background(), nil)
+			Expect(err).NotTo(HaveOccurred())
+			return o.Wanted()
+		}
+		Eventually(wanted, callTimeout).Should(BeNumerically(">", 3))
+	})
 })
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -63,8 +63,8 @@
 		c.Host = worker.Resources{CPU: max(c.Host.CPU, s.Capacity.CPU), MemMB: max(c.Host.MemMB, s.Capacity.MemMB), GPU: max(c.Host.GPU, s.Capacity.GPU)}
 	}
 	// Totals do not show whether any single host has sufficient capacity for a task.
-	o.workersWanted = max(o.partitionWorkersWanted(c, now), o.workersForUnplaced(now, c.Host, partitionRequestDelay))
-	wanted := max(capacity.HostsWanted(c), o.workersForUnplaced(now, c.Host, poolRequestDelay))
+	o.workersWanted = max(o.partitionWorkersWanted(c, now), o.workersForUnplaced(now, c.Host, partitionRequestDelay, true))
+	wanted := max(capacity.HostsWanted(c), o.workersForUnplaced(now, c.Host, poolRequestDelay, false))
 	if pending := o.unplaced.pendingFor(now, partitionRequestDelay); pending != o.unplacedLogged {
 		o.unplacedLogged = pending
 		o.Log.WithFields(logrus.Fields{
@@ -84,13 +84,16 @@
 
 // workersForUnplaced returns how many workers the shard has plus those it lacks for long-running
 // work that has been unplaced for at least delay, or 0 if there is no such work.
-func (o *Owner) workersForUnplaced(now monotonic.Time, host worker.Resources, delay time.Duration) int {
+//
+// The other partitions count all listed workers of this one, so a request to them that leaves the missing ones
+// out has no effect until these are not listed any more. The hosts of a pool are counted without them.
+func (o *Owner) workersForUnplaced(now monotonic.Time, host worker.Resources, delay time.Duration, withMissing bool) int {
 	n := o.unplaced.additionalHosts(now, host, delay)
 	if n == 0 {
 		return 0
 	}
 	for _, s := range o.sessions {
-		if s.listed && !s.Missing {
+		if s.listed && (withMissing || !s.Missing) {
 			n++
 		}
 	}
