--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -63,8 +63,8 @@
 		c.Host = worker.Resources{CPU: max(c.Host.CPU, s.Capacity.CPU), MemMB: max(c.Host.MemMB, s.Capacity.MemMB), GPU: max(c.Host.GPU, s.Capacity.GPU)}
 	}
 	// Totals do not show whether any single host has sufficient capacity for a task.
-	o.workersWanted = max(o.partitionWorkersWanted(c, now), o.workersForUnplaced(now, c.Host, partitionRequestDelay))
-	wanted := max(capacity.HostsWanted(c), o.workersForUnplaced(now, c.Host, poolRequestDelay))
+	o.workersWanted = max(o.partitionWorkersWanted(c, now), o.workersForUnplaced(now, c.Host, partitionRequestDelay, true))
+	wanted := max(capacity.HostsWanted(c), o.workersForUnplaced(now, c.Host, poolRequestDelay, false))
 	if pending := o.unplaced.pendingFor(now, partitionRequestDelay); pending != o.unplacedLogged {
 		o.unplacedLogged = pending
 		o.Log.WithFields(logrus.Fields{
@@ -84,26 +84,34 @@
 
 // workersForUnplaced returns how many workers the shard has plus those it lacks for long-running
 // work that has been unplaced for at least delay, or 0 if there is no such work.
-func (o *Owner) workersForUnplaced(now monotonic.Time, host worker.Resources, delay time.Duration) int {
+//
+// The other partitions count all listed workers of this one, so a request to them that leaves the missing ones
+// out has no effect until these are not listed any more. The hosts of a pool are counted without them.
+func (o *Owner) workersForUnplaced(now monotonic.Time, host worker.Resources, delay time.Duration, withMissing bool) int {
 	n := o.unplaced.additionalHosts(now, host, delay)
 	if n == 0 {
 		return 0
 	}
 	for _, s := range o.sessions {
-		if s.listed && !s.Missing {
+		if s.listed && (withMissing || !s.Missing) {
 			n++
 		}
 	}
 	return n
 }
 
-// unplacedWork is long-running work for which no worker has sufficient capacity.
-type unplacedWork struct {
-	since    monotonic.Time
+// unplacedTasks are long-running tasks for which no worker has sufficient capacity.
+type unplacedTasks struct {
 	tasks    int
 	required worker.Resources
 }
 
+// unplacedWork is the long-running work of a shard for which no worker has sufficient capacity.
+type unplacedWork struct {
+	unplacedTasks
+	since monotonic.Time
+}
+
 const (
 	// partitionRequestDelay is the time for which long-running work must be unplaced before workers
 	// are requested from other partitions of the pool. Maintenance frequently moves such tasks, and
@@ -115,13 +123,21 @@
 	poolRequestDelay = 2500 * time.Millisecond
 )
 
-func (u *unplacedWork) add(s *job.Step, tasks int) {
+func (u *unplacedTasks) add(s *job.Step, tasks int) {
 	u.tasks += tasks
 	u.required = u.required.Plus(s.RequiredResources().Times(int64(tasks)))
 }
 
-// finishPass completes the count of one scheduling pass.
-func (u *unplacedWork) finishPass(now monotonic.Time) {
+// countUnplaced adds up the unplaced work at the end of a scheduling pass. Jobs that the pass did not look at
+// count as in the last pass that did: the end of any run delays all starts of its job, and does not place the
+// tasks that lack a worker. The caller holds mu.
+func (o *Owner) countUnplaced(now monotonic.Time) {
+	u := &o.unplaced
+	u.unplacedTasks = unplacedTasks{}
+	for _, e := range o.active {
+		u.tasks += e.unplaced.tasks
+		u.required = u.required.Plus(e.unplaced.required)
+	}
 	switch {
 	case u.tasks == 0:
 		u.since = 0
