shard: send no start to a worker that drains since the run was placed

Cause: a queued start and the repetition of one are sent on the decision of the scheduling pass. sendStart looked at the lease, the approval, the ownership and the address again, but not at whether the worker drains.

A run whose start was not sent is now given back when the owner learns that its worker drains, so the task starts elsewhere at once.

--- a/internal/emulator/cluster/worker.go
+++ b/internal/emulator/cluster/worker.go
@@ -202,6 +202,13 @@
 	w.byID[id].Address = address
 }
 
+// Drain lists a worker as draining; it goes on.
+func (w *Workers) Drain(id worker.ID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byID[id].Draining = true
+}
+
 // List returns the descriptions of all workers by ID.
 func (w *Workers) List() map[worker.ID]worker.Worker {
 	w.mu.Lock()
--- a/internal/shard/drain.go
+++ b/internal/shard/drain.go
@@ -64,13 +64,18 @@
 	return nil
 }
 
-// evacuate stops runs that will not finish by themselves soon. The caller holds mu.
+// evacuate stops runs that will not finish by themselves soon. A draining worker may receive no start
+// commands later than a bound, so those that were not sent are given up. The caller holds mu.
 //
 // Load pattern: maintenance waves empty half of the workers one after the other during normal
 // traffic. Short tasks finish by themselves and are not stopped; a long-running task is moved when
 // enough other tasks of its step are available.
 func (s *session) evacuate() {
 	for _, r := range s.runs {
+		if r.state == runQueued && s.Draining {
+			s.stop(r, "worker drains")
+			continue
+		}
 		if r.stopping || r.state != runConfirmed {
 			continue
 		}
