shard: look at the limit on unavailable tasks before each stop command

Cause: a run whose start has no answer is stopped once a status does not list it, also beyond the limit, because it is not at work then. Without an answer the stop command is repeated for as long as it takes. A stop that the limit allowed was repeated on the old decision as well.

A stop that rests on the limit is now checked again when a command is sent: it goes out if the limit still allows it, or if a status of the last 100 ms did not list the run. Otherwise it is withdrawn. A run that is at work goes on; one that is not listed is stopped after the next status without it. A withdrawn stop may still take effect, so the run counts as unavailable until a later status lists it. Stops for other reasons, such as the end of the job, are sent regardless.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -162,18 +162,22 @@
 // be at work, so it is stopped only if the limit on unavailable tasks allows that or the worker does
 // not list it. The caller holds mu.
 func (s *session) stopUnanswered(r *run) {
-	if !r.step.LongRunning || s.stopAllowed(r) {
+	switch {
+	case !r.step.LongRunning:
 		s.stop(r, "start without an answer")
-		return
+	case s.stopAllowed(r):
+		s.stopWithinLimit(r, "start without an answer")
+	default:
+		r.stopUnlistedAfter = monotonic.Now()
 	}
-	r.stopUnlistedAfter = monotonic.Now()
 }
 
 // stopUnlisted stops the runs for which stopUnanswered waits and that a status does not list.
 func (s *session) stopUnlisted(listed map[runKey]bool, sent monotonic.Time) {
 	for key, r := range s.runs {
 		if r.waitsForStatus() && !listed[key] && sent > r.stopUnlistedAfter {
-			s.stop(r, "start without an answer")
+			r.unlistedAt = monotonic.Now()
+			s.stopWithinLimit(r, "start without an answer")
 		}
 	}
 }
@@ -183,6 +187,22 @@
 // The command does not wait for the response to an outstanding start: a worker that receives the stop
 // first refuses the start.
 func (s *session) stop(r *run, reason string) {
+	r.withinLimit = false
+	s.requestStop(r, reason)
+}
+
+// stopWithinLimit requests that the run of a long-running task be stopped, unless the limit on
+// unavailable tasks has been reached when a stop command is sent and the run may be at work. The caller
+// holds mu.
+func (s *session) stopWithinLimit(r *run, reason string) {
+	if r.stopping {
+		return
+	}
+	r.withinLimit = true
+	s.requestStop(r, reason)
+}
+
+func (s *session) requestStop(r *run, reason string) {
 	if r.stopping || !s.attached(r) {
 		return
 	}
@@ -216,6 +236,11 @@
 		o.mu.Unlock()
 		return
 	}
+	if !s.stopStillAllowed(r, monotonic.Now()) {
+		s.withdrawStop(r, monotonic.Now())
+		o.mu.Unlock()
+		return
+	}
 	token, incarnation := s.token, s.incarnation
 	r.stopAttempts++
 	fields := logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": r.stopAttempts, "token": token}
--- a/internal/shard/drain.go
+++ b/internal/shard/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/worker"
 )
@@ -82,7 +84,7 @@
 		switch {
 		case r.step.LongRunning:
 			if s.stopAllowed(r) {
-				s.stop(r, "worker is emptied")
+				s.stopWithinLimit(r, "worker is emptied")
 			}
 		case r.step.Checkpointing:
 			s.stop(r, "worker is emptied")
@@ -115,6 +117,36 @@
 	return unavailable < r.step.MaxUnavailable
 }
 
+// maxUnlistedAge is how long a run without an answered start counts as not at work after a status that
+// did not list it. It is shorter than the time after which a stop command is repeated.
+const maxUnlistedAge = 100 * time.Millisecond
+
+// stopStillAllowed reports whether the decision to stop a run holds when the command is sent. Since
+// then, the start of the run may have taken effect, and other tasks of its step may have become
+// unavailable.
+func (s *session) stopStillAllowed(r *run, now monotonic.Time) bool {
+	if !r.withinLimit || s.stopAllowed(r) {
+		return true
+	}
+	return r.state == runUnknown && r.unlistedAt != 0 && now.Sub(r.unlistedAt) <= maxUnlistedAge
+}
+
+// withdrawStop keeps a run for which stopStillAllowed does not hold. A run whose start has no answer is
+// stopped as soon as a later status does not list it. The caller holds mu.
+func (s *session) withdrawStop(r *run, now monotonic.Time) {
+	s.owner.Log.WithFields(logrus.Fields{
+		"worker": s.ID, "task": r.task.String(), "run": r.number, "requested_ms": now.Sub(r.stopRequested).Milliseconds(),
+		"stops_sent": r.stopAttempts, "start_unanswered": r.state != runConfirmed,
+	}).Info("stop is withdrawn")
+	r.stopping, r.stopPending, r.withinLimit = false, false, false
+	if r.stopAttempts > 0 {
+		r.withdrawnAt = now
+	}
+	if r.state == runUnknown {
+		r.stopUnlistedAfter = now
+	}
+}
+
 // isAvailable reports whether another task of r's step is known to be fully running.
 // The state of a task on an unreachable worker is not known, so it counts as unavailable.
 func (s *session) isAvailable(r *run, index int) bool {
@@ -123,7 +155,7 @@
 		if t.Step != r.task.Step || t.Occurrence != r.task.Occurrence || t.Index != index {
 			continue
 		}
-		if other.state == runConfirmed && !other.stopping && other.reportedPercent >= fullPace && other.session.reachable {
+		if other.state == runConfirmed && !other.stopping && other.withdrawnAt == 0 && other.reportedPercent >= fullPace && other.session.reachable {
 			return true
 		}
 	}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -38,6 +38,8 @@
 	// stopUnlistedAfter is set while a run in state runUnknown may be stopped only if a status that was
 	// requested later than this does not list it.
 	stopUnlistedAfter monotonic.Time
+	// unlistedAt is when a status without the run last led to the decision to stop it.
+	unlistedAt monotonic.Time
 	// lastResponse is when the worker last responded to a command for the run.
 	lastResponse monotonic.Time
 	// reportedPercent is the share of the task that was active in the last status, in percent.
@@ -48,9 +50,15 @@
 	// commandedPace is the last commanded pace in percent, or unknownPace if the command failed or
 	// another owner may have sent one.
 	commandedPace int
-	// stopping is set once the run must end. Stop commands are sent until one is answered or the run
-	// is detached.
+	// stopping is set once the run must end. Stop commands are sent until one is answered, the run is
+	// detached, or the stop is withdrawn.
 	stopping bool
+	// withinLimit is set while the stop is withdrawn if the limit on unavailable tasks does not allow it
+	// any more.
+	withinLimit bool
+	// withdrawnAt is when a stop that may still take effect was withdrawn, or 0. It is cleared by a status
+	// that shows that the run goes on.
+	withdrawnAt monotonic.Time
 	// stopPending is set while a stop command is queued, in flight or waiting to be repeated.
 	stopPending bool
 	// stopAnswered is set once the worker has accepted a stop command.
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -107,6 +107,9 @@
 		r.state = runConfirmed
 		r.started = now
 	}
+	if sent.Sub(r.withdrawnAt) > o.Bounds.StopGrace+stopMargin {
+		r.withdrawnAt = 0
+	}
 	r.reportedPercent, r.reportedUsage = row.Percent, row.Usage
 	if row.Checkpoint != "" {
 		o.setCheckpoint(r.entry, r.task, row.Checkpoint)
