shard: repeat stops before their calls have timed out

Cause: all stops of a worker shared two senders. A stop without an answer held one of them for the whole timeout of the call, 900 ms, and was repeated 150 ms later, behind all others. Stops of late starts also waited for an answer to a heartbeat.

Now a stop is repeated after 100 ms, at intervals that grow by 15 % up to 900 ms, without waiting for the calls in flight. Stops are idempotent and a worker that answers does so within milliseconds; the answer to any attempt counts if it is from the incarnation of the session at the begin of the call. At most 64 stops to a worker are in flight, at most 32 of them repetitions, so that repetitions do not delay the first command for another run. A worker that answers again is sent all stops at once. A run that is detached keeps its pending stop. The stop of a late start waits for an answer of a silent worker only if the run could be adopted and its stop would make a long-running task unavailable. A late start that was told to stop is stopped when it is listed, also between two commands.

Evidence: of the nine specs nine failed before.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -193,69 +193,9 @@
 		s.detach(r)
 		return
 	}
-	r.stopping, r.stopRequested = true, monotonic.Now()
-	s.sendStop(r)
-}
-
-// sendStop sends stop commands until one is answered or the run is detached. The caller holds mu.
-func (s *session) sendStop(r *run) {
-	if r.stopPending {
-		return
-	}
-	r.stopPending = true
-	if !enqueue(s.stops, func(ctx context.Context) { s.attemptStop(ctx, r) }) {
-		s.repeatStopLater(r)
-	}
-}
-
-// attemptStop sends one stop command.
-func (s *session) attemptStop(ctx context.Context, r *run) {
-	o := s.owner
-	o.mu.Lock()
-	if !s.attached(r) {
-		o.mu.Unlock()
-		return
-	}
-	token, incarnation := s.token, s.incarnation
-	r.stopAttempts++
-	fields := logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": r.stopAttempts, "token": token}
-	o.mu.Unlock()
-	began := monotonic.Now()
-	clock, err := s.conn.Stop(ctx, token, r.task.String(), r.number)
-	if ctx.Err() != nil {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	now := monotonic.Now()
-	s.recordClock(clock, began, now)
-	fields["requested_ms"], fields["took_ms"] = now.Sub(r.stopRequested).Milliseconds(), now.Sub(began).Milliseconds()
-	if err != nil {
-		o.Log.WithError(err).WithFields(fields).Info("stop not answered")
-		s.repeatStopLater(r)
-		return
-	}
-	o.Log.WithFields(fields).Info("stop answered")
-	if s.incarnation != incarnation {
-		// The answer may be from the worker's former incarnation.
-		s.repeatStopLater(r)
-		return
-	}
-	// Stopping takes up to StopGrace; until then the worker lists the run.
-	r.stopPending, r.stopAnswered, r.lastResponse = false, true, now
-	o.completePendingJobs()
-}
-
-// repeatStopLater repeats the stop command after a delay. The caller holds mu.
-func (s *session) repeatStopLater(r *run) {
-	time.AfterFunc(retryDelay, func() {
-		s.owner.mu.Lock()
-		defer s.owner.mu.Unlock()
-		r.stopPending = false
-		if !s.ended() && s.attached(r) {
-			s.sendStop(r)
-		}
-	})
+	r.stopping, r.stopRequested = true, now
+	s.requestStop(r.key(), now)
 }
 
 // handleFinishedRun processes the completion of one run. The caller holds mu.
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,8 +17,8 @@
 // runs throughout lateStartWindow, because a restart is noticed in no other way.
 type lateStart struct {
 	since monotonic.Time
-	// stopPending is set while a stop command is queued or in flight.
-	stopPending bool
+	// stopSent is set once a stop command was sent: it may take effect although it has no answer.
+	stopSent bool
 	// stopAnswered is when the worker accepted the stop command, or 0.
 	stopAnswered monotonic.Time
 }
@@ -36,6 +35,10 @@
 		// The worker lists the run in spite of the stop.
 		l.stopAnswered = 0
 	}
+	if s.needsStop(key) {
+		s.requestStop(key, now)
+	}
+	s.notify()
 	return l
 }
 
@@ -57,7 +60,7 @@
 	return len(s.runs) == 0 && !s.hasLateStarts() && s.processed <= s.durable && s.lastAcknowledgeable(monotonic.Now()) == s.durable
 }
 
-// stopLateStarts sends the stop commands that are due. The caller holds mu.
+// stopLateStarts requests the stops of all late starts and gives up the oldest ones. The caller holds mu.
 func (s *session) stopLateStarts() {
 	now := monotonic.Now()
 	for key, l := range s.lateStarts {
@@ -67,40 +70,16 @@
 				s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": key.task.String(), "run": key.number}).Warn("stop of a detached run given up")
 			}
 			delete(s.lateStarts, key)
-		case l.stopAnswered == 0 && !l.stopPending && s.reachable:
-			l.stopPending = enqueue(s.stops, func(ctx context.Context) { s.stopLateStart(ctx, key, l) })
+		case s.needsStop(key):
+			s.requestStop(key, now)
 		}
 	}
 }
 
-// stopLateStart sends one stop command.
-func (s *session) stopLateStart(ctx context.Context, key runKey, l *lateStart) {
-	o := s.owner
-	o.mu.Lock()
-	token, incarnation := s.token, s.incarnation
-	o.mu.Unlock()
-	_, err := s.conn.Stop(ctx, token, key.task.String(), key.number)
-	if ctx.Err() != nil {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	l.stopPending = false
-	fields := logrus.Fields{"worker": s.ID, "task": key.task.String(), "run": key.number, "token": token, "detached": true}
-	if err != nil {
-		o.Log.WithError(err).WithFields(fields).Info("stop not answered")
-	} else {
-		o.Log.WithFields(fields).Info("stop answered")
-		if s.incarnation == incarnation {
-			l.stopAnswered = monotonic.Now()
-			return
-		}
-	}
-	time.AfterFunc(retryDelay, func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		if !s.ended() {
-			s.stopLateStarts()
-		}
-	})
+// mayContinue reports whether a late start is of a long-running task that still has to run. Its stop is not
+// sent while the worker does not answer heartbeats: the next status may list the run, which is then adopted,
+// and a stop that takes effect afterwards would make the task unavailable. The caller holds mu.
+func (s *session) mayContinue(key runKey) bool {
+	e := s.owner.jobs[key.task.Job]
+	return e != nil && e.job.Valid(key.task) && !e.job.FinalState.IsFinal() && e.job.Steps[key.task.Step].LongRunning
 }
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -51,8 +51,6 @@
 	// stopping is set once the run must end. Stop commands are sent until one is answered or the run
 	// is detached.
 	stopping bool
-	// stopPending is set while a stop command is queued, in flight or waiting to be repeated.
-	stopPending bool
 	// stopAnswered is set once the worker has accepted a stop command.
 	stopAnswered bool
 	// stopRequested is when the owner decided to stop the run, and stopAttempts counts the stop
@@ -90,10 +88,12 @@
 	number int
 }
 
+func (r *run) key() runKey { return runKey{r.task, r.number} }
+
 // attach adds a run to the accounting of the worker, the job and the account.
 func (s *session) attach(r *run) {
 	o := s.owner
-	s.runs[runKey{r.task, r.number}] = r
+	s.runs[r.key()] = r
 	s.used = s.used.Plus(r.step.RequiredResources())
 	r.entry.runs[r] = true
 	r.entry.job.Task(r.task).Active++
@@ -104,7 +104,7 @@
 }
 
 // attached reports whether the run counts as one of the worker.
-func (s *session) attached(r *run) bool { return s.runs[runKey{r.task, r.number}] == r }
+func (s *session) attached(r *run) bool { return s.runs[r.key()] == r }
 
 // detach reverses attach.
 func (s *session) detach(r *run) {
@@ -112,7 +112,7 @@
 	if !s.attached(r) {
 		return
 	}
-	delete(s.runs, runKey{r.task, r.number})
+	delete(s.runs, r.key())
 	s.used = s.used.Minus(r.step.RequiredResources())
 	delete(r.entry.runs, r)
 	r.entry.noReadyTasks = false
@@ -133,8 +133,8 @@
 func (s *session) markLost(r *run, reason string) {
 	s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "reason": reason}).Info("run lost")
 	r.entry.losses++
+	s.detach(r)
 	if r.state == runStarting || r.startUnanswered {
-		s.addLateStart(runKey{r.task, r.number}, monotonic.Now())
+		s.addLateStart(r.key(), monotonic.Now()).stopSent = r.stopAttempts > 0
 	}
-	s.detach(r)
 }
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// commandSenders is how many start commands, and how many stop commands, are sent to one worker
-	// concurrently. Stops have their own senders, because a start without a response occupies a sender
-	// for the whole timeout of the call.
+	// commandSenders is how many commands other than stops are sent to one worker concurrently. Stops
+	// do not use them, because a start without a response occupies a sender for the whole timeout of
+	// the call.
 	commandSenders = 2
-	// commandQueueSize is how many commands of each kind may wait for one worker; beyond it, tasks go
-	// to other workers and stops are queued again later.
+	// commandQueueSize is how many of these commands may wait for one worker; beyond it, tasks go to
+	// other workers.
 	commandQueueSize = 512
 	// startAttempts is how often a start command is sent before the run is abandoned and stopped.
 	startAttempts = 2
@@ -73,12 +73,13 @@
 	// lateStarts are the runs on the worker that are not in runs and may still start or go on.
 	lateStarts map[runKey]*lateStart
 
-	// stops holds stop commands, commands all others.
-	commands, stops chan func(context.Context)
-	wake            chan struct{}
-	cancel          context.CancelFunc
-	// done is closed once no commands are sent to the worker any more.
-	done <-chan struct{}
+	// stops holds the stops without an answer, commands all other commands to send. stopWake wakes
+	// sendStops.
+	stops    stopQueue
+	stopWake chan struct{}
+	commands chan func(context.Context)
+	wake     chan struct{}
+	cancel   context.CancelFunc
 }
 
 // syncSessions opens and closes sessions to match the list of workers.
@@ -133,17 +134,17 @@
 	s := &session{
 		Worker: w, owner: o, conn: &connection{}, runs: map[runKey]*run{}, listed: listed, reachable: true,
 		lateStarts: map[runKey]*lateStart{}, pace: fullPace,
-		commands: make(chan func(context.Context), commandQueueSize), stops: make(chan func(context.Context), commandQueueSize),
-		wake: make(chan struct{}, 1), cancel: cancel, done: ctx.Done(),
+		commands: make(chan func(context.Context), commandQueueSize), stops: newStopQueue(),
+		stopWake: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: cancel,
 	}
 	s.conn.redial(o.Dialer.Dial(w))
 	s.raiseToken()
 	o.sessions[w.ID] = s
 	s.requestRecord()
 	o.group.Go(func() { s.heartbeatLoop(ctx) })
+	o.group.Go(func() { s.sendStops(ctx) })
 	for range commandSenders {
 		o.group.Go(func() { sendCommands(ctx, s.commands) })
-		o.group.Go(func() { sendCommands(ctx, s.stops) })
 	}
 }
 
@@ -217,16 +218,6 @@
 	o.schedule()
 }
 
-// ended reports whether the session was closed or its owner has stopped.
-func (s *session) ended() bool {
-	select {
-	case <-s.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func sendCommands(ctx context.Context, queue <-chan func(context.Context)) {
 	for {
 		select {
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -15,6 +15,8 @@
 	o := s.owner
 	if !s.reachable {
 		o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard}).Info("worker answers again")
+		s.stops.restart(received)
+		s.wakeStops()
 	}
 	s.reachable, s.lostOwnership, s.contact, s.incarnationKnown = true, false, received, true
 	if s.incarnationStartMS != 0 && status.IncarnationStartMS != 0 && status.IncarnationStartMS != s.incarnationStartMS {
@@ -67,7 +69,7 @@
 
 // handleRestart handles a worker that restarted under the same ID: it has no runs.
 func (s *session) handleRestart(bornMS int64) {
-	o := s.owner
+	o, now := s.owner, monotonic.Now()
 	o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard, "runs": len(s.runs), "born_ms": bornMS}).Warn("worker was born again")
 	for _, r := range s.runs {
 		switch {
@@ -76,7 +78,7 @@
 		case r.stopping:
 			// The restarted worker has forgotten the stop.
 			r.stopAnswered = false
-			s.sendStop(r)
+			s.requestStop(r.key(), now)
 		case r.state == runUnknown:
 			// The restarted worker's clock begins anew, so the lease in a late start command does
 			// not protect against it.
@@ -84,12 +86,16 @@
 		}
 		// The response to a start command in flight determines the state of the run.
 	}
+	// The intervals between stop commands have grown while the worker did not answer.
+	s.stops.restart(now)
 	s.resetCompletions()
 	// The new incarnation may have accepted a lease already, so its believed end stays.
 	s.clockKnown, s.clockAt, s.pace = false, 0, fullPace
 	for _, l := range s.lateStarts {
-		// The restarted worker has forgotten the stop.
-		l.stopAnswered = 0
+		if l.stopAnswered != 0 {
+			// The restarted worker has forgotten the stop.
+			l.stopSent, l.stopAnswered = false, 0
+		}
 	}
 }
 
@@ -123,7 +129,7 @@
 func (s *session) repeatStop(r *run, sent monotonic.Time) {
 	if r.stopAnswered && sent.Sub(r.lastResponse) > s.owner.Bounds.StopGrace+stopMargin {
 		r.stopAnswered = false
-		s.sendStop(r)
+		s.requestStop(r.key(), monotonic.Now())
 	}
 }
 
@@ -151,7 +157,7 @@
 	switch {
 	case task.Done || task.Active > maxConcurrentRuns(step):
 		s.stop(r, "not needed any more")
-	case late != nil && (late.stopPending || late.stopAnswered != 0):
+	case late != nil && late.stopSent:
 		s.stop(r, "was told to stop before it was listed")
 	}
 	return r
@@ -168,13 +174,14 @@
 			s.owner.Log.WithFields(logrus.Fields{
 				"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": r.stopAnswered,
 			}).Info("run not listed any more")
+			s.detach(r)
 			if r.startUnanswered {
 				l := s.addLateStart(key, monotonic.Now())
+				l.stopSent = r.stopAttempts > 0
 				if r.stopAnswered {
 					l.stopAnswered = r.lastResponse
 				}
 			}
-			s.detach(r)
 		}
 	}
 }
