shard: watch a worker on which a start of a detached run may take effect

Callers could see a task of a cancelled job run on a worker that had restarted under its ID, until the lease in its start command ended.

Cause: a detached run was remembered as a late start only by some of the places that detach it, and only once its start had timed out. Forgotten were a start in flight whose run was detached after an answered stop, the first start of a run whose repetition was executed and ended or was refused by a fence or answered by another worker, and the other start of a late run that was listed, stopped and ended. A restarted worker has forgotten the stop and executes such a start, and an owner sends no heartbeats to a worker without runs.

Now detach itself records a late start if a start command is in flight or got no answer. The outcome of a start in flight whose run is detached settles it: a start that was executed counts as listed, one that was refused is forgotten unless the other one got no answer. A run whose end was reported is watched too, but does not keep its worker from being emptied. A late run that is listed keeps the mark of the unanswered start.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -64,7 +64,8 @@
 		Checkpoint: r.entry.checkpoint(r.task), Approval: approvalValue,
 	}
 	// The lease ends by the clock of the worker at the current address.
-	conn, sent := s.conn.conn(), monotonic.Now()
+	conn, sent, incarnation := s.conn.conn(), monotonic.Now(), s.incarnation
+	r.startInFlight = true
 	o.mu.Unlock()
 	clock, err := conn.Start(ctx, command)
 	if ctx.Err() != nil {
@@ -74,8 +75,12 @@
 	defer o.mu.Unlock()
 	defer o.completePendingJobs()
 	now = monotonic.Now()
+	r.startInFlight = false
 	s.recordClock(clock, sent, now)
 	s.confirmLease(leaseEnd, clock, now)
+	if !s.attached(r) {
+		s.settleLateStart(r, err, s.incarnation == incarnation, now)
+	}
 	if err == nil {
 		r.lastResponse = now
 		if r.state != runConfirmed {
@@ -208,11 +213,13 @@
 	}
 	o.countFinishedRun(finished.Cause)
 	key := runKey{t, finished.Number}
-	delete(s.lateStarts, key)
 	r := s.runs[key]
 	if r != nil {
 		s.detach(r)
 	}
+	if l := s.lateStarts[key]; l != nil {
+		l.stopAnswered, l.ended = now, true
+	}
 	// A failed run may be the last attempt of its task, after which no copy may start either.
 	if (finished.Cause == worker.FinishDone || finished.Cause == worker.FinishFailed) && o.startPending(t, now) {
 		s.hold(finished, t)
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -1,11 +1,13 @@
 package shard
 
 import (
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/worker"
 )
 
 // lateStartWindow is how long the start command of a detached run may still take effect.
@@ -19,8 +21,19 @@
 	since monotonic.Time
 	// stopSent is set once a stop command was sent: it may take effect although it has no answer.
 	stopSent bool
-	// stopAnswered is when the worker accepted the stop command, or 0.
+	// stopAnswered is when the worker accepted the stop command or reported the end of the run, or 0.
 	stopAnswered monotonic.Time
+	// ended is set if the worker has reported the end of the run. The start command may have been sent
+	// twice, and the other one takes effect if the worker restarts before it arrives.
+	ended bool
+}
+
+// inheritStop takes over what became of the stop of a run that was detached.
+func (l *lateStart) inheritStop(r *run) {
+	l.stopSent = r.stopAttempts > 0
+	if r.stopAnswered {
+		l.stopAnswered = r.lastResponse
+	}
 }
 
 // addLateStart records a detached run. The caller holds mu.
@@ -30,7 +43,7 @@
 		l = &lateStart{}
 		s.lateStarts[key] = l
 	}
-	l.since = now
+	l.since, l.ended = now, false
 	if l.stopAnswered != 0 && now.Sub(l.stopAnswered) > s.owner.Bounds.StopGrace+stopMargin {
 		// The worker lists the run in spite of the stop.
 		l.stopAnswered = 0
@@ -42,12 +55,12 @@
 	return l
 }
 
-// hasLateStarts reports whether a detached run may still start or go on: its stop has no answer, or was
-// answered less than the stop grace ago. The caller holds mu.
+// hasLateStarts reports whether a detached run may still start or go on without a restart of the worker: its
+// stop has no answer, or was answered less than the stop grace ago and no end was reported. The caller holds mu.
 func (s *session) hasLateStarts() bool {
 	now := monotonic.Now()
 	for _, l := range s.lateStarts {
-		if l.stopAnswered == 0 || now.Sub(l.stopAnswered) <= s.owner.Bounds.StopGrace+stopMargin {
+		if l.stopAnswered == 0 || !l.ended && now.Sub(l.stopAnswered) <= s.owner.Bounds.StopGrace+stopMargin {
 			return true
 		}
 	}
@@ -83,3 +96,35 @@
 	e := s.owner.jobs[key.task.Job]
 	return e != nil && e.job.Valid(key.task) && !e.job.FinalState.IsFinal() && e.job.Steps[key.task.Step].LongRunning
 }
+
+// settleLateStart handles the outcome of a start command whose run was detached while it was in flight. The
+// caller holds mu.
+func (s *session) settleLateStart(r *run, err error, sameIncarnation bool, now monotonic.Time) {
+	key := r.key()
+	if s.runs[key] != nil {
+		// The worker has listed the run meanwhile.
+		return
+	}
+	l := s.lateStarts[key]
+	switch {
+	case err == nil && (l == nil || !l.ended || !sameIncarnation):
+		if adopted := s.adopt(key, now); adopted != nil && adopted.entry.job.FinalState.IsFinal() {
+			s.stop(adopted, "job ended")
+		}
+	case err == nil || isDefinite(err):
+		if !r.startUnanswered {
+			delete(s.lateStarts, key)
+		}
+	default:
+		r.startUnanswered = true
+		if l == nil {
+			l = s.addLateStart(key, now)
+		}
+		l.since = now
+	}
+}
+
+// isDefinite reports whether the error of a command shows that it has no effect, also later.
+func isDefinite(err error) bool {
+	return errors.As(err, new(*worker.RefusedError)) || errors.As(err, new(*worker.GoneError)) || errors.As(err, new(*worker.UnreachableError))
+}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -29,6 +29,8 @@
 	state    runState
 	placedAt monotonic.Time
 	started  monotonic.Time
+	// startInFlight is set while a start command has neither a response nor timed out.
+	startInFlight bool
 	// startUnanswered is set once a start command got no response: that command may take effect later,
 	// whatever became of its repetition.
 	startUnanswered bool
@@ -106,7 +108,7 @@
 // attached reports whether the run counts as one of the worker.
 func (s *session) attached(r *run) bool { return s.runs[r.key()] == r }
 
-// detach reverses attach.
+// detach reverses attach. A run whose start command may still take effect becomes a late start.
 func (s *session) detach(r *run) {
 	o := s.owner
 	if !s.attached(r) {
@@ -120,6 +122,9 @@
 	if a := r.entry.job.Account; a != "" {
 		o.usage[a] = o.usage[a].Minus(r.step.Need)
 	}
+	if r.startInFlight || r.startUnanswered {
+		s.addLateStart(r.key(), monotonic.Now()).inheritStop(r)
+	}
 	o.schedule()
 }
 
@@ -134,7 +139,4 @@
 	s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "reason": reason}).Info("run lost")
 	r.entry.losses++
 	s.detach(r)
-	if r.state == runStarting || r.startUnanswered {
-		s.addLateStart(r.key(), monotonic.Now()).stopSent = r.stopAttempts > 0
-	}
 }
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -94,7 +94,7 @@
 	for _, l := range s.lateStarts {
 		if l.stopAnswered != 0 {
 			// The restarted worker has forgotten the stop.
-			l.stopSent, l.stopAnswered = false, 0
+			l.stopSent, l.stopAnswered, l.ended = false, 0, false
 		}
 	}
 }
@@ -149,7 +149,7 @@
 	task := e.job.Task(key.task)
 	r := &run{
 		task: key.task, number: key.number, entry: e, step: step, session: s, state: runConfirmed, placedAt: now, started: now,
-		lastResponse: now, commandedPace: unknownPace,
+		lastResponse: now, commandedPace: unknownPace, startUnanswered: late != nil,
 	}
 	s.attach(r)
 	task.LastRun = max(task.LastRun, key.number)
@@ -175,13 +175,6 @@
 				"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": r.stopAnswered,
 			}).Info("run not listed any more")
 			s.detach(r)
-			if r.startUnanswered {
-				l := s.addLateStart(key, monotonic.Now())
-				l.stopSent = r.stopAttempts > 0
-				if r.stopAnswered {
-					l.stopAnswered = r.lastResponse
-				}
-			}
 		}
 	}
 }
