--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -64,7 +64,8 @@
 		Checkpoint: r.entry.checkpoint(r.task), Approval: approvalValue,
 	}
 	// The lease ends by the clock of the worker at the current address.
-	conn, sent := s.conn.conn(), monotonic.Now()
+	conn, sent, incarnation := s.conn.conn(), monotonic.Now(), s.incarnation
+	r.startInFlight = true
 	o.mu.Unlock()
 	clock, err := conn.Start(ctx, command)
 	if ctx.Err() != nil {
@@ -74,8 +75,12 @@
 	defer o.mu.Unlock()
 	defer o.completePendingJobs()
 	now = monotonic.Now()
+	r.startInFlight = false
 	s.recordClock(clock, sent, now)
 	s.confirmLease(leaseEnd, clock, now)
+	if !s.attached(r) {
+		s.settleLateStart(r, err, s.incarnation == incarnation, now)
+	}
 	if err == nil {
 		r.lastResponse = now
 		if r.state != runConfirmed {
@@ -188,7 +193,7 @@
 // first refuses the start.
 func (s *session) stop(r *run, reason string) {
 	r.withinLimit = false
-	s.requestStop(r, reason)
+	s.beginStop(r, reason)
 }
 
 // stopWithinLimit requests that the run of a long-running task be stopped, unless the limit on
@@ -199,10 +204,10 @@
 		return
 	}
 	r.withinLimit = true
-	s.requestStop(r, reason)
+	s.beginStop(r, reason)
 }
 
-func (s *session) requestStop(r *run, reason string) {
+func (s *session) beginStop(r *run, reason string) {
 	if r.stopping || !s.attached(r) {
 		return
 	}
@@ -213,74 +218,9 @@
 		s.detach(r)
 		return
 	}
-	r.stopping, r.stopRequested = true, monotonic.Now()
-	s.sendStop(r)
-}
-
-// sendStop sends stop commands until one is answered or the run is detached. The caller holds mu.
-func (s *session) sendStop(r *run) {
-	if r.stopPending {
-		return
-	}
-	r.stopPending = true
-	if !enqueue(s.stops, func(ctx context.Context) { s.attemptStop(ctx, r) }) {
-		s.repeatStopLater(r)
-	}
-}
-
-// attemptStop sends one stop command.
-func (s *session) attemptStop(ctx context.Context, r *run) {
-	o := s.owner
-	o.mu.Lock()
-	if !s.attached(r) {
-		o.mu.Unlock()
-		return
-	}
-	if !s.stopStillAllowed(r, monotonic.Now()) {
-		s.withdrawStop(r, monotonic.Now())
-		o.mu.Unlock()
-		return
-	}
-	token, incarnation := s.token, s.incarnation
-	r.stopAttempts++
-	fields := logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": r.stopAttempts, "token": token}
-	o.mu.Unlock()
-	began := monotonic.Now()
-	clock, err := s.conn.Stop(ctx, token, r.task.String(), r.number)
-	if ctx.Err() != nil {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	now := monotonic.Now()
-	s.recordClock(clock, began, now)
-	fields["requested_ms"], fields["took_ms"] = now.Sub(r.stopRequested).Milliseconds(), now.Sub(began).Milliseconds()
-	if err != nil {
-		o.Log.WithError(err).WithFields(fields).Info("stop not answered")
-		s.repeatStopLater(r)
-		return
-	}
-	o.Log.WithFields(fields).Info("stop answered")
-	if s.incarnation != incarnation {
-		// The answer may be from the worker's former incarnation.
-		s.repeatStopLater(r)
-		return
-	}
-	// Stopping takes up to StopGrace; until then the worker lists the run.
-	r.stopPending, r.stopAnswered, r.lastResponse = false, true, now
-	o.completePendingJobs()
-}
-
-// repeatStopLater repeats the stop command after a delay. The caller holds mu.
-func (s *session) repeatStopLater(r *run) {
-	time.AfterFunc(retryDelay, func() {
-		s.owner.mu.Lock()
-		defer s.owner.mu.Unlock()
-		r.stopPending = false
-		if !s.ended() && s.attached(r) {
-			s.sendStop(r)
-		}
-	})
+	r.stopping, r.stopRequested = true, now
+	s.requestStop(r.key(), now)
 }
 
 // handleFinishedRun processes the completion of one run. The caller holds mu.
@@ -293,11 +233,13 @@
 	}
 	o.countFinishedRun(finished.Cause)
 	key := runKey{t, finished.Number}
-	delete(s.lateStarts, key)
 	r := s.runs[key]
 	if r != nil {
 		s.detach(r)
 	}
+	if l := s.lateStarts[key]; l != nil {
+		l.stopAnswered, l.ended = now, true
+	}
 	// A failed run may be the last attempt of its task, after which no copy may start either.
 	if (finished.Cause == worker.FinishDone || finished.Cause == worker.FinishFailed) && o.startPending(t, now) {
 		s.hold(finished, t)
--- a/internal/shard/drain.go
+++ b/internal/shard/drain.go
@@ -119,7 +119,7 @@
 
 // maxUnlistedAge is how long a run without an answered start counts as not at work after a status that
 // did not list it. It is shorter than the time after which a stop command is repeated.
-const maxUnlistedAge = 100 * time.Millisecond
+const maxUnlistedAge = firstStopInterval / 2
 
 // stopStillAllowed reports whether the decision to stop a run holds when the command is sent. Since
 // then, the start of the run may have taken effect, and other tasks of its step may have become
@@ -138,7 +138,8 @@
 		"worker": s.ID, "task": r.task.String(), "run": r.number, "requested_ms": now.Sub(r.stopRequested).Milliseconds(),
 		"stops_sent": r.stopAttempts, "start_unanswered": r.state != runConfirmed,
 	}).Info("stop is withdrawn")
-	r.stopping, r.stopPending, r.withinLimit = false, false, false
+	r.stopping, r.withinLimit = false, false
+	s.stops.remove(r.key())
 	if r.stopAttempts > 0 {
 		r.withdrawnAt = now
 	}
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -1,12 +1,13 @@
 package shard
 
 import (
-	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/worker"
 )
 
 // lateStartWindow is how long the start command of a detached run may still take effect.
@@ -18,10 +19,21 @@
 // runs throughout lateStartWindow, because a restart is noticed in no other way.
 type lateStart struct {
 	since monotonic.Time
-	// stopPending is set while a stop command is queued or in flight.
-	stopPending bool
-	// stopAnswered is when the worker accepted the stop command, or 0.
+	// stopSent is set once a stop command was sent: it may take effect although it has no answer.
+	stopSent bool
+	// stopAnswered is when the worker accepted the stop command or reported the end of the run, or 0.
 	stopAnswered monotonic.Time
+	// ended is set if the worker has reported the end of the run. The start command may have been sent
+	// twice, and the other one takes effect if the worker restarts before it arrives.
+	ended bool
+}
+
+// inheritStop takes over what became of the stop of a run that was detached.
+func (l *lateStart) inheritStop(r *run) {
+	l.stopSent = r.stopAttempts > 0
+	if r.stopAnswered {
+		l.stopAnswered = r.lastResponse
+	}
 }
 
 // addLateStart records a detached run. The caller holds mu.
@@ -31,20 +43,24 @@
 		l = &lateStart{}
 		s.lateStarts[key] = l
 	}
-	l.since = now
+	l.since, l.ended = now, false
 	if l.stopAnswered != 0 && now.Sub(l.stopAnswered) > s.owner.Bounds.StopGrace+stopMargin {
 		// The worker lists the run in spite of the stop.
 		l.stopAnswered = 0
 	}
+	if s.needsStop(key) {
+		s.requestStop(key, now)
+	}
+	s.notify()
 	return l
 }
 
-// hasLateStarts reports whether a detached run may still start or go on: its stop has no answer, or was
-// answered less than the stop grace ago. The caller holds mu.
+// hasLateStarts reports whether a detached run may still start or go on without a restart of the worker: its
+// stop has no answer, or was answered less than the stop grace ago and no end was reported. The caller holds mu.
 func (s *session) hasLateStarts() bool {
 	now := monotonic.Now()
 	for _, l := range s.lateStarts {
-		if l.stopAnswered == 0 || now.Sub(l.stopAnswered) <= s.owner.Bounds.StopGrace+stopMargin {
+		if l.stopAnswered == 0 || !l.ended && now.Sub(l.stopAnswered) <= s.owner.Bounds.StopGrace+stopMargin {
 			return true
 		}
 	}
@@ -57,7 +73,7 @@
 	return len(s.runs) == 0 && !s.hasLateStarts() && s.processed <= s.durable && s.lastAcknowledgeable(monotonic.Now()) == s.durable
 }
 
-// stopLateStarts sends the stop commands that are due. The caller holds mu.
+// stopLateStarts requests the stops of all late starts and gives up the oldest ones. The caller holds mu.
 func (s *session) stopLateStarts() {
 	now := monotonic.Now()
 	for key, l := range s.lateStarts {
@@ -67,40 +83,48 @@
 				s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": key.task.String(), "run": key.number}).Warn("stop of a detached run given up")
 			}
 			delete(s.lateStarts, key)
-		case l.stopAnswered == 0 && !l.stopPending && s.reachable:
-			l.stopPending = enqueue(s.stops, func(ctx context.Context) { s.stopLateStart(ctx, key, l) })
+		case s.needsStop(key):
+			s.requestStop(key, now)
 		}
 	}
 }
 
-// stopLateStart sends one stop command.
-func (s *session) stopLateStart(ctx context.Context, key runKey, l *lateStart) {
-	o := s.owner
-	o.mu.Lock()
-	token, incarnation := s.token, s.incarnation
-	o.mu.Unlock()
-	_, err := s.conn.Stop(ctx, token, key.task.String(), key.number)
-	if ctx.Err() != nil {
+// mayContinue reports whether a late start is of a long-running task that still has to run. Its stop is not
+// sent while the worker does not answer heartbeats: the next status may list the run, which is then adopted,
+// and a stop that takes effect afterwards would make the task unavailable. The caller holds mu.
+func (s *session) mayContinue(key runKey) bool {
+	e := s.owner.jobs[key.task.Job]
+	return e != nil && e.job.Valid(key.task) && !e.job.FinalState.IsFinal() && e.job.Steps[key.task.Step].LongRunning
+}
+
+// settleLateStart handles the outcome of a start command whose run was detached while it was in flight. The
+// caller holds mu.
+func (s *session) settleLateStart(r *run, err error, sameIncarnation bool, now monotonic.Time) {
+	key := r.key()
+	if s.runs[key] != nil {
+		// The worker has listed the run meanwhile.
 		return
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	l.stopPending = false
-	fields := logrus.Fields{"worker": s.ID, "task": key.task.String(), "run": key.number, "token": token, "detached": true}
-	if err != nil {
-		o.Log.WithError(err).WithFields(fields).Info("stop not answered")
-	} else {
-		o.Log.WithFields(fields).Info("stop answered")
-		if s.incarnation == incarnation {
-			l.stopAnswered = monotonic.Now()
-			return
+	l := s.lateStarts[key]
+	switch {
+	case err == nil && (l == nil || !l.ended || !sameIncarnation):
+		if adopted := s.adopt(key, now); adopted != nil && adopted.entry.job.FinalState.IsFinal() {
+			s.stop(adopted, "job ended")
 		}
-	}
-	time.AfterFunc(retryDelay, func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		if !s.ended() {
-			s.stopLateStarts()
+	case err == nil || isDefinite(err):
+		if !r.startUnanswered {
+			delete(s.lateStarts, key)
+		}
+	default:
+		r.startUnanswered = true
+		if l == nil {
+			l = s.addLateStart(key, now)
 		}
-	})
+		l.since = now
+	}
+}
+
+// isDefinite reports whether the error of a command shows that it has no effect, also later.
+func isDefinite(err error) bool {
+	return errors.As(err, new(*worker.RefusedError)) || errors.As(err, new(*worker.GoneError)) || errors.As(err, new(*worker.UnreachableError))
 }
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -29,6 +29,8 @@
 	state    runState
 	placedAt monotonic.Time
 	started  monotonic.Time
+	// startInFlight is set while a start command has neither a response nor timed out.
+	startInFlight bool
 	// startUnanswered is set once a start command got no response: that command may take effect later,
 	// whatever became of its repetition.
 	startUnanswered bool
@@ -59,8 +61,6 @@
 	// withdrawnAt is when a stop that may still take effect was withdrawn, or 0. It is cleared by a status
 	// that shows that the run goes on.
 	withdrawnAt monotonic.Time
-	// stopPending is set while a stop command is queued, in flight or waiting to be repeated.
-	stopPending bool
 	// stopAnswered is set once the worker has accepted a stop command.
 	stopAnswered bool
 	// stopRequested is when the owner decided to stop the run, and stopAttempts counts the stop
@@ -98,10 +98,12 @@
 	number int
 }
 
+func (r *run) key() runKey { return runKey{r.task, r.number} }
+
 // attach adds a run to the accounting of the worker, the job and the account.
 func (s *session) attach(r *run) {
 	o := s.owner
-	s.runs[runKey{r.task, r.number}] = r
+	s.runs[r.key()] = r
 	s.used = s.used.Plus(r.step.RequiredResources())
 	r.entry.runs[r] = true
 	r.entry.job.Task(r.task).Active++
@@ -112,15 +114,15 @@
 }
 
 // attached reports whether the run counts as one of the worker.
-func (s *session) attached(r *run) bool { return s.runs[runKey{r.task, r.number}] == r }
+func (s *session) attached(r *run) bool { return s.runs[r.key()] == r }
 
-// detach reverses attach.
+// detach reverses attach. A run whose start command may still take effect becomes a late start.
 func (s *session) detach(r *run) {
 	o := s.owner
 	if !s.attached(r) {
 		return
 	}
-	delete(s.runs, runKey{r.task, r.number})
+	delete(s.runs, r.key())
 	s.used = s.used.Minus(r.step.RequiredResources())
 	delete(r.entry.runs, r)
 	r.entry.noReadyTasks = false
@@ -128,6 +130,9 @@
 	if a := r.entry.job.Account; a != "" {
 		o.usage[a] = o.usage[a].Minus(r.step.Need)
 	}
+	if r.startInFlight || r.startUnanswered {
+		s.addLateStart(r.key(), monotonic.Now()).inheritStop(r)
+	}
 	o.schedule()
 }
 
@@ -141,8 +146,5 @@
 func (s *session) markLost(r *run, reason string) {
 	s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "reason": reason}).Info("run lost")
 	r.entry.losses++
-	if r.state == runStarting || r.startUnanswered {
-		s.addLateStart(runKey{r.task, r.number}, monotonic.Now())
-	}
 	s.detach(r)
 }
