--- a/internal/shard/stoploss_test.go
+++ b/internal/shard/stoploss_test.go
@@ -77,7 +77,8 @@
 
 // Guards against runs of cancelled jobs that go on because stop commands of their worker get no answer (UNASKED).
 var _ = Describe("the stops of one worker", func() {
-	// startRuns starts long-running jobs with the given numbers of tasks on worker w0, the only one.
+	// startRuns starts long-running jobs with the given numbers of tasks on worker w0, the only one. Where no stop is
+	// answered, a run of a second job keeps the lease of the worker extended.
 	startRuns := func(f *fixture, lost func(task string) bool, counts ...int) (*stopLossDialer, *owner, *cluster.Worker, []job.Job) {
 		GinkgoHelper()
 		f.workers.Behaviour = func(string, int) cluster.Behaviour { return cluster.Behaviour{Duration: time.Hour} }
@@ -124,7 +125,7 @@
 	})
 
 	simulatedIt("are repeated at intervals that grow to the timeout of a call when they get no answer", func(f *fixture) {
-		d, o, _, jobs := startRuns(f, func(string) bool { return true }, 5)
+		d, o, _, jobs := startRuns(f, func(string) bool { return true }, 5, 1)
 		Expect(o.Cancel(context.Background(), jobs[0].ID)).To(Succeed())
 		time.Sleep(10 * time.Second)
 		before, _, _ := d.counts()
@@ -134,7 +135,7 @@
 	})
 
 	simulatedIt("occupy at most 64 calls when they get no answer, in which each of 500 runs has its turn", func(f *fixture) {
-		d, o, _, jobs := startRuns(f, func(string) bool { return true }, 500)
+		d, o, _, jobs := startRuns(f, func(string) bool { return true }, 500, 1)
 		Expect(o.Cancel(context.Background(), jobs[0].ID)).To(Succeed())
 		time.Sleep(20 * time.Second)
 		_, tasks, peak := d.counts()
