shard: look at the limit of the account again before a start is sent

Callers would see an account above its limit (QUOTA): starts that were placed under the former limit wait behind starts without an answer, and were sent after the limit had been lowered, as were their repetitions.

Cause: a queued start was sent on the decision of the scheduling pass, and the limit was not among the conditions that are looked at again.

A start that was not sent is now given back while the account is over its limit. A start whose first command has no answer is not repeated then; a status decides whether the run is at work or is stopped. The runs of queued starts count as use, so starts are given back only until the rest fits. Members of gangs are sent as before, because the others would wait for a withheld one.

The fixture hands out its configuration under its lock, so that a spec may replace it while an owner runs.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -55,6 +55,19 @@
 		o.mu.Unlock()
 		return
 	}
+	if !o.withinLoweredLimit(r) {
+		o.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "account": r.entry.job.Account,
+		}).Info("start withheld: the limit of the account was lowered")
+		if attempt == 1 {
+			s.detach(r)
+		} else {
+			// The first attempt may have taken effect: the run is stopped unless a status lists it.
+			r.stopUnlistedAfter = now
+		}
+		o.mu.Unlock()
+		return
+	}
 	if attempt == 1 {
 		r.state = runStarting
 	}
@@ -86,6 +99,14 @@
 	s.startFailed(r, err, attempt, sent, now)
 }
 
+// withinLoweredLimit reports whether the limit of the account still allows a run that was placed under
+// it. The members of a gang would wait in vain for one that is withheld, so they are always allowed. The
+// caller holds mu.
+func (o *Owner) withinLoweredLimit(r *run) bool {
+	account := r.entry.job.Account
+	return account == "" || r.step.Gang || o.ledger.Allows(account, o.limit(account), o.usage[account])
+}
+
 // startFailed handles a start command that was refused or got no response. The caller holds mu.
 func (s *session) startFailed(r *run, err error, attempt int, sent, now monotonic.Time) {
 	o := s.owner
--- a/internal/shard/limit_test.go
+++ b/internal/shard/limit_test.go
@@ -36,4 +36,24 @@
 		second.submit(next)
 		Consistently(running, 1500*time.Millisecond).Should(BeNumerically("<=", 2))
 	})
+
+	// Guards against start commands that wait, or are repeated, and are sent after the limit was lowered (QUOTA).
+	simulatedIt("holds for starts that were queued before it was lowered", func(f *fixture) {
+		const tasks, sent = 6, 2
+		f.setLimit("acme", worker.Resources{CPU: 1000 * tasks})
+		f.workers.Behaviour = func(string, int) cluster.Behaviour { return cluster.Behaviour{Duration: time.Hour} }
+		f.hidden["w1"] = true
+		o, w := f.startOwner(), f.worker("w0")
+		w.SetFaults(cluster.WorkerFaults{DelayedStarts: sent, StartDelay: time.Hour, StartTimeout: 900 * time.Millisecond})
+		j := testJob(1, job.Step{Count: tasks})
+		j.Account = "acme"
+		o.submit(j)
+		Eventually(w.StartsReceived, callTimeout).Should(Equal(sent))
+		f.setLimit("acme", worker.Resources{CPU: 1000})
+		for range 50 {
+			Expect(w.Running()).To(BeNumerically("<=", 1))
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(w.Running()).To(Equal(1))
+	})
 })
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -164,6 +164,21 @@
 	f.behaviours[task] = behaviour
 }
 
+func (f *fixture) configuration() *jobconfig.Configuration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+// setLimit replaces the configuration by one in which an account has a limit.
+func (f *fixture) setLimit(account string, limit worker.Resources) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config = &jobconfig.Configuration{
+		Version: f.config.Version + 1, Accounts: map[string]jobconfig.Account{account: {Name: account, Weight: 1, Limit: limit}},
+	}
+}
+
 func (f *fixture) listed() map[worker.ID]worker.Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -256,7 +271,7 @@
 			defer f.mu.Unlock()
 			return name, f.claims[id]
 		},
-		Changes: make(chan struct{}), Configuration: func() *jobconfig.Configuration { return f.config }, Log: log, Scope: tally.NoopScope,
+		Changes: make(chan struct{}), Configuration: f.configuration, Log: log, Scope: tally.NoopScope,
 	})
 	go func() {
 		defer close(o.done)
