shard: send the pace that holds when a pace command leaves its queue

Callers would see a best-effort task run at a pace that its owner had replaced, too fast beside a slow serving task (HARM) or too slow for good.

Cause: a pace command was queued with its percentage. Commands that wait behind starts without an answer leave the queue together, on two connections, and the older may be carried out last. The owner believes that the later one holds and sends no other.

A command now takes the pace, and the token, when it is sent, so that commands that waited together carry the same one. None is sent for a run that has ended or is being stopped. A command without an answer that is carried out seconds later may still undo a newer one.

--- a/internal/shard/address_test.go
+++ b/internal/shard/address_test.go
@@ -29,6 +29,8 @@
 	start  func(dialed worker.Worker, command worker.StartCommand)
 	// refuse returns the error of a start command that does not reach the worker, or nil.
 	refuse func(dialed worker.Worker) error
+	// pace is called before a pace command is passed on.
+	pace func(percent int)
 }
 
 func (d *hookedDialer) Dial(w worker.Worker) worker.Conn {
@@ -52,6 +54,13 @@
 	return c.dialer.answer(ctx, c.dialed, status, err)
 }
 
+func (c *hookedConn) Pace(ctx context.Context, token uint64, task string, number, percent int) (int64, error) {
+	if c.dialer.pace != nil {
+		c.dialer.pace(percent)
+	}
+	return c.Conn.Pace(ctx, token, task, number, percent)
+}
+
 func (c *hookedConn) Start(ctx context.Context, command worker.StartCommand) (int64, error) {
 	if c.dialer.start != nil {
 		c.dialer.start(c.dialed, command)
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -467,26 +467,38 @@
 	}
 	for _, r := range s.runs {
 		if r.step.BestEffort && r.state == runConfirmed && !r.stopping && r.commandedPace != s.pace {
-			s.sendPace(r, s.pace)
+			s.sendPace(r)
 		}
 	}
 }
 
-func (s *session) sendPace(r *run, percent int) {
-	token := s.token
+// sendPace queues a command that sets a run to the pace that holds when the command is sent: commands that
+// waited together may overtake each other. The caller holds mu.
+func (s *session) sendPace(r *run) {
+	o := s.owner
 	queued := enqueue(s.commands, func(ctx context.Context) {
+		o.mu.Lock()
+		if !s.attached(r) || r.stopping {
+			// A later status triggers the command again if the stop is withdrawn.
+			r.commandedPace = unknownPace
+			o.mu.Unlock()
+			return
+		}
+		token, percent := s.token, s.pace
+		r.commandedPace = percent
+		o.mu.Unlock()
 		_, err := s.conn.Pace(ctx, token, r.task.String(), r.number, percent)
 		if err == nil {
 			return
 		}
-		s.owner.mu.Lock()
-		defer s.owner.mu.Unlock()
+		o.mu.Lock()
+		defer o.mu.Unlock()
 		// The next status triggers the command again.
 		r.commandedPace = unknownPace
 		err = fmt.Errorf("set the pace of run %d to %d percent: %w", r.number, percent, err)
-		s.owner.Log.WithError(err).WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String()}).Info("pace command failed")
+		o.Log.WithError(err).WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String()}).Info("pace command failed")
 	})
 	if queued {
-		r.commandedPace = percent
+		r.commandedPace = s.pace
 	}
 }
