--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -55,6 +55,19 @@
 		o.mu.Unlock()
 		return
 	}
+	if !o.withinLoweredLimit(r) {
+		o.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "account": r.entry.job.Account,
+		}).Info("start withheld: the limit of the account was lowered")
+		if attempt == 1 {
+			s.detach(r)
+		} else {
+			// The first attempt may have taken effect: the run is stopped unless a status lists it.
+			r.stopUnlistedAfter = now
+		}
+		o.mu.Unlock()
+		return
+	}
 	if attempt == 1 {
 		r.state = runStarting
 	}
@@ -91,6 +104,14 @@
 	s.startFailed(r, err, attempt, sent, now)
 }
 
+// withinLoweredLimit reports whether the limit of the account still allows a run that was placed under
+// it. The members of a gang would wait in vain for one that is withheld, so they are always allowed. The
+// caller holds mu.
+func (o *Owner) withinLoweredLimit(r *run) bool {
+	account := r.entry.job.Account
+	return account == "" || r.step.Gang || o.ledger.Allows(account, o.limit(account), o.usage[account])
+}
+
 // startFailed handles a start command that was refused or got no response. The caller holds mu.
 func (s *session) startFailed(r *run, err error, attempt int, sent, now monotonic.Time) {
 	o := s.owner
@@ -388,26 +409,38 @@
 	}
 	for _, r := range s.runs {
 		if r.step.BestEffort && r.state == runConfirmed && !r.stopping && r.commandedPace != s.pace {
-			s.sendPace(r, s.pace)
+			s.sendPace(r)
 		}
 	}
 }
 
-func (s *session) sendPace(r *run, percent int) {
-	token := s.token
+// sendPace queues a command that sets a run to the pace that holds when the command is sent: commands that
+// waited together may overtake each other. The caller holds mu.
+func (s *session) sendPace(r *run) {
+	o := s.owner
 	queued := enqueue(s.commands, func(ctx context.Context) {
+		o.mu.Lock()
+		if !s.attached(r) || r.stopping {
+			// A later status triggers the command again if the stop is withdrawn.
+			r.commandedPace = unknownPace
+			o.mu.Unlock()
+			return
+		}
+		token, percent := s.token, s.pace
+		r.commandedPace = percent
+		o.mu.Unlock()
 		_, err := s.conn.Pace(ctx, token, r.task.String(), r.number, percent)
 		if err == nil {
 			return
 		}
-		s.owner.mu.Lock()
-		defer s.owner.mu.Unlock()
+		o.mu.Lock()
+		defer o.mu.Unlock()
 		// The next status triggers the command again.
 		r.commandedPace = unknownPace
 		err = fmt.Errorf("set the pace of run %d to %d percent: %w", r.number, percent, err)
-		s.owner.Log.WithError(err).WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String()}).Info("pace command failed")
+		o.Log.WithError(err).WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String()}).Info("pace command failed")
 	})
 	if queued {
-		r.commandedPace = percent
+		r.commandedPace = s.pace
 	}
 }
