shard: keep unanswered starts of a worker across its sessions

An owner closes the session of an idle worker that leaves the list, for instance because it restarts, and forgot with it the start commands that may still take effect there. A worker that restarted under its ID has forgotten the stop as well, so it accepted such a start, and the next session neither repeated the stop nor asked the idle worker for its runs.

--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -123,11 +123,13 @@
 	leaving map[worker.ID]string
 	// uncontacted holds recorded workers that have not responded to this owner yet. workersUnknown is
 	// set if the record could not be decoded.
-	uncontacted    map[worker.ID]recordedWorker
-	workersUnknown bool
-	usage          map[string]worker.Resources
-	durationModels map[string]*durationModel
-	urgent         bool
+	uncontacted map[worker.ID]recordedWorker
+	// closedLateStarts holds the late starts on workers whose session was closed.
+	closedLateStarts map[worker.ID]map[runKey]*lateStart
+	workersUnknown   bool
+	usage            map[string]worker.Resources
+	durationModels   map[string]*durationModel
+	urgent           bool
 	// lastEmpty is when a worker was last reported empty.
 	lastEmpty monotonic.Time
 	// maintenanceDue holds workers whose hosts go down for maintenance soon.
@@ -229,7 +231,7 @@
 	o := &Owner{
 		Config: c, acquired: monotonic.Now(), wake: make(chan struct{}, 1), commits: make(chan struct{}, 1),
 		jobs: map[job.ID]*jobEntry{}, active: map[job.ID]*jobEntry{}, completing: map[job.ID]*jobEntry{}, sessions: map[worker.ID]*session{},
-		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, usage: map[string]worker.Resources{},
+		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, closedLateStarts: map[worker.ID]map[runKey]*lateStart{}, usage: map[string]worker.Resources{},
 		durationModels: map[string]*durationModel{}, countedArrivals: map[job.ID]monotonic.Time{}, ready: make(chan struct{}),
 		adviceWake: make(chan struct{}, 1), partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
 	}
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -8,6 +9,7 @@
 
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
 	"samphirestile.example/samphirestile/internal/job"
+	"samphirestile.example/samphirestile/internal/worker"
 )
 
 // Guards against a heartbeat that acknowledges a completion of a restarted worker which its owner never received.
@@ -37,3 +39,37 @@
 		Expect(f.workers.History.Starts(task)).To(Equal(1))
 	})
 })
+
+var _ = Describe("the start command of a cancelled run that reaches a restarted worker", func() {
+	// newOwner returns an owner of one worker that holds the start command of a cancelled run. The worker has
+	// answered the stop.
+	newOwner := func(f *fixture) (*owner, *commandFaults) {
+		faults := &commandFaults{startTimeout: 900 * time.Millisecond, heldStarts: 1, paces: map[string]int{}}
+		f.wrapDialer = func(d worker.Dialer) worker.Dialer {
+			faults.Dialer = d
+			return faults
+		}
+		f.workers.Remove("w1")
+		f.workers.Behaviour = func(string, int) cluster.Behaviour { return cluster.Behaviour{Duration: time.Hour} }
+		o := f.startOwner()
+		j := testJob(1, job.Step{LongRunning: true})
+		o.submit(j)
+		Eventually(faults.count, callTimeout).Should(Equal(1))
+		Expect(o.Cancel(context.Background(), j.ID)).To(Succeed())
+		time.Sleep(2 * time.Second)
+		return o, faults
+	}
+
+	// Guards against a run that nobody stops because the owner has forgotten its start with the session.
+	simulatedIt("is stopped when the worker was not listed for a while", func(f *fixture) {
+		_, faults := newOwner(f)
+		w := f.worker("w0")
+		f.hide(w.ID)
+		time.Sleep(time.Second)
+		w.Crash()
+		f.list(w.ID)
+		time.Sleep(time.Second)
+		_ = faults.release() // the restarted worker refuses it
+		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
+	})
+})
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -86,6 +87,7 @@
 	listed := o.Workers()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.dropOldLateStarts(monotonic.Now())
 	for id, w := range o.uncontacted {
 		if name, _ := o.workerClaim(id); name != "" && name != o.Shard {
 			// Only empty workers are transferred to another partition.
@@ -138,6 +140,7 @@
 	}
 	s.conn.redial(o.Dialer.Dial(w))
 	s.raiseToken()
+	s.restoreLateStarts()
 	o.sessions[w.ID] = s
 	s.requestRecord()
 	o.group.Go(func() { s.heartbeatLoop(ctx) })
@@ -211,12 +214,34 @@
 	s.cancel()
 	s.conn.Close()
 	delete(o.uncontacted, s.ID)
+	if len(s.lateStarts) > 0 {
+		o.closedLateStarts[s.ID] = s.lateStarts
+	}
 	if o.sessions[s.ID] == s {
 		delete(o.sessions, s.ID)
 	}
 	o.schedule()
 }
 
+// restoreLateStarts takes over the late starts of the worker's former session. The worker may have restarted
+// since, and so have forgotten the stops that it answered. The caller holds mu.
+func (s *session) restoreLateStarts() {
+	for key, l := range s.owner.closedLateStarts[s.ID] {
+		s.lateStarts[key] = &lateStart{since: l.since}
+	}
+	delete(s.owner.closedLateStarts, s.ID)
+}
+
+// dropOldLateStarts drops the late starts of closed sessions that cannot take effect any more. The caller holds mu.
+func (o *Owner) dropOldLateStarts(now monotonic.Time) {
+	for id, starts := range o.closedLateStarts {
+		maps.DeleteFunc(starts, func(_ runKey, l *lateStart) bool { return now.Sub(l.since) > lateStartWindow })
+		if len(starts) == 0 {
+			delete(o.closedLateStarts, id)
+		}
+	}
+}
+
 // ended reports whether the session was closed or its owner has stopped.
 func (s *session) ended() bool {
 	select {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -613,6 +613,13 @@
 	f.hidden[id] = true
 }
 
+// list lists a hidden worker again.
+func (f *fixture) list(id worker.ID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.hidden, id)
+}
+
 func (f *fixture) empty(o *owner, id worker.ID) bool {
 	empty, err := o.Empty(context.Background(), id)
 	Expect(err).NotTo(HaveOccurred())
