shard, platform: ask an idle worker that restarted under its ID for its runs

A worker that restarts under its ID has forgotten the fencing token of the successor, so it accepts a start command of the former owner that is executed late, and the lease in it counts on the new clock. The successor sent no heartbeat to a worker without runs, so it neither renewed its token there nor saw the run.

The entry of a worker names the start of its incarnation (born). It is decoded now, and kept in the digest. When the entry names another incarnation than the last status, the owner sends one heartbeat: it fences former owners again, and the status lists what started before it. The worker field is 0 for entries without born and for digests of earlier versions; then nothing changes.

--- a/internal/emulator/cluster/worker.go
+++ b/internal/emulator/cluster/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -159,6 +160,8 @@
 	// NeedsApproval reports whether a task needs an approval of Advisor; nil means never.
 	NeedsApproval func(task string) bool
 	Advisor       *Advisor
+	// ListsStarts adds the starts of the incarnations to the list.
+	ListsStarts bool
 
 	mu   sync.Mutex
 	byID map[worker.ID]*Worker
@@ -205,11 +208,19 @@
 // List returns the descriptions of all workers by ID.
 func (w *Workers) List() map[worker.ID]worker.Worker {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	out := map[worker.ID]worker.Worker{}
-	for id, n := range w.byID {
+	out, all := map[worker.ID]worker.Worker{}, maps.Clone(w.byID)
+	for id, n := range all {
 		out[id] = n.Worker
 	}
+	w.mu.Unlock()
+	if !w.ListsStarts {
+		return out
+	}
+	for id, n := range all {
+		listed := out[id]
+		listed.StartMS = n.startMS()
+		out[id] = listed
+	}
 	return out
 }
 
@@ -285,6 +296,13 @@
 	return n.received
 }
 
+// startMS returns the Unix time in milliseconds at which the incarnation started.
+func (n *Worker) startMS() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.started.UnixMilli()
+}
+
 func (n *Worker) currentIncarnation() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -43,6 +43,7 @@
 	Missing  bool                   `json:"m,omitempty"`
 	Capacity worker.Resources       `json:"c"`
 	Labels   []string               `json:"l,omitempty"`
+	StartMS  int64                  `json:"b,omitempty"`
 }
 
 // DigestError reports an invalid record of the digest.
@@ -58,7 +59,7 @@
 func (e *DigestError) Unwrap() error { return e.Cause }
 
 func encodeDigest(w worker.Worker) ([]byte, error) {
-	value, err := json.Marshal(digestRecord{w.Service, w.Address, w.AvailabilityZone, w.Draining, w.Missing, w.Capacity, w.Labels})
+	value, err := json.Marshal(digestRecord{w.Service, w.Address, w.AvailabilityZone, w.Draining, w.Missing, w.Capacity, w.Labels, w.StartMS})
 	if err != nil {
 		return nil, &DigestError{string(w.ID), err}
 	}
@@ -72,7 +73,7 @@
 	}
 	w := worker.Worker{
 		ID: digestID(e.Key), Service: d.Service, Address: d.Address, AvailabilityZone: d.Zone, Draining: d.Draining, Missing: d.Missing,
-		Capacity: d.Capacity, Labels: d.Labels,
+		Capacity: d.Capacity, Labels: d.Labels, StartMS: d.StartMS,
 	}
 	if err := w.Validate(); err != nil {
 		return worker.Worker{}, &DigestError{e.Key, err}
--- a/internal/roster/fuzz_test.go
+++ b/internal/roster/fuzz_test.go
@@ -9,7 +9,7 @@
 // Guards against digest records that crash a daemon or that change when they are decoded,
 // encoded and decoded again.
 func FuzzDecodeDigest(f *testing.F) {
-	f.Add([]byte(`{"s":"svc","a":"10.0.0.1:1","c":{"cpu":1},"l":["a","r1"],"d":true}`))
+	f.Add([]byte(`{"s":"svc","a":"10.0.0.1:1","c":{"cpu":1},"l":["a","r1"],"d":true,"b":9}`))
 	f.Add([]byte(`{"s":1}`))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		w, err := decodeDigest(store.Entry{Key: digestPrefix + "i-1", Value: value})
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -102,7 +102,7 @@
 func (s *session) waitUntilNeeded(ctx context.Context) bool {
 	for {
 		s.owner.mu.Lock()
-		need := !s.fenced || len(s.runs) > 0 || len(s.lateStarts) > 0 || s.processed > s.acknowledged || !s.reachable ||
+		need := !s.fenced || len(s.runs) > 0 || len(s.lateStarts) > 0 || s.processed > s.acknowledged || !s.reachable || s.restartListed != 0 ||
 			(s.Missing && monotonic.Now().Sub(s.contact) > maxMissingContactAge)
 		s.owner.mu.Unlock()
 		if need {
@@ -150,6 +150,9 @@
 		o.closeSession(s)
 		return 0
 	case errors.As(err, &refused):
+		if refused.Reason == worker.RefusedFence {
+			s.restartListed = 0
+		}
 		if refused.Reason == worker.RefusedFence && !s.lostOwnership {
 			s.lostOwnership = true
 			o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard, "token": s.token}).Warn("worker has received a higher fencing token")
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,4 +73,21 @@
 		_ = faults.release() // the restarted worker refuses it
 		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
 	})
+
+	// Guards against a run that the successor of its owner does not see, as it has no runs on the worker.
+	for _, delay := range []time.Duration{0, 5 * time.Second} {
+		simulatedIt(fmt.Sprintf("is refused or stopped when a former owner sent it, %v after the restart", delay), func(f *fixture) {
+			f.workers.ListsStarts = true
+			o, faults := newOwner(f)
+			o.Close()
+			o.stop()
+			f.startOwner()
+			time.Sleep(time.Second)
+			w := f.worker("w0")
+			w.Crash()
+			time.Sleep(delay)
+			_ = faults.release() // a worker that has received the successor's token refuses it
+			Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
+		})
+	}
 })
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -63,8 +63,11 @@
 	incarnationKnown bool
 	reachable        bool
 	// contact is when the worker last responded to a heartbeat.
-	contact            monotonic.Time
-	listed             bool
+	contact monotonic.Time
+	listed  bool
+	// restartListed is when the worker's entry named another incarnation than the last status, or 0 once a later
+	// heartbeat was answered.
+	restartListed      monotonic.Time
 	closedUntil        monotonic.Time
 	cordonUntil        monotonic.Time
 	storedFailureScore float64
@@ -111,6 +114,11 @@
 		if w.Missing && !s.Missing {
 			s.notify()
 		}
+		if w.StartMS != s.StartMS && w.StartMS != 0 && s.incarnationStartMS != 0 && w.StartMS != s.incarnationStartMS {
+			// The restarted worker has forgotten the fencing token, so it accepts commands of former owners.
+			s.restartListed = monotonic.Now()
+			s.notify()
+		}
 		if w.Address != s.Address {
 			s.redial(w)
 		}
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -17,6 +17,9 @@
 		o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard}).Info("worker answers again")
 	}
 	s.reachable, s.lostOwnership, s.contact, s.incarnationKnown = true, false, received, true
+	if sent > s.restartListed {
+		s.restartListed = 0
+	}
 	if s.incarnationStartMS != 0 && status.IncarnationStartMS != 0 && status.IncarnationStartMS != s.incarnationStartMS {
 		s.handleRestart(status.IncarnationStartMS)
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -65,7 +65,9 @@
 	AvailabilityZone fleet.AvailabilityZone
 	Draining         bool
 	// Missing is set for a short time after a worker has left the list; it may return.
-	Missing  bool
+	Missing bool
+	// StartMS is the Unix time in milliseconds at which the listed incarnation started; 0 if unknown.
+	StartMS  int64
 	Capacity Resources
 	// Labels holds the worker's kind and its rack, in this order.
 	Labels []string
@@ -74,7 +76,7 @@
 // Equal reports whether all fields of the entries are equal.
 func (w Worker) Equal(o Worker) bool {
 	return w.ID == o.ID && w.Service == o.Service && w.Address == o.Address && w.AvailabilityZone == o.AvailabilityZone &&
-		w.Draining == o.Draining && w.Missing == o.Missing && w.Capacity == o.Capacity && slices.Equal(w.Labels, o.Labels)
+		w.Draining == o.Draining && w.Missing == o.Missing && w.StartMS == o.StartMS && w.Capacity == o.Capacity && slices.Equal(w.Labels, o.Labels)
 }
 
 // Kind returns the worker's kind, or "".
