--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -117,7 +117,7 @@
 	for {
 		s.owner.mu.Lock()
 		now := monotonic.Now()
-		need := !s.fenced || len(s.runs) > 0 || len(s.lateStarts) > 0 || s.processed > s.acknowledged || !s.reachable ||
+		need := !s.fenced || len(s.runs) > 0 || len(s.lateStarts) > 0 || s.processed > s.acknowledged || !s.reachable || s.restartListed != 0 ||
 			(s.Missing && now.Sub(s.contact) > maxMissingContactAge) || (s.emptied && now >= s.cordonUntil)
 		s.owner.mu.Unlock()
 		if need {
@@ -165,6 +165,9 @@
 		o.closeSession(s)
 		return 0
 	case errors.As(err, &refused):
+		if refused.Reason == worker.RefusedFence {
+			s.restartListed = 0
+		}
 		if refused.Reason == worker.RefusedFence && !s.lostOwnership {
 			s.lostOwnership = true
 			o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard, "token": s.token}).Warn("worker has received a higher fencing token")
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -19,6 +19,9 @@
 		s.wakeStops()
 	}
 	s.reachable, s.lostOwnership, s.contact, s.incarnationKnown = true, false, received, true
+	if sent > s.restartListed {
+		s.restartListed = 0
+	}
 	if s.incarnationStartMS != 0 && status.IncarnationStartMS != 0 && status.IncarnationStartMS != s.incarnationStartMS {
 		s.handleRestart(status.IncarnationStartMS)
 	}
