shard: keep what is known of the stops of late starts when a session closes

A stop that was sent before the session closed may take effect later, so a late start that is listed afterwards is stopped as one of a session that went on would be.

--- a/internal/shard/closedstart.go
+++ b/internal/shard/closedstart.go
@@ -19,12 +19,12 @@
 	}
 }
 
-// takeLateStarts returns the late starts of the worker's last session, none of them as stopped. The caller
+// takeLateStarts returns the late starts of the worker's last session. Their stops count as sent, but not as answered. The caller
 // holds mu.
 func (o *Owner) takeLateStarts(id worker.ID) map[runKey]*lateStart {
 	starts := map[runKey]*lateStart{}
 	for key, l := range o.closedLateStarts[id] {
-		starts[key] = &lateStart{since: l.since}
+		starts[key] = &lateStart{since: l.since, stopSent: l.stopSent}
 	}
 	delete(o.closedLateStarts, id)
 	return starts
