shard: lose stops for a time in the schedules of late starts

The schedules lost up to 29 stop commands in a row. How long that lasts depends on the interval between the commands, and the schedule ends at a fixed time, so with longer intervals a task that was stopped late had no time to start again. The stops to a worker are now lost for 1.5 to 4.5 seconds, and there are 200 schedules instead of 50.

--- a/internal/shard/unavailable_test.go
+++ b/internal/shard/unavailable_test.go
@@ -193,7 +193,8 @@
 						DelayedStarts: 1 + rng.IntN(3), StartDelay: time.Duration(rng.IntN(3000)) * time.Millisecond, StartTimeout: 900 * time.Millisecond,
 					}
 					if stopsLost {
-						faults.DelayedStarts, faults.DelayedStops, faults.StopDelay = 2+rng.IntN(4), 10+rng.IntN(20), time.Hour
+						faults.DelayedStarts, faults.DelayedStops, faults.StopDelay = 2+rng.IntN(4), 1<<20, time.Hour
+						time.AfterFunc(time.Duration(1500+rng.IntN(3000))*time.Millisecond, func() { w.SetFaults(cluster.WorkerFaults{}) })
 					}
 					w.SetFaults(faults)
 				}
@@ -227,6 +228,8 @@
 	}
 	for seed := range uint64(50) {
 		check("", seed, false)
+	}
+	for seed := range uint64(200) {
 		check(", when stops are lost", seed, true)
 	}
 })
