--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -149,8 +149,7 @@
 	return reserved
 }
 
-// reserveOne reserves a worker for a long-running task and returns its index, or -1 if there is none: the least
-// used worker that has room for the task once all other than long-running tasks have ended.
+// reserveOne reserves a worker for a long-running task and returns its index, or -1 if there is none: the least used worker that has room for the task once all other than long-running tasks have ended.
 //
 // Load pattern: a stream of short tasks takes all capacity as soon as it is freed, so a large long-running
 // task would never find enough of it. A worker whose long-running tasks leave too little room would be
