--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -115,46 +115,17 @@
 	return s.MaxPerWorker > 0 && c.StepTasks >= s.MaxPerWorker
 }
 
-// roomForLongRunning returns how many tasks of a long-running step the worker can take beside its
-// long-running tasks, up to limit.
-func (c *Candidate) roomForLongRunning(s *job.Step, limit int) int {
-	if s.MaxPerWorker > 0 {
-		limit = min(limit, s.MaxPerWorker-c.StepTasks)
-	}
-	required, free := s.RequiredResources(), c.Capacity.Minus(c.LongRunningUse)
-	n := 0
-	for n < limit && required.Times(int64(n+1)).Fits(free) {
-		n++
-	}
-	return n
-}
-
 // maxReservedFraction is the largest fraction of the open workers that is reserved at a time, so that other
 // tasks still find workers.
 const maxReservedFraction = 0.5
 
-// Reserve reserves workers for tasks of a long-running step that could not be placed, and returns how many.
-// All are reserved at the same time: with one after the other, the last task would wait until the short tasks
-// have ended on each worker in turn.
-func Reserve(workers []Candidate, s *job.Step, tasks int) int {
-	reserved := 0
-	for tasks > 0 {
-		i := reserveOne(workers, s)
-		if i < 0 {
-			break
-		}
-		reserved++
-		tasks -= max(1, workers[i].roomForLongRunning(s, tasks))
-	}
-	return reserved
-}
-
-// reserveOne reserves a worker for a long-running task and returns its index, or -1 if there is none: the least used worker that has room for the task once all other than long-running tasks have ended.
+// Reserve reserves a worker for a long-running task that could not be placed, and reports whether there is
+// one: the least used worker that has room for the task once all other than long-running tasks have ended.
 //
 // Load pattern: a stream of short tasks takes all capacity as soon as it is freed, so a large long-running
 // task would never find enough of it. A worker whose long-running tasks leave too little room would be
 // reserved in vain, for as long as they run.
-func reserveOne(workers []Candidate, s *job.Step) int {
+func Reserve(workers []Candidate, s *job.Step) bool {
 	best, open, reserved := -1, 0, 0
 	required := s.RequiredResources()
 	for i := range workers {
@@ -175,8 +146,8 @@
 		}
 	}
 	if best < 0 || reserved+1 > max(1, int(maxReservedFraction*float64(open))) {
-		return -1
+		return false
 	}
 	workers[best].Reserved = true
-	return best
+	return true
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -75,7 +75,7 @@
 	It("reserves the least used worker for a long-running task that could not be placed", func() {
 		workers := pool(2)
 		workers[0].Used, workers[1].Used = worker.Resources{CPU: 7500}, worker.Resources{CPU: 7000}
-		Expect(placement.Reserve(workers, &job.Step{Need: worker.Resources{CPU: 2000}}, 1)).To(Equal(1))
+		Expect(placement.Reserve(workers, &job.Step{Need: worker.Resources{CPU: 2000}})).To(BeTrue())
 		Expect([]bool{workers[0].Reserved, workers[1].Reserved}).To(Equal([]bool{false, true}))
 	})
 	// Guards against a pool in which long-running tasks without a worker keep all workers from other tasks.
@@ -86,31 +86,11 @@
 		}
 		reservations := 0
 		for range 5 {
-			reservations += placement.Reserve(workers, &job.Step{Need: worker.Resources{CPU: 2000}}, 1)
-		}
-		Expect(reservations).To(Equal(2))
-	})
-	// Guards against a wide step whose tasks wait for one worker after the other.
-	It("reserves workers for all tasks of a step that could not be placed", func() {
-		reserved := func(n int, s *job.Step, tasks int) (ids []string) {
-			workers := pool(n)
-			for i := range workers {
-				workers[i].Used, workers[i].LongRunningUse = worker.Resources{CPU: 7500 - int64(i)}, worker.Resources{CPU: 1000}
+			if placement.Reserve(workers, &job.Step{Need: worker.Resources{CPU: 2000}}) {
+				reservations++
 			}
-			count := placement.Reserve(workers, s, tasks)
-			for _, w := range workers {
-				if w.Reserved {
-					ids = append(ids, string(w.ID))
-				}
-			}
-			Expect(ids).To(HaveLen(count))
-			return ids
 		}
-		need := worker.Resources{CPU: 2000, MemMB: 2000}
-		Expect(reserved(8, &job.Step{Need: need, MaxPerWorker: 1}, 3)).To(Equal([]string{"5", "6", "7"}))
-		Expect(reserved(8, &job.Step{Need: need, MaxPerWorker: 2}, 3)).To(Equal([]string{"6", "7"}))
-		Expect(reserved(8, &job.Step{Need: need}, 4)).To(Equal([]string{"6", "7"}), "three tasks fit beside the long-running ones")
-		Expect(reserved(8, &job.Step{Need: need, MaxPerWorker: 1}, 9)).To(HaveLen(4))
+		Expect(reservations).To(Equal(2))
 	})
 	// Guards against workers that are kept free in vain, for as long as their long-running tasks run.
 	It("reserves no worker that cannot take the task beside its long-running tasks", func() {
@@ -119,14 +99,14 @@
 			workers[i].Used, workers[i].LongRunningUse = worker.Resources{CPU: 3000}, worker.Resources{CPU: 3000}
 		}
 		large := &job.Step{Need: worker.Resources{CPU: 6000}, LongRunning: true}
-		Expect(placement.Reserve(workers, large, 1)).To(BeZero())
+		Expect(placement.Reserve(workers, large)).To(BeFalse())
 		workers[2].LongRunningUse = worker.Resources{CPU: 2000}
-		Expect(placement.Reserve(workers, large, 1)).To(Equal(1))
+		Expect(placement.Reserve(workers, large)).To(BeTrue())
 		spread := &job.Step{Need: worker.Resources{CPU: 1000}, LongRunning: true, MaxPerWorker: 1}
 		for i := range workers {
 			workers[i].Reserved, workers[i].StepTasks = false, 1
 		}
-		Expect(placement.Reserve(workers, spread, 1)).To(BeZero())
+		Expect(placement.Reserve(workers, spread)).To(BeFalse())
 	})
 	It("says what a task without a worker lacks, and marks the workers that it waits for", func() {
 		workers := pool(3)
--- a/internal/shard/blocked_test.go
+++ b/internal/shard/blocked_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -114,35 +112,4 @@
 		}
 		Eventually(wanted, callTimeout).Should(BeNumerically(">", 3))
 	})
-
-	// Guards against a wide long-running step whose tasks wait for one worker after the other to have room, while
-	// short tasks keep all of them full.
-	simulatedIt("gets room on several workers at a time", func(f *fixture) {
-		const tasks = 8
-		for i := 2; i < tasks+2; i++ {
-			f.addWorker(fmt.Sprintf("w%d", i))
-		}
-		o := f.startOwner()
-		wide := testJob(1000, job.Step{Count: tasks, LongRunning: true, MaxPerWorker: 1, Need: worker.Resources{CPU: 6000, MemMB: 100}})
-		f.workers.Behaviour = func(t string, _ int) cluster.Behaviour {
-			if strings.HasPrefix(t, string(wide.ID)) {
-				return cluster.Behaviour{Duration: time.Hour}
-			}
-			hash := fnv.New32a()
-			_, _ = hash.Write([]byte(t)) // never fails
-			return cluster.Behaviour{Duration: 500*time.Millisecond + time.Duration(hash.Sum32()%1500)*time.Millisecond}
-		}
-		for n := range 100 {
-			short := testJob(n+1, job.Step{Count: 16, Need: worker.Resources{CPU: 2000, MemMB: 100}})
-			short.Objective = time.Hour
-			o.submit(short)
-		}
-		o.submit(wide)
-		Eventually(func() (started int) {
-			for i := range tasks {
-				started += f.workers.History.Starts(fmt.Sprintf("%s.0.0.%d", wide.ID, i))
-			}
-			return started
-		}, 4*time.Second).Should(Equal(tasks))
-	})
 })
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -336,7 +336,7 @@
 }
 
 // recordShortage records that no worker qualifies for the remaining tasks of a step: it queues a request
-// to the advisor if that can help, and otherwise reserves workers and requests hosts for long-running
+// to the advisor if that can help, and otherwise reserves a worker and requests hosts for long-running
 // tasks.
 func (p *placer) recordShortage(e *jobEntry, t readyTask, remaining int) {
 	*p.scans(e.job.LongRunning()) += len(p.candidates)
@@ -351,7 +351,7 @@
 		return
 	}
 	if shortage.Room {
-		placement.Reserve(p.candidates, t.step, remaining)
+		placement.Reserve(p.candidates, t.step)
 	}
 	// Further hosts of this kind do not help a task that none can run.
 	if shortage.Suitable || !shortage.Open {
