--- a/internal/shard/stop.go
+++ b/internal/shard/stop.go
@@ -62,7 +62,7 @@
 func (s *session) sendStop(ctx context.Context, a stopAttempt) {
 	o := s.owner
 	o.mu.Lock()
-	if r := s.runs[a.key]; r != nil && s.needsStop(a.key) && !s.stopStillAllowed(r, monotonic.Now()) {
+	if r := s.runs[a.key]; r != nil && s.stops.isPending(a) && s.needsStop(a.key) && !s.stopStillAllowed(r, monotonic.Now()) {
 		s.withdrawStop(r, monotonic.Now())
 	}
 	if !s.stops.isPending(a) || !s.needsStop(a.key) {
@@ -89,6 +89,10 @@
 	s.stops.ended(a)
 	s.wakeStops()
 	s.recordClock(clock, sent, now)
+	if r := s.runs[a.key]; r != nil && r.withdrawnAt != 0 {
+		// The command may have been carried out until now.
+		r.withdrawnAt = now
+	}
 	if !s.stops.isPending(a) {
 		return
 	}
