shard: remember a start in flight when its stopped run is not listed

If a worker answers the stop of a run while its start command is in flight, the next status does not list the run, and the owner detached it. Only starts whose call had already ended without an answer were remembered as starts that may still take effect, so this one was forgotten. The worker refuses the start because of the stop, but not after a restart under its ID; nobody asked it for its runs then.

A start in flight is now remembered like one without an answer, as it is when the run is lost.

--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -42,28 +42,38 @@
 })
 
 var _ = Describe("the start command of a cancelled run that reaches a restarted worker", func() {
-	// newOwner returns an owner of one worker that holds the start command of a cancelled run. The worker has
-	// answered the stop.
-	newOwner := func(f *fixture) (*owner, *commandFaults) {
-		faults := &commandFaults{startTimeout: 900 * time.Millisecond, heldStarts: 1, paces: map[string]int{}}
+	// newOwner returns an owner of one worker that holds the start command of a run. Other tasks with the given durations run there before.
+	newOwner := func(f *fixture, others ...time.Duration) (*owner, *commandFaults) {
+		faults := &commandFaults{startTimeout: 900 * time.Millisecond, paces: map[string]int{}}
 		f.wrapDialer = func(d worker.Dialer) worker.Dialer {
 			faults.Dialer = d
 			return faults
 		}
 		f.workers.Remove("w1")
-		f.workers.Behaviour = func(string, int) cluster.Behaviour { return cluster.Behaviour{Duration: time.Hour} }
 		o := f.startOwner()
+		for i, duration := range others {
+			other := testJob(2+i, job.Step{})
+			f.setBehaviour(string(other.ID)+".0.0.0", cluster.Behaviour{Duration: duration})
+			o.submit(other)
+		}
+		Eventually(f.worker("w0").Running, callTimeout).Should(Equal(len(others)))
+		faults.set(func(d *commandFaults) { d.heldStarts = 1 })
 		j := testJob(1, job.Step{LongRunning: true})
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: time.Hour})
 		o.submit(j)
 		Eventually(faults.count, callTimeout).Should(Equal(1))
-		Expect(o.Cancel(context.Background(), j.ID)).To(Succeed())
-		time.Sleep(2 * time.Second)
 		return o, faults
 	}
+	// cancel cancels the job and waits until the worker has answered the stop.
+	cancel := func(o *owner) {
+		Expect(o.Cancel(context.Background(), testJob(1).ID)).To(Succeed())
+		time.Sleep(2 * time.Second)
+	}
 
 	// Guards against a run that nobody stops because the owner has forgotten its start with the session.
 	simulatedIt("is stopped when the worker was not listed for a while", func(f *fixture) {
-		_, faults := newOwner(f)
+		o, faults := newOwner(f)
+		cancel(o)
 		w := f.worker("w0")
 		f.hide(w.ID)
 		time.Sleep(time.Second)
@@ -74,11 +84,24 @@
 		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
 	})
 
+	// Guards against a run that nobody stops because its stop was answered before its start was known to have no answer.
+	simulatedIt("is stopped when the stop was answered while the start was in flight", func(f *fixture) {
+		// The status at the end of the second task is the first one that was requested after the stop.
+		o, faults := newOwner(f, 600*time.Millisecond, 800*time.Millisecond)
+		cancel(o)
+		w := f.worker("w0")
+		w.Crash()
+		time.Sleep(5 * time.Second)
+		_ = faults.release() // the restarted worker refuses it
+		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
+	})
+
 	// Guards against a run that the successor of its owner does not see, as it has no runs on the worker.
 	for _, delay := range []time.Duration{0, 5 * time.Second} {
 		simulatedIt(fmt.Sprintf("is refused or stopped when a former owner sent it, %v after the restart", delay), func(f *fixture) {
 			f.workers.ListsStarts = true
 			o, faults := newOwner(f)
+			cancel(o)
 			o.Close()
 			o.stop()
 			f.startOwner()
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -171,7 +171,7 @@
 			s.owner.Log.WithFields(logrus.Fields{
 				"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": r.stopAnswered,
 			}).Info("run not listed any more")
-			if r.startUnanswered {
+			if r.state == runStarting || r.startUnanswered {
 				l := s.addLateStart(key, monotonic.Now())
 				if r.stopAnswered {
 					l.stopAnswered = r.lastResponse
