shard: remember an unanswered start after its run has ended

A run of a cancelled job could go on (UNASKED) if the first start command of the run had no answer, the repeated one took effect and the run had ended. The owner forgot the first command with the end of the run. The worker refuses to start a run that has ended there, but not after a restart under its ID, and an idle worker is not asked for its runs.

The start is now remembered for the 15 s in which it may take effect. The run counts as ended until the worker restarts, so the worker is not less empty before and needs no stop; after a restart the stop is sent, and the worker is asked for its runs.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -268,8 +268,13 @@
 	}
 	o.countFinishedRun(finished.Cause)
 	key := runKey{t, finished.Number}
-	delete(s.lateStarts, key)
 	r := s.runs[key]
+	if r != nil && r.startUnanswered {
+		s.addLateStart(key, now)
+	}
+	if l := s.lateStarts[key]; l != nil {
+		l.ended = true
+	}
 	if r != nil {
 		s.detach(r)
 	}
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -22,6 +22,8 @@
 	stopPending bool
 	// stopAnswered is when the worker accepted the stop command, or 0.
 	stopAnswered monotonic.Time
+	// ended is set once the worker has listed the end of the run. Until it restarts, it refuses to start the run.
+	ended bool
 }
 
 // addLateStart records a detached run. The caller holds mu.
@@ -44,7 +46,7 @@
 func (s *session) hasLateStarts() bool {
 	now := monotonic.Now()
 	for _, l := range s.lateStarts {
-		if l.stopAnswered == 0 || now.Sub(l.stopAnswered) <= s.owner.Bounds.StopGrace+stopMargin {
+		if !l.ended && (l.stopAnswered == 0 || now.Sub(l.stopAnswered) <= s.owner.Bounds.StopGrace+stopMargin) {
 			return true
 		}
 	}
@@ -63,11 +65,11 @@
 	for key, l := range s.lateStarts {
 		switch {
 		case now.Sub(l.since) > lateStartWindow:
-			if l.stopAnswered == 0 {
+			if l.stopAnswered == 0 && !l.ended {
 				s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": key.task.String(), "run": key.number}).Warn("stop of a detached run given up")
 			}
 			delete(s.lateStarts, key)
-		case l.stopAnswered == 0 && !l.stopPending && s.reachable:
+		case l.stopAnswered == 0 && !l.ended && !l.stopPending && s.reachable:
 			l.stopPending = enqueue(s.stops, func(ctx context.Context) { s.stopLateStart(ctx, key, l) })
 		}
 	}
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -96,6 +96,18 @@
 		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
 	})
 
+	// Guards against a run that nobody stops because its second start command was answered and its end was listed.
+	simulatedIt("is stopped when the run had ended", func(f *fixture) {
+		o, faults := newOwner(f)
+		w := f.worker("w0")
+		Eventually(w.Running, callTimeout).Should(Equal(1))
+		cancel(o)
+		w.Crash()
+		time.Sleep(5 * time.Second)
+		_ = faults.release() // the restarted worker refuses it
+		Eventually(w.Running, stopGrace+callTimeout).Should(BeZero())
+	})
+
 	// Guards against a run that the successor of its owner does not see, as it has no runs on the worker.
 	for _, delay := range []time.Duration{0, 5 * time.Second} {
 		simulatedIt(fmt.Sprintf("is refused or stopped when a former owner sent it, %v after the restart", delay), func(f *fixture) {
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -92,7 +92,7 @@
 	s.clockKnown, s.clockAt, s.pace = false, 0, fullPace
 	for _, l := range s.lateStarts {
 		// The restarted worker has forgotten the stop.
-		l.stopAnswered = 0
+		l.stopAnswered, l.ended = 0, false
 	}
 }
 
