shard: count the answer to a stop that was withdrawn meanwhile

A long-running task was never started again (LOST) where stops are answered after more than 100 ms and no other task of its step may be unavailable: its start had no answer, a status did not list it, the first stop was sent, the repetition after 100 ms was withdrawn by the limit, and the answer to the first one did not count any more. The next status began the same again, for ever.

A worker that accepts a stop ends the run or refuses to start it, whatever was decided since, so the answer counts.

--- a/internal/shard/stop.go
+++ b/internal/shard/stop.go
@@ -89,18 +89,21 @@
 	s.stops.ended(a)
 	s.wakeStops()
 	s.recordClock(clock, sent, now)
-	if r := s.runs[a.key]; r != nil && r.withdrawnAt != 0 {
+	r := s.runs[a.key]
+	withdrawn := r != nil && r.withdrawnAt != 0
+	if withdrawn {
 		// The command may have been carried out until now.
 		r.withdrawnAt = now
 	}
-	if !s.stops.isPending(a) {
+	// A worker that accepts a stop ends the run, or refuses to start it, also after the stop was withdrawn.
+	if !s.stops.isPending(a) && !(withdrawn && err == nil) {
 		return
 	}
 	fields := logrus.Fields{
 		"worker": s.ID, "task": a.key.task.String(), "run": a.key.number, "attempt": a.number, "token": token,
 		"requested_ms": now.Sub(a.requested).Milliseconds(), "took_ms": now.Sub(sent).Milliseconds(),
 	}
-	if s.runs[a.key] == nil {
+	if r == nil {
 		fields["detached"] = true
 	}
 	if err != nil {
@@ -117,7 +120,10 @@
 		return
 	}
 	s.stops.remove(a.key)
-	if r := s.runs[a.key]; r != nil {
+	if r != nil {
+		if !r.stopping {
+			r.stopping, r.withinLimit = true, true
+		}
 		// Stopping takes up to StopGrace; until then the worker lists the run.
 		r.stopAnswered, r.lastResponse = true, now
 	} else if l := s.lateStarts[a.key]; l != nil {
--- a/internal/shard/unavailable_test.go
+++ b/internal/shard/unavailable_test.go
@@ -83,6 +83,23 @@
 		Eventually(second.Running, callTimeout).Should(BeZero())
 	})
 
+	for _, latency := range []time.Duration{10 * time.Millisecond, 110 * time.Millisecond, 300 * time.Millisecond} {
+		simulatedIt(fmt.Sprintf("starts again when its stop is answered after %v, while no other one may be unavailable", latency), func(f *fixture) {
+			f.workers.Behaviour = func(string, int) cluster.Behaviour { return cluster.Behaviour{Duration: time.Hour} }
+			f.wrapDialer = func(d worker.Dialer) worker.Dialer {
+				return &stopLossDialer{Dialer: d, latency: latency, lost: func(string) bool { return false }, tasks: map[string]bool{}}
+			}
+			for _, id := range []string{"w0", "w1"} {
+				f.worker(id).SetFaults(cluster.WorkerFaults{DelayedStarts: 2, StartDelay: time.Hour, StartTimeout: startTimeout})
+			}
+			o := f.startOwner()
+			time.Sleep(2 * time.Second) // a new owner waits for the stops of its predecessor
+			o.submit(testJob(1, job.Step{Count: 2, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1}))
+			time.Sleep(6 * time.Second)
+			Expect(f.worker("w0").Running() + f.worker("w1").Running()).To(Equal(2))
+		})
+	}
+
 	simulatedIt("is stopped when another one may be unavailable", func(f *fixture) {
 		second := startBoth(f, 2)
 		Eventually(second.Running, callTimeout).Should(BeZero())
