shard: extend the lease of a run whose stop may be withdrawn

The lease of a worker is not extended for runs that are only to be stopped. A stop within the limit on unavailable tasks may be withdrawn, and the run then ended with the lease it had (AVAIL). Such runs count as going on now; a cancel makes their stop final, so runs of cancelled jobs get no lease as before.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -82,11 +82,11 @@
 	}
 }
 
-// needsLease reports whether any run is to go on. The lease holds for all runs of the worker, so a run whose
-// stop commands are lost ends with it only if it is not extended. The caller holds mu.
+// needsLease reports whether any run is to go on, or will if its stop is withdrawn. The lease holds for all runs
+// of the worker, so a run whose stop commands are lost ends with it only if it is not extended. The caller holds mu.
 func (s *session) needsLease() bool {
 	for _, r := range s.runs {
-		if !r.stopping {
+		if !r.stopping || r.withinLimit {
 			return true
 		}
 	}
--- a/internal/shard/heartbeat_test.go
+++ b/internal/shard/heartbeat_test.go
@@ -30,6 +30,23 @@
 		Expect(w.Running()).To(BeZero())
 	})
 
+	// Guards against a long-running task that ends with its lease after its stop was withdrawn (AVAIL).
+	simulatedIt("is extended while the stop of its only run may be withdrawn", func(f *fixture) {
+		f.workers.Behaviour = func(string, int) cluster.Behaviour { return cluster.Behaviour{Duration: time.Hour} }
+		o, w := f.startOwner(), f.worker("w1")
+		o.submit(testJob(1, job.Step{Count: 2, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1}))
+		time.Sleep(3 * time.Second) // a new owner waits for the stops of its predecessor
+		w.SetFaults(cluster.WorkerFaults{DelayedStops: 1 << 20, StopDelay: time.Hour})
+		_, err := o.Empty(context.Background(), w.ID)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(2500 * time.Millisecond)
+		f.workers.Remove("w0")
+		for range 60 {
+			Expect(w.Running()).To(Equal(1))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+
 	// Guards against work that ends because a run beside it is being stopped.
 	simulatedIt("is extended while another run goes on", func(f *fixture) {
 		f.hide("w1")
