shard: stop the late starts of a job at once when it ends

Found by the review. After a cancel only the runs of the job were stopped at once. A late start of a long-running task waited for the next outcome of a heartbeat, up to 2 s by reading, as its stop is withheld from a silent worker while the task still has to run.

--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/worker"
 )
@@ -89,6 +90,15 @@
 	}
 }
 
+// stopLateStartsOf requests the stops of the late starts of a job that has ended. The caller holds mu.
+func (s *session) stopLateStartsOf(id job.ID) {
+	for key := range s.lateStarts {
+		if key.task.Job == id && s.needsStop(key) {
+			s.requestStop(key, monotonic.Now())
+		}
+	}
+}
+
 // mayContinue reports whether a late start is of a long-running task that still has to run. Its stop is not
 // sent while the worker does not answer heartbeats: the next status may list the run, which is then adopted,
 // and a stop that takes effect afterwards would make the task unavailable. The caller holds mu.
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -159,6 +159,9 @@
 	for r := range e.runs {
 		r.session.stop(r, "job ended")
 	}
+	for _, s := range o.sessions {
+		s.stopLateStartsOf(e.job.ID)
+	}
 	o.requestCommit()
 	o.schedule()
 }
--- a/internal/shard/stoploss_test.go
+++ b/internal/shard/stoploss_test.go
@@ -180,4 +180,30 @@
 		time.Sleep(shard.MaxWorkerLease)
 		Expect(f.workers.History.Starts(string(j.ID) + ".0.0.0")).To(BeZero())
 	})
+
+	// Guards against a stop that waits until a heartbeat without an answer has timed out.
+	for _, silence := range []time.Duration{7000 * time.Millisecond, 7600 * time.Millisecond, 8200 * time.Millisecond} {
+		simulatedIt(fmt.Sprintf("are sent at once to a late start whose job is cancelled, %v after its worker fell silent", silence), func(f *fixture) {
+			f.workers.Remove("w1")
+			d := &stopLossDialer{lost: func(string) bool { return true }, tasks: map[string]bool{}}
+			f.wrapDialer = func(wrapped worker.Dialer) worker.Dialer {
+				d.Dialer = wrapped
+				return d
+			}
+			o := f.startOwner()
+			time.Sleep(2 * time.Second)
+			f.worker("w0").SetFaults(cluster.WorkerFaults{
+				SlowHeartbeats: 900 * time.Millisecond, LoseHeartbeatReplies: 1 << 20,
+				DelayedStarts: 1 << 20, StartDelay: time.Hour, StartTimeout: unreliableTimeout,
+			})
+			j := testJob(1, job.Step{LongRunning: true, MaxUnavailable: 1})
+			o.submit(j)
+			time.Sleep(silence)
+			before, _, _ := d.counts()
+			Expect(o.Cancel(context.Background(), j.ID)).To(Succeed())
+			time.Sleep(50 * time.Millisecond)
+			after, _, _ := d.counts()
+			Expect(after).To(BeNumerically(">", before))
+		})
+	}
 })
