--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -203,7 +203,11 @@
 	for key, r := range s.runs {
 		if r.waitsForStatus() && !listed[key] && sent > r.stopUnlistedAfter {
 			r.unlistedAt = monotonic.Now()
-			s.stopWithinLimit(r, "start without an answer")
+			if r.step.LongRunning {
+				s.stopWithinLimit(r, "start without an answer")
+			} else {
+				s.stop(r, "start without an answer")
+			}
 		}
 	}
 }
--- a/internal/shard/unavailable_test.go
+++ b/internal/shard/unavailable_test.go
@@ -27,7 +27,7 @@
 		o := f.startOwner()
 		time.Sleep(2 * time.Second) // a new owner waits for the stops of its predecessor
 		o.submit(testJob(1, job.Step{Count: 2, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: maxUnavailable}))
-		Eventually(f.worker("w1").Running, callTimeout).Should(Equal(1))
+		Eventually(f.worker("w1").Running, faults.StartDelay+time.Second).Should(Equal(1))
 		return f.worker("w1")
 	}
 	// startBoth lets the start of the second task take effect at once, without a response.
