--- a/internal/shard/cancelled_test.go
+++ b/internal/shard/cancelled_test.go
@@ -321,12 +321,6 @@
 	})
 }
 
-func (s *cancelSchedule) setDraining(id worker.ID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining[id] = true
-}
-
 // ids lists the workers in a fixed order.
 func (s *cancelSchedule) ids() []worker.ID {
 	var ids []worker.ID
@@ -389,12 +383,12 @@
 			restart()
 		}
 	case 5:
-		if s.draining[id] || len(ids) > 6 {
+		if w.Draining || len(ids) > 6 {
 			return
 		}
 		length := s.random(3*time.Second, 9*time.Second)
 		s.log("%s drains for %v", id, length)
-		s.setDraining(id)
+		s.workers.Drain(id)
 		s.addOneWorker()
 		time.AfterFunc(length, func() { s.workers.Remove(id) })
 	case 6:
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -81,7 +81,6 @@
 	// behaviours by task; other tasks take defaultDuration.
 	behaviours map[string]cluster.Behaviour
 	hidden     map[worker.ID]bool
-	draining   map[worker.ID]bool
 	// excludedWorkers lists the workers that a partition does not have, claims the revisions at
 	// which workers were assigned to their partition.
 	excludedWorkers map[string][]worker.ID
@@ -130,7 +129,7 @@
 
 func newFixture(workers int) *fixture {
 	f := &fixture{
-		store: cluster.NewStore(), service: service, behaviours: map[string]cluster.Behaviour{}, hidden: map[worker.ID]bool{}, draining: map[worker.ID]bool{},
+		store: cluster.NewStore(), service: service, behaviours: map[string]cluster.Behaviour{}, hidden: map[worker.ID]bool{},
 		excludedWorkers: map[string][]worker.ID{}, claims: map[worker.ID]uint64{},
 		config: &jobconfig.Configuration{Version: 1, Accounts: map[string]jobconfig.Account{}}, log: io.Discard,
 	}
@@ -187,10 +186,6 @@
 	for id := range f.hidden {
 		delete(all, id)
 	}
-	for id, w := range all {
-		w.Draining = f.draining[id]
-		all[id] = w
-	}
 	return all
 }
 
