shard: log the outcome of each start, adopted and ended runs, and the ages behind lost ones

Callers saw two runs of a task at once on one worker, and the record of the logs had no line that names the task: a start and the answer to it, a run adopted from a status and the end of a run wrote none. The places in which a run counts as ended had the same words for several causes.

Each start command has one line with its outcome now, and each run that is adopted, ended or counted as ended has one with the age of what is known, the incarnation of the worker that the owner believed in, and the lease. A worker's clock that begins anew and a lease that a worker refused are logged as well; runs_lost counts by reason.

No decision changes.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -92,9 +92,10 @@
 	s.recordClock(clock, sent, now)
 	s.confirmLease(leaseEnd, clock, now)
 	if !s.attached(r) {
-		s.settleLateStart(r, err, s.incarnation == incarnation, now)
+		s.settleLateStart(r, err, s.incarnation == incarnation, sent, now)
 	}
 	if err == nil {
+		s.logStart(r, attempt, clock, incarnation, now.Sub(sent))
 		r.lastResponse = now
 		if r.state != runConfirmed {
 			r.state, r.started = runConfirmed, now
@@ -104,6 +105,15 @@
 	s.startFailed(r, err, attempt, sent, now)
 }
 
+// logStart logs the answer to a start. clock is that of the worker in the answer, incarnation the one that
+// was known when the command was sent.
+func (s *session) logStart(r *run, attempt int, clock int64, incarnation int, took time.Duration) {
+	s.owner.Log.WithFields(logrus.Fields{
+		"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": s.token, "took_ms": took.Milliseconds(),
+		"clock_ms": clock, "incarnation": s.incarnation, "incarnation_sent": incarnation, "born_ms": s.incarnationStartMS, "attached": s.attached(r),
+	}).Info("start answered")
+}
+
 // withinLoweredLimit reports whether the limit of the account still allows a run that was placed under
 // it. The members of a gang would wait in vain for one that is withheld, so they are always allowed. The
 // caller holds mu.
@@ -116,7 +126,10 @@
 func (s *session) startFailed(r *run, err error, attempt int, sent, now monotonic.Time) {
 	o := s.owner
 	var refused *worker.RefusedError
-	fields := logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": s.token}
+	fields := logrus.Fields{
+		"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": s.token, "took_ms": now.Sub(sent).Milliseconds(),
+		"incarnation": s.incarnation,
+	}
 	switch {
 	case errors.As(err, &refused):
 		s.recordClock(refused.ClockMS, sent, now)
@@ -259,6 +272,10 @@
 	o.countFinishedRun(finished.Cause)
 	key := runKey{t, finished.Number}
 	r := s.runs[key]
+	o.Log.WithFields(logrus.Fields{
+		"worker": s.ID, "task": finished.Task, "run": finished.Number, "cause": finished.Cause, "sequence": finished.Sequence,
+		"incarnation": s.incarnation, "attached": r != nil,
+	}).Info("run ended")
 	if r != nil {
 		s.detach(r)
 	}
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -70,6 +70,12 @@
 		case err != nil:
 			if errors.As(err, new(*worker.RefusedError)) && s.leaseEnd == leaseEnd {
 				// The worker has not taken the lease over.
+				if s.leaseEnd != leaseEndBefore {
+					o.Log.WithFields(logrus.Fields{
+						"worker": s.ID, "shard": o.Shard, "runs": len(s.runs), "left_ms": s.leaseEnd.Sub(received).Milliseconds(),
+						"former_left_ms": leaseEndBefore.Sub(received).Milliseconds(), "took_ms": received.Sub(sent).Milliseconds(),
+					}).Info("lease not taken over by the worker")
+				}
 				s.leaseEnd = leaseEndBefore
 			}
 			pause = s.heartbeatFailed(err, received)
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -109,7 +109,7 @@
 
 // settleLateStart handles the outcome of a start command whose run was detached while it was in flight. The
 // caller holds mu.
-func (s *session) settleLateStart(r *run, err error, sameIncarnation bool, now monotonic.Time) {
+func (s *session) settleLateStart(r *run, err error, sameIncarnation bool, sent, now monotonic.Time) {
 	key := r.key()
 	if s.runs[key] != nil {
 		// The worker has listed the run meanwhile.
@@ -118,7 +118,7 @@
 	l := s.lateStarts[key]
 	switch {
 	case err == nil && (l == nil || !l.ended || !sameIncarnation):
-		if adopted := s.adopt(key, now); adopted != nil && adopted.entry.job.FinalState.IsFinal() {
+		if adopted := s.adopt(key, sent, now); adopted != nil && adopted.entry.job.FinalState.IsFinal() {
 			s.stop(adopted, "job ended")
 		}
 	case err == nil || isDefinite(err):
--- a/internal/shard/metrics.go
+++ b/internal/shard/metrics.go
@@ -25,6 +25,10 @@
 	o.Scope.Tagged(map[string]string{"shard": o.Shard, "cause": string(cause)}).Counter("runs_ended").Inc(1)
 }
 
+func (o *Owner) countLostRun(reason string) {
+	o.Scope.Tagged(map[string]string{"shard": o.Shard, "reason": reason}).Counter("runs_lost").Inc(1)
+}
+
 func (o *Owner) countJob(final job.State, took, waited time.Duration) {
 	tagged := o.Scope.Tagged(map[string]string{"shard": o.Shard, "state": string(final)})
 	tagged.Counter("jobs_ended").Inc(1)
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -144,7 +144,19 @@
 }
 
 func (s *session) markLost(r *run, reason string) {
-	s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String(), "run": r.number, "reason": reason}).Info("run lost")
+	now := monotonic.Now()
+	fields := logrus.Fields{
+		"worker": s.ID, "task": r.task.String(), "run": r.number, "reason": reason, "address": s.Address, "incarnation": s.incarnation,
+		"lease_left_ms": s.leaseEnd.Sub(now).Milliseconds(),
+	}
+	if r.lastResponse != 0 {
+		fields["answered_ms"] = now.Sub(r.lastResponse).Milliseconds()
+	}
+	if s.contact != 0 {
+		fields["contact_ms"] = now.Sub(s.contact).Milliseconds()
+	}
+	s.owner.Log.WithFields(fields).Info("run lost")
+	s.owner.countLostRun(reason)
 	r.entry.losses++
 	s.detach(r)
 }
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -23,7 +23,7 @@
 		s.restartListed = 0
 	}
 	if s.incarnationStartMS != 0 && status.IncarnationStartMS != 0 && status.IncarnationStartMS != s.incarnationStartMS {
-		s.handleRestart(status.IncarnationStartMS)
+		s.handleRestart(status, sent)
 	}
 	if status.IncarnationStartMS != 0 {
 		s.incarnationStartMS = status.IncarnationStartMS
@@ -76,9 +76,12 @@
 }
 
 // handleRestart handles a worker that restarted under the same ID: it has no runs.
-func (s *session) handleRestart(bornMS int64) {
+func (s *session) handleRestart(status worker.Status, sent monotonic.Time) {
 	o, now := s.owner, monotonic.Now()
-	o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard, "runs": len(s.runs), "born_ms": bornMS}).Warn("worker was born again")
+	o.Log.WithFields(logrus.Fields{
+		"worker": s.ID, "shard": o.Shard, "runs": len(s.runs), "born_ms": status.IncarnationStartMS, "former_born_ms": s.incarnationStartMS,
+		"clock_ms": status.ClockMS, "listed": len(status.Running), "requested_ms": now.Sub(sent).Milliseconds(), "incarnation": s.incarnation,
+	}).Warn("worker was born again")
 	for _, r := range s.runs {
 		switch {
 		case r.state == runConfirmed:
@@ -112,7 +115,7 @@
 	o := s.owner
 	r := s.runs[key]
 	if r == nil {
-		r = s.adopt(key, now)
+		r = s.adopt(key, sent, now)
 		if r == nil {
 			return
 		}
@@ -145,8 +148,8 @@
 }
 
 // adopt attaches a run that an earlier owner started, or whose start command took effect late. Runs
-// that must not continue are stopped.
-func (s *session) adopt(key runKey, now monotonic.Time) *run {
+// that must not continue are stopped. sent is when the call was made whose answer shows the run.
+func (s *session) adopt(key runKey, sent, now monotonic.Time) *run {
 	o := s.owner
 	e := o.jobs[key.task.Job]
 	if e == nil || !e.job.Valid(key.task) {
@@ -165,6 +168,10 @@
 	s.attach(r)
 	task.LastRun = max(task.LastRun, key.number)
 	e.job.Started = true
+	o.Log.WithFields(logrus.Fields{
+		"worker": s.ID, "task": key.task.String(), "run": key.number, "token": s.token, "incarnation": s.incarnation,
+		"requested_ms": now.Sub(sent).Milliseconds(), "late": late != nil, "done": task.Done, "active": task.Active,
+	}).Info("run adopted")
 	switch {
 	case task.Done || task.Active > maxConcurrentRuns(step):
 		s.stop(r, "not needed any more")
@@ -183,7 +190,8 @@
 		}
 		if r.state == runConfirmed || (r.stopping && r.stopAnswered) {
 			s.owner.Log.WithFields(logrus.Fields{
-				"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": r.stopAnswered,
+				"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": r.stopAnswered, "incarnation": s.incarnation,
+				"answered_ms": sent.Sub(r.lastResponse).Milliseconds(), "requested_ms": monotonic.Now().Sub(sent).Milliseconds(),
 			}).Info("run not listed any more")
 			s.detach(r)
 		}
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"samphirestile.example/samphirestile/internal/monotonic"
 )
 
@@ -31,6 +33,10 @@
 			// The clock belongs to another incarnation. Its completions must not be acknowledged by
 			// sequence numbers of the previous one; the next status brings the rest.
 			s.resetCompletions()
+			s.owner.Log.WithFields(logrus.Fields{
+				"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": passed.Milliseconds(),
+				"runs": len(s.runs), "incarnation": s.incarnation,
+			}).Warn("clock of a worker began anew")
 		}
 	}
 	s.clockKnown, s.clockMS, s.clockAt = true, clockMS, received
