emulator: accept a higher run beside one at work, as workers do

The emulated worker refused any start of a task of which a run was at work. Real workers refuse only a run that is not higher than one stopped or ended there, so two runs of a task on one worker could not occur in any spec, nor in the soak. Beside that, a stop ended lower runs too, leases were not capped, and a restart broke no waiting heartbeat.

Runs are kept by task and number now, a stop ends exactly its run, leases are shortened to 10 s, and heartbeats that wait when the worker restarts get no response. HiddenStops no longer lists a run that is being stopped: its resources are free only when its end is listed.

--- a/internal/emulator/cluster/worker.go
+++ b/internal/emulator/cluster/worker.go
@@ -11,6 +11,9 @@
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
+// maxLease is the longest lease that a worker keeps; it shortens longer ones.
+const maxLease = 10 * time.Second
+
 // Behaviour determines the duration and result of an emulated run.
 type Behaviour struct {
 	Duration time.Duration
@@ -27,6 +30,8 @@
 	SlowHeartbeats time.Duration
 	// SlowStops keeps a run going, and listed, for this long after the command to stop it.
 	SlowStops time.Duration
+	// HiddenStops lists a run no longer as running once it was told to stop. Its end is listed as usual.
+	HiddenStops bool
 	// IgnoredStops is the number of further stops that are answered without effect.
 	IgnoredStops int
 	// LoseStartReplies is the number of further starts that take effect without a response.
@@ -136,18 +141,23 @@
 	token       uint64
 	leaseEnd    int64
 	leaseTimer  *time.Timer
-	runs        map[string]*emulatedRun
-	highest     map[string]int
-	finished    []worker.FinishedRun
-	sequence    int64
-	acked       int64
-	received    int
-	changed     chan struct{}
+	runs        map[emulatedKey]*emulatedRun
+	// highest is the highest number of a run of each task that was stopped or has ended.
+	highest  map[string]int
+	finished []worker.FinishedRun
+	sequence int64
+	received int
+	changed  chan struct{}
 }
 
-type emulatedRun struct {
+type emulatedKey struct {
+	task   string
 	number int
-	timer  *time.Timer
+}
+
+type emulatedRun struct {
+	timer    *time.Timer
+	stopping bool
 	// leaseEnd is the end of a lease that holds for this run only, in milliseconds, or 0.
 	leaseEnd int64
 }
@@ -178,7 +188,7 @@
 	}
 	n := &Worker{
 		Worker: description, history: &w.History, behaviour: func(task string, number int) Behaviour { return w.Behaviour(task, number) },
-		runs: map[string]*emulatedRun{}, highest: map[string]int{}, started: time.Now(), changed: make(chan struct{}),
+		runs: map[emulatedKey]*emulatedRun{}, highest: map[string]int{}, started: time.Now(), changed: make(chan struct{}),
 	}
 	n.admits = func(cmd worker.StartCommand, incarnation int) bool {
 		return w.NeedsApproval == nil || !w.NeedsApproval(cmd.Task) || w.Advisor.approves(cmd.Approval, cmd.Task, n.ID, incarnation)
@@ -274,17 +284,19 @@
 }
 
 // Crash ends all runs and restarts the worker under the same ID as a new incarnation,
-// without its former state.
+// without its former state. Heartbeats that wait get no response.
 func (n *Worker) Crash() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for task, r := range n.runs {
+	for key, r := range n.runs {
 		r.timer.Stop()
-		n.history.add(Event{Kind: Finished, Worker: n.ID, Task: task, Number: r.number, Incarnation: n.incarnation})
+		n.history.add(Event{Kind: Finished, Worker: n.ID, Task: key.task, Number: key.number, Incarnation: n.incarnation})
 	}
-	n.runs, n.highest, n.finished = map[string]*emulatedRun{}, map[string]int{}, nil
-	n.sequence, n.acked, n.token, n.leaseEnd = 0, 0, 0, 0
+	n.runs, n.highest, n.finished = map[emulatedKey]*emulatedRun{}, map[string]int{}, nil
+	n.sequence, n.token, n.leaseEnd = 0, 0, 0
 	n.incarnation++
+	close(n.changed)
+	n.changed = make(chan struct{})
 	n.started = n.started.Add(time.Since(n.started)).Add(time.Millisecond)
 }
 
@@ -332,6 +344,7 @@
 // extendLease moves the end of the lease to a later time of the worker's clock, in
 // milliseconds. The caller holds mu.
 func (n *Worker) extendLease(end int64) {
+	end = min(end, n.clock()+maxLease.Milliseconds())
 	if end <= n.leaseEnd {
 		return
 	}
@@ -349,24 +362,24 @@
 	if n.clock() < n.leaseEnd {
 		return
 	}
-	for task, r := range n.runs {
+	for key, r := range n.runs {
 		if n.clock() >= r.leaseEnd {
-			n.finish(task, r, worker.FinishLapsed)
+			n.finish(key, r, worker.FinishLapsed)
 		}
 	}
 }
 
 // finish ends a run and adds it to the finished runs. The caller holds mu.
-func (n *Worker) finish(task string, r *emulatedRun, cause worker.FinishCause) {
-	if n.runs[task] != r {
+func (n *Worker) finish(key emulatedKey, r *emulatedRun, cause worker.FinishCause) {
+	if n.runs[key] != r {
 		return
 	}
 	r.timer.Stop()
-	delete(n.runs, task)
-	n.highest[task] = max(n.highest[task], r.number)
+	delete(n.runs, key)
+	n.highest[key.task] = max(n.highest[key.task], key.number)
 	n.sequence++
-	n.finished = append(n.finished, worker.FinishedRun{Sequence: n.sequence, Task: task, Number: r.number, Cause: cause})
-	e := Event{Kind: Finished, Worker: n.ID, Task: task, Number: r.number, Incarnation: n.incarnation}
+	n.finished = append(n.finished, worker.FinishedRun{Sequence: n.sequence, Task: key.task, Number: key.number, Cause: cause})
+	e := Event{Kind: Finished, Worker: n.ID, Task: key.task, Number: key.number, Incarnation: n.incarnation}
 	switch cause {
 	case worker.FinishDone:
 		e.Kind, e.LeaseEnd = Completed, n.started.Add(time.Duration(n.leaseEnd)*time.Millisecond)
@@ -401,6 +414,7 @@
 	if cmd.LeaseEndMS > 0 {
 		n.extendLease(cmd.LeaseEndMS)
 	}
+	incarnation := n.incarnation
 	slow, lost := n.faults.SlowHeartbeats, n.faults.LoseHeartbeatReplies > 0
 	if lost {
 		n.faults.LoseHeartbeatReplies--
@@ -423,9 +437,16 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.incarnation != incarnation {
+		// The connection ended with the process.
+		return worker.Status{}, &worker.NoAnswerError{Cause: errEmulated}
+	}
 	status := worker.Status{ClockMS: n.clock(), IncarnationStartMS: n.started.UnixMilli(), Finished: append([]worker.FinishedRun(nil), n.finished...)}
-	for task, r := range n.runs {
-		status.Running = append(status.Running, worker.Run{Task: task, Number: r.number, Percent: 100})
+	for key, r := range n.runs {
+		if r.stopping && n.faults.HiddenStops {
+			continue
+		}
+		status.Running = append(status.Running, worker.Run{Task: key.task, Number: key.number, Percent: 100})
 	}
 	return status, nil
 }
@@ -495,10 +516,12 @@
 	if !e.Outlived {
 		n.extendLease(cmd.LeaseEndMS)
 	}
-	if r := n.runs[cmd.Task]; r != nil && r.number == cmd.Number {
+	key := emulatedKey{cmd.Task, cmd.Number}
+	if n.runs[key] != nil {
 		return n.clock(), nil
 	}
-	if cmd.Number <= n.highest[cmd.Task] || n.runs[cmd.Task] != nil {
+	// Another run of the task that is at work does not matter.
+	if cmd.Number <= n.highest[cmd.Task] {
 		return refuse(worker.RefusedStaleRun)
 	}
 	if !n.admits(cmd, n.incarnation) {
@@ -506,7 +529,7 @@
 		return refuse(worker.RefusedApproval)
 	}
 	b := n.behaviour(cmd.Task, cmd.Number)
-	r := &emulatedRun{number: cmd.Number}
+	r := &emulatedRun{}
 	cause := worker.FinishDone
 	if b.Fails {
 		cause = worker.FinishFailed
@@ -514,9 +537,9 @@
 	r.timer = time.AfterFunc(b.Duration, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.finish(cmd.Task, r, cause)
+		n.finish(key, r, cause)
 	})
-	n.runs[cmd.Task] = r
+	n.runs[key] = r
 	if e.Outlived {
 		// The other runs keep the lease that their owner granted.
 		r.leaseEnd = cmd.LeaseEndMS
@@ -565,16 +588,18 @@
 		return n.clock(), nil
 	}
 	n.highest[task] = max(n.highest[task], number)
-	if r := n.runs[task]; r != nil && r.number <= number {
+	key := emulatedKey{task, number}
+	if r := n.runs[key]; r != nil {
+		r.stopping = true
 		if slow := n.faults.SlowStops; slow > 0 {
 			time.AfterFunc(slow, func() {
 				n.mu.Lock()
 				defer n.mu.Unlock()
-				n.finish(task, r, worker.FinishStopped)
+				n.finish(key, r, worker.FinishStopped)
 			})
 			return n.clock(), nil
 		}
-		n.finish(task, r, worker.FinishStopped)
+		n.finish(key, r, worker.FinishStopped)
 	}
 	return n.clock(), nil
 }
