shard: decide by the incarnation and the time of an answer which runs a restart ended

Callers saw two runs of a task at once on one worker.

Cause: a status that names another incarnation counted every confirmed run as lost, also one that the new incarnation had confirmed after that status was requested. Answers on different connections overtake each other, so the answer to the start may be handled first. The task started again on the same worker, whose resources looked free.

What a worker shows of a run, and the stops that it accepts, are observations now: the time, and the incarnation that is known at that time. A run is lost in a restart if a complete status of the new incarnation that was requested after the last observation does not list it; the next status is requested at once. If a start of a lost run has no answer, the new incarnation may execute it yet, so the run is stopped there before its task starts again.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -96,7 +96,7 @@
 	}
 	if err == nil {
 		s.logStart(r, attempt, clock, incarnation, now.Sub(sent))
-		r.lastResponse = now
+		r.shown = s.observe(now)
 		if r.state != runConfirmed {
 			r.state, r.started = runConfirmed, now
 		}
@@ -280,7 +280,7 @@
 		s.detach(r)
 	}
 	if l := s.lateStarts[key]; l != nil {
-		l.stopAnswered, l.ended = now, true
+		l.stopAccepted, l.ended = s.observe(now), true
 	}
 	// A failed run may be the last attempt of its task, after which no copy may start either.
 	if (finished.Cause == worker.FinishDone || finished.Cause == worker.FinishFailed) && o.startPending(t, now) {
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -360,7 +360,7 @@
 	tasks := []string{}
 	keys := slices.Collect(maps.Keys(s.runs))
 	for key, l := range s.lateStarts {
-		if l.stopAnswered == 0 {
+		if !s.holds(l.stopAccepted) {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/shard/lateend.go
+++ b/internal/shard/lateend.go
@@ -17,7 +17,7 @@
 
 // startMayTakeEffect reports whether a start command of the run was sent and may begin the run yet.
 func (r *run) startMayTakeEffect(now monotonic.Time) bool {
-	return (r.state == runStarting || r.state == runUnknown) && !r.stopAnswered && now <= r.startExpiry
+	return (r.state == runStarting || r.state == runUnknown) && !r.session.holds(r.stopAccepted) && now <= r.startExpiry
 }
 
 // startPending reports whether a start of the task by this owner, or of a copy by a former owner on a
--- a/internal/shard/latestart.go
+++ b/internal/shard/latestart.go
@@ -22,19 +22,17 @@
 	since monotonic.Time
 	// stopSent is set once a stop command was sent: it may take effect although it has no answer.
 	stopSent bool
-	// stopAnswered is when the worker accepted the stop command or reported the end of the run, or 0.
-	stopAnswered monotonic.Time
-	// ended is set if the worker has reported the end of the run. The start command may have been sent
-	// twice, and the other one takes effect if the worker restarts before it arrives.
+	// stopAccepted is when the worker accepted the stop command or reported the end of the run. A restarted worker
+	// has forgotten it, and a start command that was sent twice takes effect there.
+	stopAccepted observation
+	// ended is set if the worker reported the end of the run.
 	ended bool
 }
 
 // inheritStop takes over what became of the stop of a run that was detached.
 func (l *lateStart) inheritStop(r *run) {
 	l.stopSent = r.stopAttempts > 0
-	if r.stopAnswered {
-		l.stopAnswered = r.lastResponse
-	}
+	l.stopAccepted = r.stopAccepted
 }
 
 // addLateStart records a detached run. The caller holds mu.
@@ -45,9 +43,9 @@
 		s.lateStarts[key] = l
 	}
 	l.since, l.ended = now, false
-	if l.stopAnswered != 0 && now.Sub(l.stopAnswered) > s.owner.Bounds.StopGrace+stopMargin {
+	if now.Sub(l.stopAccepted.at) > s.owner.Bounds.StopGrace+stopMargin {
 		// The worker lists the run in spite of the stop.
-		l.stopAnswered = 0
+		l.stopAccepted = observation{}
 	}
 	if s.needsStop(key) {
 		s.requestStop(key, now)
@@ -61,7 +59,7 @@
 func (s *session) hasLateStarts() bool {
 	now := monotonic.Now()
 	for _, l := range s.lateStarts {
-		if l.stopAnswered == 0 || !l.ended && now.Sub(l.stopAnswered) <= s.owner.Bounds.StopGrace+stopMargin {
+		if !s.holds(l.stopAccepted) || !l.ended && now.Sub(l.stopAccepted.at) <= s.owner.Bounds.StopGrace+stopMargin {
 			return true
 		}
 	}
@@ -80,7 +78,7 @@
 	for key, l := range s.lateStarts {
 		switch {
 		case now.Sub(l.since) > lateStartWindow:
-			if l.stopAnswered == 0 {
+			if !s.holds(l.stopAccepted) {
 				s.owner.Log.WithFields(logrus.Fields{"worker": s.ID, "task": key.task.String(), "run": key.number}).Warn("stop of a detached run given up")
 			}
 			delete(s.lateStarts, key)
@@ -117,7 +115,7 @@
 	}
 	l := s.lateStarts[key]
 	switch {
-	case err == nil && (l == nil || !l.ended || !sameIncarnation):
+	case err == nil && (l == nil || !l.ended || !s.holds(l.stopAccepted) || !sameIncarnation):
 		if adopted := s.adopt(key, sent, now); adopted != nil && adopted.entry.job.FinalState.IsFinal() {
 			s.stop(adopted, "job ended")
 		}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -42,8 +42,9 @@
 	stopUnlistedAfter monotonic.Time
 	// unlistedAt is when a status without the run last led to the decision to stop it.
 	unlistedAt monotonic.Time
-	// lastResponse is when the worker last responded to a command for the run.
-	lastResponse monotonic.Time
+	// shown is when the worker last showed the run: by the answer to a start, or in a status, of which the time
+	// of the request counts.
+	shown observation
 	// reportedPercent is the share of the task that was active in the last status, in percent.
 	reportedPercent int
 	// reportedUsage is from the last status: the tail latency in milliseconds for a serving task,
@@ -61,8 +62,8 @@
 	// withdrawnAt is when a stop that may still take effect was withdrawn, or 0. It is cleared by a status
 	// that shows that the run goes on.
 	withdrawnAt monotonic.Time
-	// stopAnswered is set once the worker has accepted a stop command.
-	stopAnswered bool
+	// stopAccepted is when the worker accepted a stop command. A restarted worker has forgotten the stop.
+	stopAccepted observation
 	// stopRequested is when the owner decided to stop the run, and stopAttempts counts the stop
 	// commands that were sent since.
 	stopRequested monotonic.Time
@@ -89,7 +90,7 @@
 	r.overdueLogged = true
 	r.session.owner.Log.WithFields(logrus.Fields{
 		"worker": r.session.ID, "task": r.task.String(), "run": r.number, "job_state": r.entry.job.FinalState,
-		"requested_ms": now.Sub(r.stopRequested).Milliseconds(), "stops_sent": r.stopAttempts, "stop_answered": r.stopAnswered,
+		"requested_ms": now.Sub(r.stopRequested).Milliseconds(), "stops_sent": r.stopAttempts, "stop_answered": r.session.holds(r.stopAccepted),
 	}).Warn("stopped run is still listed")
 }
 
@@ -149,8 +150,8 @@
 		"worker": s.ID, "task": r.task.String(), "run": r.number, "reason": reason, "address": s.Address, "incarnation": s.incarnation,
 		"lease_left_ms": s.leaseEnd.Sub(now).Milliseconds(),
 	}
-	if r.lastResponse != 0 {
-		fields["answered_ms"] = now.Sub(r.lastResponse).Milliseconds()
+	if r.shown.made() {
+		fields["shown_ms"] = now.Sub(r.shown.at).Milliseconds()
 	}
 	if s.contact != 0 {
 		fields["contact_ms"] = now.Sub(s.contact).Milliseconds()
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -61,7 +61,10 @@
 	// cleared by a heartbeat without a response: the worker may have restarted since.
 	incarnation      int
 	incarnationKnown bool
-	reachable        bool
+	// restarted is set if the last status was the first one of an incarnation. The next one is requested at
+	// once, as the first one does not show the runs that were accepted after its request.
+	restarted bool
+	reachable bool
 	// contact is when the worker last responded to a heartbeat.
 	contact monotonic.Time
 	listed  bool
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -22,7 +22,8 @@
 	if sent > s.restartListed {
 		s.restartListed = 0
 	}
-	if s.incarnationStartMS != 0 && status.IncarnationStartMS != 0 && status.IncarnationStartMS != s.incarnationStartMS {
+	s.restarted = s.incarnationStartMS != 0 && status.IncarnationStartMS != 0 && status.IncarnationStartMS != s.incarnationStartMS
+	if s.restarted {
 		s.handleRestart(status, sent)
 	}
 	if status.IncarnationStartMS != 0 {
@@ -64,7 +65,7 @@
 		s.handleRunning(runKey{t, r.Number}, r, sent, received)
 	}
 	if len(status.Finished) < worker.MaxFinishedPerStatus {
-		s.detachUnlisted(listed, sent)
+		s.detachUnlisted(listed, sent, received)
 		s.stopUnlisted(listed, sent)
 	}
 	s.stopLateStarts()
@@ -75,37 +76,34 @@
 	}
 }
 
-// handleRestart handles a worker that restarted under the same ID: it has no runs.
+// handleRestart handles a worker that restarted under the same ID. It has none of the runs that its former incarnation
+// showed and has forgotten the stops that it accepted. Which runs are lost is decided by detachUnlisted: the new incarnation
+// may have accepted some of them before this status arrived.
 func (s *session) handleRestart(status worker.Status, sent monotonic.Time) {
 	o, now := s.owner, monotonic.Now()
 	o.Log.WithFields(logrus.Fields{
 		"worker": s.ID, "shard": o.Shard, "runs": len(s.runs), "born_ms": status.IncarnationStartMS, "former_born_ms": s.incarnationStartMS,
 		"clock_ms": status.ClockMS, "listed": len(status.Running), "requested_ms": now.Sub(sent).Milliseconds(), "incarnation": s.incarnation,
 	}).Warn("worker was born again")
+	s.resetCompletions()
+	// The new incarnation may have accepted a lease already, so its believed end stays.
+	s.clockKnown, s.clockAt, s.pace = false, 0, fullPace
+	// The intervals between stop commands have grown while the worker did not answer.
+	s.stops.restart(now)
 	for _, r := range s.runs {
+		r.commandedPace = unknownPace
 		switch {
-		case r.state == runConfirmed:
-			s.markLost(r, "worker restarted")
 		case r.stopping:
-			// The restarted worker has forgotten the stop.
-			r.stopAnswered = false
 			s.requestStop(r.key(), now)
 		case r.state == runUnknown:
 			// The restarted worker's clock begins anew, so the lease in a late start command does
 			// not protect against it.
 			s.stop(r, "worker restarted")
 		}
-		// The response to a start command in flight determines the state of the run.
 	}
-	// The intervals between stop commands have grown while the worker did not answer.
-	s.stops.restart(now)
-	s.resetCompletions()
-	// The new incarnation may have accepted a lease already, so its believed end stays.
-	s.clockKnown, s.clockAt, s.pace = false, 0, fullPace
 	for _, l := range s.lateStarts {
-		if l.stopAnswered != 0 {
-			// The restarted worker has forgotten the stop.
-			l.stopSent, l.stopAnswered, l.ended = false, 0, false
+		if l.stopAccepted.made() {
+			l.stopSent, l.stopAccepted, l.ended = false, observation{}, false
 		}
 	}
 }
@@ -124,6 +122,9 @@
 		r.state = runConfirmed
 		r.started = now
 	}
+	if !s.holds(r.shown) || r.shown.precedes(sent) {
+		r.shown = s.observe(sent)
+	}
 	if sent.Sub(r.withdrawnAt) > o.Bounds.StopGrace+stopMargin {
 		r.withdrawnAt = 0
 	}
@@ -138,13 +139,14 @@
 	s.repeatStop(r, sent)
 }
 
-// repeatStop stops a run again that the worker lists in a status requested after the answered stop
-// should have taken effect. The caller holds mu.
+// repeatStop stops a run again that the worker lists although the stop should have taken effect by the time of the
+// request, or although its former incarnation accepted the stop. The caller holds mu.
 func (s *session) repeatStop(r *run, sent monotonic.Time) {
-	if r.stopAnswered && sent.Sub(r.lastResponse) > s.owner.Bounds.StopGrace+stopMargin {
-		r.stopAnswered = false
-		s.requestStop(r.key(), monotonic.Now())
+	if !r.stopping || s.holds(r.stopAccepted) && sent.Sub(r.stopAccepted.at) <= s.owner.Bounds.StopGrace+stopMargin {
+		return
 	}
+	r.stopAccepted = observation{}
+	s.requestStop(r.key(), monotonic.Now())
 }
 
 // adopt attaches a run that an earlier owner started, or whose start command took effect late. Runs
@@ -163,7 +165,7 @@
 	task := e.job.Task(key.task)
 	r := &run{
 		task: key.task, number: key.number, entry: e, step: step, session: s, state: runConfirmed, placedAt: now, started: now,
-		lastResponse: now, commandedPace: unknownPace, startUnanswered: late != nil,
+		shown: s.observe(now), commandedPace: unknownPace, startUnanswered: late != nil,
 	}
 	s.attach(r)
 	task.LastRun = max(task.LastRun, key.number)
@@ -181,19 +183,40 @@
 	return r
 }
 
-// detachUnlisted detaches runs that are missing from a complete status, if it was requested after
-// the response to the last command for them. At equal times the order is not known.
-func (s *session) detachUnlisted(listed map[runKey]bool, sent monotonic.Time) {
+// detachUnlisted detaches the runs that have ended according to a complete status that does not list them. The worker
+// showed or stopped them before the status was requested. Runs that it showed in a former incarnation are lost.
+func (s *session) detachUnlisted(listed map[runKey]bool, sent, received monotonic.Time) {
 	for key, r := range s.runs {
-		if listed[key] || r.lastResponse == 0 || r.lastResponse >= sent {
+		if listed[key] || !s.hasEnded(r, sent) {
 			continue
 		}
-		if r.state == runConfirmed || (r.stopping && r.stopAnswered) {
-			s.owner.Log.WithFields(logrus.Fields{
-				"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": r.stopAnswered, "incarnation": s.incarnation,
-				"answered_ms": sent.Sub(r.lastResponse).Milliseconds(), "requested_ms": monotonic.Now().Sub(sent).Milliseconds(),
-			}).Info("run not listed any more")
-			s.detach(r)
+		if !s.holds(r.shown) && !s.holds(r.stopAccepted) {
+			s.loseInRestart(r)
+			continue
 		}
+		s.owner.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": s.holds(r.stopAccepted), "incarnation": s.incarnation,
+			"shown_ms": received.Sub(r.shown.at).Milliseconds(), "requested_ms": received.Sub(sent).Milliseconds(),
+		}).Info("run not listed any more")
+		s.detach(r)
+	}
+}
+
+// hasEnded reports whether a run has ended, given a status that does not list it.
+func (s *session) hasEnded(r *run, sent monotonic.Time) bool {
+	if s.holds(r.stopAccepted) {
+		return r.stopAccepted.precedes(sent)
 	}
+	return r.state == runConfirmed && r.shown.precedes(sent) && !r.startInFlight
+}
+
+// loseInRestart handles a run that ended with the former incarnation of its worker. If one of its start commands has no
+// answer, the new incarnation may execute it yet, so the run is stopped there before its task starts again.
+func (s *session) loseInRestart(r *run) {
+	if !r.startUnanswered || monotonic.Now().Sub(r.placedAt) > lateStartWindow {
+		s.markLost(r, "worker restarted")
+		return
+	}
+	r.state, r.shown = runUnknown, observation{}
+	s.stop(r, "worker restarted")
 }
--- a/internal/shard/stop.go
+++ b/internal/shard/stop.go
@@ -26,10 +26,10 @@
 // needsStop reports whether stop commands are to be sent for a run. The caller holds mu.
 func (s *session) needsStop(key runKey) bool {
 	if r := s.runs[key]; r != nil {
-		return r.stopping && !r.stopAnswered
+		return r.stopping && !s.holds(r.stopAccepted)
 	}
 	l := s.lateStarts[key]
-	return l != nil && l.stopAnswered == 0 && (s.reachable || !s.mayContinue(key))
+	return l != nil && !s.holds(l.stopAccepted) && (s.reachable || !s.mayContinue(key))
 }
 
 // sendStops sends the stop commands to the worker.
@@ -124,10 +124,9 @@
 		if !r.stopping {
 			r.stopping, r.withinLimit = true, true
 		}
-		// Stopping takes up to StopGrace; until then the worker lists the run.
-		r.stopAnswered, r.lastResponse = true, now
+		r.stopAccepted = s.observe(now)
 	} else if l := s.lateStarts[a.key]; l != nil {
-		l.stopAnswered = now
+		l.stopAccepted = s.observe(now)
 	}
 	o.completePendingJobs()
 }
