shard: count a run that is being stopped as ended only after the stop grace

Cause: a run whose stop was accepted counted as ended as soon as a status did not list it as running. A worker takes up to the stop grace to stop a run, its resources are free when the end is listed, and it need not list the run as running meanwhile. The task started again beside it, on the same worker or, while a worker drains, on another one.

A stopped run that is not listed counts as ended once a status was requested later than the stop grace after the accepted stop, or, if no stop was answered, after the first status without the run. Usually the end is listed before that. Runs that were not at work when they were told to stop do not wait.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -106,7 +106,18 @@
 	case s.needsPacing():
 		return pacedHeartbeatWait
 	}
-	return maxHeartbeatWait
+	return s.waitForMissing(monotonic.Now())
+}
+
+// waitForMissing returns how long a worker may wait so that the next heartbeat shows that a missing run has ended.
+func (s *session) waitForMissing(now monotonic.Time) time.Duration {
+	wait := maxHeartbeatWait
+	for _, r := range s.runs {
+		if r.missingSince != 0 {
+			wait = min(wait, max(0, s.stoppedBy(r).Sub(now)))
+		}
+	}
+	return wait
 }
 
 func (s *session) anyWaitsForStatus() bool {
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -45,6 +45,8 @@
 	// shown is when the worker last showed the run: by the answer to a start, or in a status, of which the time
 	// of the request counts.
 	shown observation
+	// missingSince is when a status first did not list the run although it may be ending, or 0.
+	missingSince monotonic.Time
 	// reportedPercent is the share of the task that was active in the last status, in percent.
 	reportedPercent int
 	// reportedUsage is from the last status: the tail latency in milliseconds for a serving task,
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -122,6 +123,7 @@
 		r.state = runConfirmed
 		r.started = now
 	}
+	r.missingSince = 0
 	if !s.holds(r.shown) || r.shown.precedes(sent) {
 		r.shown = s.observe(sent)
 	}
@@ -187,7 +189,7 @@
 // showed or stopped them before the status was requested. Runs that it showed in a former incarnation are lost.
 func (s *session) detachUnlisted(listed map[runKey]bool, sent, received monotonic.Time) {
 	for key, r := range s.runs {
-		if listed[key] || !s.hasEnded(r, sent) {
+		if listed[key] || !s.hasEnded(r, sent, received) {
 			continue
 		}
 		if !s.holds(r.shown) && !s.holds(r.stopAccepted) {
@@ -202,12 +204,38 @@
 	}
 }
 
-// hasEnded reports whether a run has ended, given a status that does not list it.
-func (s *session) hasEnded(r *run, sent monotonic.Time) bool {
-	if s.holds(r.stopAccepted) {
-		return r.stopAccepted.precedes(sent)
+// hasEnded reports whether a run has ended, given a status that does not list it. A run takes up to the stop grace to
+// end once its worker has received a stop command, and need not be listed as running meanwhile.
+func (s *session) hasEnded(r *run, sent, received monotonic.Time) bool {
+	switch {
+	case s.holds(r.stopAccepted):
+	case r.state != runConfirmed || !r.shown.precedes(sent) || r.startInFlight:
+		return false
+	case r.stopAttempts == 0 || !s.holds(r.shown):
+		return true
+	}
+	if r.missingSince == 0 {
+		r.missingSince = received
+	}
+	return sent > s.stoppedBy(r)
+}
+
+// stoppedBy returns when a run that a status did not list has ended at the latest. A stop command without an answer may have
+// been carried out until that status arrived.
+func (s *session) stoppedBy(r *run) monotonic.Time {
+	switch {
+	case s.holds(r.stopAccepted) && r.unlistedAt != 0 && r.stopAccepted.at.Sub(r.unlistedAt) <= maxUnlistedAge:
+		// The run was not at work when it was told to stop.
+		return r.stopAccepted.at
+	case s.holds(r.stopAccepted):
+		return r.stopAccepted.at.Add(s.owner.stopTime())
 	}
-	return r.state == runConfirmed && r.shown.precedes(sent) && !r.startInFlight
+	return r.missingSince.Add(s.owner.stopTime())
+}
+
+// stopTime is the longest time that a run goes on after its worker accepted a stop command.
+func (o *Owner) stopTime() time.Duration {
+	return time.Duration((1+maxClockDrift)*float64(o.Bounds.StopGrace)) + clockRounding*time.Millisecond
 }
 
 // loseInRestart handles a run that ended with the former incarnation of its worker. If one of its start commands has no
@@ -217,6 +245,6 @@
 		s.markLost(r, "worker restarted")
 		return
 	}
-	r.state, r.shown = runUnknown, observation{}
+	r.state, r.shown, r.unlistedAt = runUnknown, observation{}, monotonic.Now()
 	s.stop(r, "worker restarted")
 }
