--- a/cmd/samphirestiled/serve.go
+++ b/cmd/samphirestiled/serve.go
@@ -15,7 +15,7 @@
 
 type serveCommand struct {
 	LogLevel string `default:"info" help:"Least severe level of log lines." enum:"debug,info,warning,error"`
-	LogLines int    `default:"400" help:"Log lines a second beyond which lines are dropped."`
+	LogLines int    `default:"2000" help:"Log lines a second beyond which lines are dropped."`
 	// OperatorTokens enable the operators' interface.
 	OperatorTokens []string `env:"SAMPHIRESTILE_OPERATOR_TOKENS" help:"Tokens of operators, separated by commas. Without one there is no interface for operators."`
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -14,9 +14,9 @@
 const (
 	// queueLines is the maximum number of lines that wait for the output.
 	queueLines = 2048
-	// DefaultLinesPerSecond limits the log rate of one process. A busy shard decides on
-	// about a hundred jobs and runs per second.
-	DefaultLinesPerSecond = 400
+	// DefaultLinesPerSecond limits the log rate of one process. A daemon that owns several busy shards
+	// starts about 400 runs per second, with two lines each.
+	DefaultLinesPerSecond = 2000
 	rateWindow            = time.Second
 	closeTimeout          = 500 * time.Millisecond
 )
