shard: acknowledge no completions while a start may have begun a run in a new incarnation

Callers saw a task start again after its end was acknowledged.

Cause: a heartbeat acknowledged completions by a number of the former incarnation although a start without an answer had begun a run in the new one. The worker forgot the end of that run before it was listed, so the run counted as ended without a result.

Starts on their way are counted. While there is one, a heartbeat that has something to acknowledge waits up to ackWait and then acknowledges nothing. The answer to the start shows the restart by the worker's clock. A start without an answer is treated like a heartbeat without one: nothing is acknowledged before the next status. If a heartbeat could not acknowledge for that reason, further starts on the worker wait until one has, so that a worker with a start always on its way gets acknowledgements too.

unavailable_test.go counted the acknowledgement of a former run as the end of the next one, which was at work. It is no event of a run, so it is passed over; starts and ends count as before.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -41,6 +41,9 @@
 
 func (s *session) sendStart(ctx context.Context, r *run, attempt int) {
 	o := s.owner
+	if !s.waitForAcknowledgement(ctx) {
+		return
+	}
 	o.mu.Lock()
 	if !s.attached(r) || r.stopping || r.state == runConfirmed {
 		o.mu.Unlock()
@@ -79,6 +82,7 @@
 	// The lease ends by the clock of the worker at the current address.
 	conn, sent, incarnation := s.conn.conn(), monotonic.Now(), s.incarnation
 	r.startInFlight = true
+	s.startsInFlight++
 	o.mu.Unlock()
 	clock, err := conn.Start(ctx, command)
 	if ctx.Err() != nil {
@@ -89,6 +93,7 @@
 	defer o.completePendingJobs()
 	now = monotonic.Now()
 	r.startInFlight = false
+	s.startAnswered(err)
 	s.recordClock(clock, sent, now)
 	s.confirmLease(leaseEnd, clock, now)
 	if !s.attached(r) {
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -42,11 +42,12 @@
 		o.mu.Lock()
 		sent := monotonic.Now()
 		command := worker.HeartbeatCommand{Token: s.token, Wait: s.heartbeatWait()}
-		if last := s.lastAcknowledgeable(sent); last > s.acknowledged && s.incarnationKnown {
+		if last := s.lastAcknowledgeable(sent); last > s.acknowledged && s.incarnationKnown && s.startsInFlight == 0 {
 			// A restarted worker numbers its completions from 1 again. Repeating the old number
 			// would acknowledge completions of the new incarnation that were never received.
 			command.Acknowledged = last
 		}
+		s.holdStarts(command.Acknowledged, sent)
 		// The lease of an unreachable worker is not extended: every attempt may take effect, and
 		// its runs would never count as finished.
 		leaseEndBefore := s.leaseEnd
@@ -101,7 +102,7 @@
 
 func (s *session) heartbeatWait() time.Duration {
 	switch {
-	case !s.fenced || s.restarted || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
+	case !s.fenced || s.restarted || s.startsResumed != nil || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
 		return 0
 	case s.needsPacing():
 		return pacedHeartbeatWait
@@ -149,15 +150,15 @@
 }
 
 // waitForRecords gives the store time to record the completions that the next heartbeat
-// acknowledges.
+// acknowledges, and the worker time to answer the starts that keep it from doing so.
 func (s *session) waitForRecords(ctx context.Context) {
 	limit := time.NewTimer(ackWait)
 	defer limit.Stop()
 	for {
 		s.owner.mu.Lock()
-		recorded := s.processed <= s.durable
+		ready := s.processed <= s.durable && !s.acknowledgementWaits(monotonic.Now())
 		s.owner.mu.Unlock()
-		if recorded {
+		if ready {
 			return
 		}
 		select {
--- /dev/null
+++ b/internal/shard/lease_beliefs_test.go
@@ -0,0 +1,120 @@
+package shard_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/job"
+	"samphirestile.example/samphirestile/internal/worker"
+)
+
+// routedDialer passes heartbeats and starts through functions, which may delay, replace or lose them.
+type routedDialer struct {
+	worker.Dialer
+	heartbeat func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error)
+	start     func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error)
+}
+
+type routedConn struct {
+	worker.Conn
+	dialer *routedDialer
+	id     worker.ID
+}
+
+// route lets owners that are started from then on reach the workers through a routedDialer.
+func (f *fixture) route(d *routedDialer) {
+	f.wrapDialer = func(wrapped worker.Dialer) worker.Dialer { d.Dialer = wrapped; return d }
+}
+
+func (d *routedDialer) Dial(w worker.Worker) worker.Conn {
+	return &routedConn{d.Dialer.Dial(w), d, w.ID}
+}
+
+func (c *routedConn) Heartbeat(ctx context.Context, command worker.HeartbeatCommand) (worker.Status, error) {
+	if c.dialer.heartbeat == nil || c.id != "w0" {
+		return c.Conn.Heartbeat(ctx, command)
+	}
+	return c.dialer.heartbeat(ctx, c.Conn, command)
+}
+
+func (c *routedConn) Start(ctx context.Context, command worker.StartCommand) (int64, error) {
+	if c.dialer.start == nil || c.id != "w0" {
+		return c.Conn.Start(ctx, command)
+	}
+	return c.dialer.start(ctx, c.Conn, command)
+}
+
+// expectNoViolation checks the history of all workers.
+func (f *fixture) expectNoViolation() {
+	GinkgoHelper()
+	Expect(cluster.Check(f.workers.History.Events(), cluster.Expectation{})).To(BeEmpty())
+}
+
+// wholeWorker is a step that takes all resources of a worker.
+func wholeWorker() job.Step { return job.Step{Need: worker.Resources{CPU: 8000, MemMB: 100}} }
+
+var _ = Describe("an acknowledgement", func() {
+	// Guards against a task that starts again because its end was acknowledged by a number of the former incarnation.
+	simulatedIt("is not sent while a start may have begun a run in a new incarnation", func(f *fixture) {
+		f.workers.Remove("w1")
+		first, second := testJob(1, wholeWorker()), testJob(2, wholeWorker())
+		f.setBehaviour(string(second.ID)+".0.0.0", cluster.Behaviour{Duration: 10 * time.Millisecond})
+		var crashed atomic.Bool
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				status, err := conn.Heartbeat(ctx, command)
+				if len(status.Finished) > 0 && crashed.CompareAndSwap(false, true) {
+					f.worker("w0").Crash()
+				}
+				return status, err
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				clock, err := conn.Start(ctx, command)
+				if crashed.Load() {
+					time.Sleep(400 * time.Millisecond)
+				}
+				return clock, err
+			},
+		})
+		o := f.startOwner()
+		o.submit(first)
+		o.submit(second)
+		Eventually(o.state, 10*time.Second).WithArguments(second.ID).Should(Equal("completed"))
+		Expect(crashed.Load()).To(BeTrue())
+		f.expectNoViolation()
+	})
+
+	// Guards against ends that are never acknowledged on a worker that always has an unanswered start (Acks).
+	simulatedIt("is sent in time to a worker to which starts are always on their way", func(f *fixture) {
+		f.workers.Remove("w1")
+		var starts atomic.Int32
+		f.route(&routedDialer{start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+			clock, err := conn.Start(ctx, command)
+			time.Sleep(time.Duration(300+70*(starts.Add(1)%5)) * time.Millisecond)
+			return clock, err
+		}})
+		o := f.startOwner()
+		o.submit(testJob(1, job.Step{Count: 60, Need: worker.Resources{CPU: 1000, MemMB: 10}}))
+		time.Sleep(8 * time.Second)
+		acknowledged, ended := map[string]time.Time{}, 0
+		for _, e := range f.workers.History.Events() {
+			if e.Kind == cluster.Acknowledged {
+				acknowledged[e.Task] = e.At
+			}
+		}
+		for _, e := range f.workers.History.Events() {
+			if e.Kind != cluster.Completed || time.Since(e.At) < 2*time.Second {
+				continue
+			}
+			ended++
+			Expect(acknowledged).To(HaveKey(e.Task))
+			Expect(acknowledged[e.Task].Sub(e.At)).To(BeNumerically("<", 2*time.Second))
+		}
+		Expect(ended).To(BeNumerically(">", 15))
+	})
+})
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -58,9 +58,13 @@
 	// held are the processed completions whose acknowledgement may have to wait, in order.
 	held []heldCompletion
 	// incarnation counts the worker incarnations that these numbers belong to. incarnationKnown is
-	// cleared by a heartbeat without a response: the worker may have restarted since.
+	// cleared by a heartbeat or a start without a response: the worker may have restarted since.
 	incarnation      int
 	incarnationKnown bool
+	// startsInFlight counts the start commands that have neither an answer nor timed out.
+	startsInFlight int
+	// startsResumed is set while starts wait for an acknowledgement, and closed when they may go on.
+	startsResumed chan struct{}
 	// restarted is set if the last status was the first one of an incarnation. The next one is requested at
 	// once, as the first one does not show the runs that were accepted after its request.
 	restarted bool
--- a/internal/shard/unavailable_test.go
+++ b/internal/shard/unavailable_test.go
@@ -223,6 +223,10 @@
 			time.Sleep(20 * time.Second)
 			running := map[string]bool{}
 			for _, e := range f.workers.History.Events() {
+				if e.Kind == cluster.Acknowledged {
+					// The end of a former run may be acknowledged while the next one is at work.
+					continue
+				}
 				running[e.Task] = e.Kind == cluster.Started
 				if e.Kind != cluster.Finished {
 					continue
