shard: allow for the longest lease on a worker that restarted beside an unanswered command

Callers saw two runs of a task at once, on two workers.

Cause: a new incarnation accepted a start under the clock of the former one, so its lease ended far ahead of its own clock and held for the longest lease (Bounds.MaxLease). The answer was lost, so confirmLease never saw the new clock. When the worker fell silent, its runs counted as lost after the shorter lease that the owner had meant to grant.

The time of the last command with a lease and without an answer is kept. Once the list or a status names another incarnation than the last status, the believed end of the lease is at least the longest lease, with drift and slack, after that time. Without such evidence it stays as it was. A lease that was granted before a change of the address does not count.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -96,6 +96,9 @@
 	s.startAnswered(err)
 	s.recordClock(clock, sent, now)
 	s.confirmLease(leaseEnd, clock, now)
+	if err != nil && !isDefinite(err) {
+		s.leaseNotAnswered(incarnation, sent, now)
+	}
 	if !s.attached(r) {
 		s.settleLateStart(r, err, s.incarnation == incarnation, sent, now)
 	}
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -54,7 +54,7 @@
 		if s.fenced && s.reachable && s.needsLease() {
 			command.LeaseEndMS = s.grantLease(sent)
 		}
-		leaseEnd := s.leaseEnd
+		leaseEnd, incarnation := s.leaseEnd, s.incarnation
 		// The lease and the acknowledgement are for the worker at the current address.
 		conn := s.conn.conn()
 		o.mu.Unlock()
@@ -79,6 +79,9 @@
 				}
 				s.leaseEnd = leaseEndBefore
 			}
+			if command.LeaseEndMS != 0 && !isDefinite(err) {
+				s.leaseNotAnswered(incarnation, sent, received)
+			}
 			pause = s.heartbeatFailed(err, received)
 		default:
 			s.handleStatus(status, command, sent, received)
@@ -198,6 +201,9 @@
 		}
 		s.reachable = false
 	}
+	if len(s.runs) > 0 && s.isNewIncarnation(s.Worker) {
+		s.extendByLongestLease()
+	}
 	if len(s.runs) > 0 && now > s.leaseEnd {
 		s.markAllLost("lease ended without contact")
 	}
--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -118,3 +118,57 @@
 		Expect(ended).To(BeNumerically(">", 15))
 	})
 })
+
+var _ = Describe("the believed end of a lease", func() {
+	const clock = 30 * time.Second
+
+	// startBeforeSilence starts a run on w0 by commands that a new incarnation accepts under the former clock, and silences
+	// the worker when a heartbeat was answered the given number of times since.
+	startBeforeSilence := func(f *fixture, answers int32) {
+		f.workers.ListsStarts = true
+		f.hide("w1")
+		j := testJob(2, job.Step{})
+		var restarted atomic.Bool
+		var answered atomic.Int32
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				if restarted.Load() && answered.Add(1) > answers {
+					return worker.Status{}, &worker.NoAnswerError{Cause: errDelayed}
+				}
+				return conn.Heartbeat(ctx, command)
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				if command.Task[:16] != string(j.ID) {
+					return conn.Start(ctx, command)
+				}
+				if restarted.CompareAndSwap(false, true) {
+					f.worker("w0").Crash()
+					f.worker("w0").SetFaults(cluster.WorkerFaults{DelayedStops: 1 << 20, StopDelay: time.Hour})
+					f.list("w1")
+				}
+				_, _ = conn.Start(ctx, command)
+				return 0, &worker.NoAnswerError{Cause: errDelayed}
+			},
+		})
+		o := f.startOwner()
+		first := testJob(1, job.Step{})
+		o.submit(first)
+		Eventually(o.state, callTimeout).WithArguments(first.ID).Should(Equal("completed"))
+		time.Sleep(clock)
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: 8 * time.Second})
+		o.submit(j)
+		Eventually(o.state, 30*time.Second).WithArguments(j.ID).Should(Equal("completed"))
+		Expect(restarted.Load()).To(BeTrue())
+		f.expectNoViolation()
+	}
+
+	// Guards against a second run beside one that a new incarnation accepted under the former clock before it fell silent.
+	simulatedIt("allows for a lease that a listed new incarnation took over from the former clock", func(f *fixture) {
+		startBeforeSilence(f, 0)
+	})
+
+	// Guards against the same after a status of the new incarnation.
+	simulatedIt("allows for such a lease also after the new incarnation has answered", func(f *fixture) {
+		startBeforeSilence(f, 1)
+	})
+})
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -52,6 +52,8 @@
 	lostOwnership bool
 	// leaseEnd is the latest time until which runs may continue on the worker.
 	leaseEnd monotonic.Time
+	// leaseUnanswered is when a command that granted a lease at the current address last stayed without an answer, or 0.
+	leaseUnanswered monotonic.Time
 	// processed and durable are the sequence numbers of the last completion processed and of the
 	// last one recorded; acknowledged is the last one whose acknowledgement the worker confirmed.
 	processed, durable, acknowledged int64
@@ -126,7 +128,7 @@
 		if w.Missing && !s.Missing {
 			s.notify()
 		}
-		if w.StartMS != s.StartMS && w.StartMS != 0 && s.incarnationStartMS != 0 && w.StartMS != s.incarnationStartMS {
+		if w.StartMS != s.StartMS && s.isNewIncarnation(w) {
 			// The restarted worker has forgotten the fencing token, so it accepts commands of former owners.
 			s.restartListed = monotonic.Now()
 			s.notify()
@@ -202,6 +204,7 @@
 	s.conn.redial(s.owner.Dialer.Dial(w))
 	s.Worker, s.dialedAt = w, monotonic.Now()
 	s.reachable, s.incarnationKnown, s.clockKnown = false, false, false
+	s.leaseUnanswered = 0
 	s.resetCompletions()
 	s.notify()
 }
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/worker"
 )
 
 const (
@@ -59,6 +60,45 @@
 	s.leaseEnd = max(s.leaseEnd, now.Add(time.Duration((1+maxClockDrift)*float64(left))))
 }
 
+// leaseNotAnswered handles a command without an answer that granted a lease while an incarnation was known. A new one may
+// have taken the lease over from the clock of the former one. The caller holds mu.
+func (s *session) leaseNotAnswered(incarnation int, sent, now monotonic.Time) {
+	if sent <= s.dialedAt {
+		return
+	}
+	s.leaseUnanswered = now
+	if incarnation != s.incarnation {
+		s.extendByLongestLease()
+	}
+}
+
+// extendByLongestLease raises the believed end of the lease of a worker that has restarted: a command without an answer may
+// have granted the new incarnation the longest lease. The caller holds mu.
+func (s *session) extendByLongestLease() {
+	if end := s.longestLeaseEnd(); end > s.leaseEnd {
+		s.owner.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "shard": s.owner.Shard, "runs": len(s.runs), "incarnation": s.incarnation,
+			"unanswered_ms": monotonic.Now().Sub(s.leaseUnanswered).Milliseconds(), "former_left_ms": s.leaseEnd.Sub(monotonic.Now()).Milliseconds(),
+			"left_ms": end.Sub(monotonic.Now()).Milliseconds(),
+		}).Info("lease of a new incarnation may be longer")
+		s.leaseEnd = end
+	}
+}
+
+// longestLeaseEnd returns when the longest lease has ended that a command without an answer may have granted, or 0.
+func (s *session) longestLeaseEnd() monotonic.Time {
+	if s.leaseUnanswered == 0 {
+		return 0
+	}
+	return s.leaseUnanswered.Add(time.Duration((1+maxClockDrift)*float64(s.owner.Bounds.MaxLease)) + leaseSlack)
+}
+
+// isNewIncarnation reports whether an entry of the worker names another incarnation than the last status. The caller
+// holds mu.
+func (s *session) isNewIncarnation(w worker.Worker) bool {
+	return w.StartMS != 0 && s.incarnationStartMS != 0 && w.StartMS != s.incarnationStartMS
+}
+
 // grantLease returns the end of the lease to send with a command, in milliseconds of the worker's
 // clock, or 0 if none may be granted.
 func (s *session) grantLease(now monotonic.Time) int64 {
