shard: confirm the lease that came with a start refused as old or for want of capacity

Callers saw two runs of a task at once, on two workers.

Cause: a worker takes the lease of a start over also if it refuses that start as old or for want of capacity. A new incarnation did so under the clock of the former one and held the longest lease, but only the answers of accepted starts were used to confirm the lease. When the worker fell silent, its runs counted as lost after the shorter lease.

The clock in such a refusal confirms the lease like that in the answer to an accepted start.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -110,7 +110,7 @@
 		}
 		return
 	}
-	s.startFailed(r, err, attempt, sent, now)
+	s.startFailed(r, err, attempt, leaseEnd, sent, now)
 }
 
 // logStart logs the answer to a start. clock is that of the worker in the answer, incarnation the one that
@@ -130,8 +130,9 @@
 	return account == "" || r.step.Gang || o.ledger.Allows(account, o.limit(account), o.usage[account])
 }
 
-// startFailed handles a start command that was refused or got no response. The caller holds mu.
-func (s *session) startFailed(r *run, err error, attempt int, sent, now monotonic.Time) {
+// startFailed handles a start command that was refused or got no response. leaseEndMS is the lease that it granted. The
+// caller holds mu.
+func (s *session) startFailed(r *run, err error, attempt int, leaseEndMS int64, sent, now monotonic.Time) {
 	o := s.owner
 	var refused *worker.RefusedError
 	fields := logrus.Fields{
@@ -141,6 +142,10 @@
 	switch {
 	case errors.As(err, &refused):
 		s.recordClock(refused.ClockMS, sent, now)
+		if refused.Reason == worker.RefusedStaleRun || refused.Reason == worker.RefusedCapacity {
+			// The worker takes the lease over all the same.
+			s.confirmLease(leaseEndMS, refused.ClockMS, now)
+		}
 		o.Log.WithFields(fields).WithField("reason", refused.Reason).Info("start refused")
 		switch refused.Reason {
 		case worker.RefusedCapacity:
--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -171,4 +171,51 @@
 	simulatedIt("allows for such a lease also after the new incarnation has answered", func(f *fixture) {
 		startBeforeSilence(f, 1)
 	})
+
+	// Guards against a second run beside one whose lease on a new incarnation was extended by a start that it refused.
+	simulatedIt("allows for a lease that came with a refused start", func(f *fixture) {
+		f.hide("w1")
+		kept, refused := testJob(2, job.Step{}), testJob(3, job.Step{})
+		var restarted, silent atomic.Bool
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				if silent.Load() {
+					return worker.Status{}, &worker.NoAnswerError{Cause: errDelayed}
+				}
+				status, err := conn.Heartbeat(ctx, command)
+				return status, err
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				if command.Task[:16] != string(refused.ID) {
+					return conn.Start(ctx, command)
+				}
+				if restarted.CompareAndSwap(false, true) {
+					f.worker("w0").Crash()
+					time.Sleep(10 * time.Millisecond)
+					// The new incarnation has ended this run number already.
+					_, _ = conn.Stop(ctx, command.Token, command.Task, command.Number)
+					clock, err := conn.Start(ctx, command)
+					return clock, err
+				}
+				return 0, &worker.RefusedError{Reason: worker.RefusedUnhealthy}
+			},
+		})
+		o := f.startOwner()
+		first := testJob(1, job.Step{})
+		o.submit(first)
+		Eventually(o.state, callTimeout).WithArguments(first.ID).Should(Equal("completed"))
+		time.Sleep(clock)
+		o.submit(refused)
+		Eventually(restarted.Load, callTimeout).Should(BeTrue())
+		f.setBehaviour(string(kept.ID)+".0.0.0", cluster.Behaviour{Duration: 8 * time.Second})
+		Expect(o.Cancel(context.Background(), refused.ID)).To(Succeed())
+		time.Sleep(time.Second)
+		o.submit(kept)
+		Eventually(f.worker("w0").Running, callTimeout).Should(Equal(1))
+		silent.Store(true)
+		f.worker("w0").SetFaults(cluster.WorkerFaults{DelayedStops: 1 << 20, StopDelay: time.Hour})
+		f.list("w1")
+		Eventually(o.state, 30*time.Second).WithArguments(kept.ID).Should(Equal("completed"))
+		f.expectNoViolation()
+	})
 })
