shard: compare the clocks in overlapping answers of a worker

Callers saw a task start again after its end was acknowledged, and leases were granted beyond the clock of a restarted worker.

Cause: only a call that was sent after the last answer was compared with the known clock. A late answer of the former incarnation set its clock, which is far ahead, so later leases were granted on it and the next answer looked like another restart. And the first answer of a new incarnation to a call from before the last answer set the new clock but kept the numbers of the former completions, which the next heartbeat acknowledged.

An answer to a call that overlaps the last accepted one is ignored if its clock is higher than the time in between allows, and shows a restart if it is lower. A call that was sent after the last accepted answer may set any higher clock.

--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -219,3 +219,80 @@
 		f.expectNoViolation()
 	})
 })
+
+var _ = Describe("the clock of a worker", func() {
+	// Guards against leases on the clock of a former incarnation, whose answer arrives after the restart was noticed.
+	simulatedIt("is not taken from a late answer of the former incarnation", func(f *fixture) {
+		f.workers.Remove("w1")
+		slow, last := testJob(2, job.Step{}), testJob(3, job.Step{})
+		var restarted atomic.Bool
+		var atWorker, beyond atomic.Int64
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				command.Wait = 0
+				status, err := conn.Heartbeat(ctx, command)
+				if command.LeaseEndMS > 0 && restarted.Load() {
+					atWorker.Store(status.ClockMS)
+					if command.LeaseEndMS > status.ClockMS+10_000 && time.Duration(status.ClockMS)*time.Millisecond > 500*time.Millisecond {
+						beyond.Add(1)
+					}
+				}
+				return status, err
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				clock, err := conn.Start(ctx, command)
+				if command.Task[:16] == string(slow.ID) && restarted.CompareAndSwap(false, true) {
+					f.worker("w0").Crash()
+					time.Sleep(600 * time.Millisecond)
+				}
+				return clock, err
+			},
+		})
+		o := f.startOwner()
+		first := testJob(1, job.Step{})
+		o.submit(first)
+		Eventually(o.state, callTimeout).WithArguments(first.ID).Should(Equal("completed"))
+		time.Sleep(30 * time.Second)
+		f.setBehaviour(string(last.ID)+".0.0.0", cluster.Behaviour{Duration: 5 * time.Second})
+		o.submit(slow)
+		o.submit(last)
+		Eventually(o.state, 15*time.Second).WithArguments(last.ID).Should(Equal("completed"))
+		Expect(atWorker.Load()).To(BeNumerically(">", 0))
+		Expect(beyond.Load()).To(BeZero())
+		f.expectNoViolation()
+	})
+
+	// Guards against completions acknowledged by numbers of the former incarnation after an answer has shown the restart.
+	simulatedIt("shows a restart also in the answer to a call from before the last answer", func(f *fixture) {
+		f.workers.Remove("w1")
+		first, second := testJob(1, job.Step{}), testJob(2, job.Step{})
+		f.setBehaviour(string(first.ID)+".0.0.0", cluster.Behaviour{Duration: 100 * time.Millisecond})
+		f.setBehaviour(string(second.ID)+".0.0.0", cluster.Behaviour{Duration: 10 * time.Millisecond})
+		var crashed atomic.Bool
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				if command.Acknowledged > 0 {
+					time.Sleep(20 * time.Millisecond)
+				}
+				status, err := conn.Heartbeat(ctx, command)
+				if len(status.Finished) > 0 && crashed.CompareAndSwap(false, true) {
+					f.worker("w0").Crash()
+				}
+				return status, err
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				if command.Task[:16] == string(second.ID) {
+					time.Sleep(150 * time.Millisecond)
+				}
+				return conn.Start(ctx, command)
+			},
+		})
+		o := f.startOwner()
+		time.Sleep(time.Second)
+		o.submit(first)
+		o.submit(second)
+		Eventually(o.state, 10*time.Second).WithArguments(second.ID).Should(Equal("completed"))
+		Expect(crashed.Load()).To(BeTrue())
+		f.expectNoViolation()
+	})
+})
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -44,6 +44,8 @@
 	clockKnown bool
 	clockMS    int64
 	clockAt    monotonic.Time
+	// clockSent is when the call was sent whose answer contained the clock.
+	clockSent monotonic.Time
 	// incarnationStartMS is the Unix time at which the worker's incarnation started; 0 if unknown.
 	incarnationStartMS int64
 	// fenced is set once the worker has received this owner's token.
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -28,19 +28,28 @@
 	if s.clockKnown && received < s.clockAt {
 		return
 	}
-	if s.clockKnown && sent > s.clockAt {
-		passed := time.Duration((1 - maxClockDrift) * float64(sent.Sub(s.clockAt)))
-		if clockMS < s.clockMS+passed.Milliseconds()-clockRounding {
-			// The clock belongs to another incarnation. Its completions must not be acknowledged by
-			// sequence numbers of the previous one; the next status brings the rest.
-			s.resetCompletions()
-			s.owner.Log.WithFields(logrus.Fields{
-				"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": passed.Milliseconds(),
-				"runs": len(s.runs), "incarnation": s.incarnation,
-			}).Warn("clock of a worker began anew")
-		}
+	// The clock of a former incarnation is higher than any that a later one can show.
+	if s.clockKnown && sent <= s.clockAt && clockMS > s.clockMS+received.Sub(s.clockSent).Milliseconds()+clockRounding {
+		s.owner.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "known_clock_ms": s.clockMS, "incarnation": s.incarnation,
+			"took_ms": received.Sub(sent).Milliseconds(), "known_ms": received.Sub(s.clockAt).Milliseconds(),
+		}).Info("clock of a former incarnation ignored")
+		return
+	}
+	passed := sent.Sub(s.clockAt)
+	if passed > 0 {
+		passed = time.Duration((1 - maxClockDrift) * float64(passed))
+	}
+	if s.clockKnown && clockMS < s.clockMS+passed.Milliseconds()-clockRounding {
+		// The clock belongs to another incarnation. Its completions must not be acknowledged by
+		// sequence numbers of the previous one; the next status brings the rest.
+		s.resetCompletions()
+		s.owner.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": passed.Milliseconds(),
+			"runs": len(s.runs), "incarnation": s.incarnation,
+		}).Warn("clock of a worker began anew")
 	}
-	s.clockKnown, s.clockMS, s.clockAt = true, clockMS, received
+	s.clockKnown, s.clockMS, s.clockAt, s.clockSent = true, clockMS, received, sent
 }
 
 // resetCompletions discards the completion numbers of the previous incarnation.
