shard: do not end runs that a worker showed after the request that another one answered

Callers saw two runs of a task at once, on two workers.

Cause: an answer of another incarnation at the address (worker.GoneError) counted all runs of the worker as lost and closed the session, also those that the worker had confirmed after that heartbeat was sent.

If the worker has shown a run, or accepted its stop, since the heartbeat was sent, that answer decides nothing and the next heartbeat follows after retryDelay.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -82,7 +82,7 @@
 			if command.LeaseEndMS != 0 && !isDefinite(err) {
 				s.leaseNotAnswered(incarnation, sent, received)
 			}
-			pause = s.heartbeatFailed(err, received)
+			pause = s.heartbeatFailed(err, sent, received)
 		default:
 			s.handleStatus(status, command, sent, received)
 			pause = heartbeatDelay
@@ -174,12 +174,28 @@
 	}
 }
 
+// shownSince reports whether the worker has shown a run, or accepted its stop, at a time or later. The caller holds mu.
+func (s *session) shownSince(t monotonic.Time) bool {
+	for _, r := range s.runs {
+		if r.shown.made() && r.shown.at >= t || r.stopAccepted.made() && r.stopAccepted.at >= t {
+			return true
+		}
+	}
+	return false
+}
+
 // heartbeatFailed handles a heartbeat without a status and returns the delay before the next.
-func (s *session) heartbeatFailed(err error, now monotonic.Time) time.Duration {
+func (s *session) heartbeatFailed(err error, sent, now monotonic.Time) time.Duration {
 	var refused *worker.RefusedError
 	o := s.owner
 	switch {
 	case errors.As(err, new(*worker.GoneError)) && s.answeredAtAddress():
+		if s.shownSince(sent) {
+			o.Log.WithError(err).WithFields(logrus.Fields{
+				"worker": s.ID, "shard": o.Shard, "address": s.Address, "runs": len(s.runs), "took_ms": now.Sub(sent).Milliseconds(),
+			}).Info("worker answered itself meanwhile")
+			return retryDelay
+		}
 		// A worker that has not answered at its new address may still be at the former one.
 		o.recordGone(s, now)
 		s.markAllLost("worker gone")
--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -296,3 +296,37 @@
 		f.expectNoViolation()
 	})
 })
+
+var _ = Describe("an answer that another worker is at the address", func() {
+	// Guards against a second run of a task beside one that the worker confirmed after the request for that answer.
+	simulatedIt("does not end a run that the worker showed after the request", func(f *fixture) {
+		f.hide("w1")
+		j := testJob(2, job.Step{})
+		var replaced atomic.Bool
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				if replaced.CompareAndSwap(true, false) {
+					time.Sleep(200 * time.Millisecond)
+					f.list("w1")
+					return worker.Status{}, &worker.GoneError{ID: "w0"}
+				}
+				return conn.Heartbeat(ctx, command)
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				time.Sleep(50 * time.Millisecond)
+				return conn.Start(ctx, command)
+			},
+		})
+		o := f.startOwner()
+		first := testJob(1, job.Step{})
+		o.submit(first)
+		Eventually(o.state, callTimeout).WithArguments(first.ID).Should(Equal("completed"))
+		time.Sleep(2 * time.Second)
+		replaced.Store(true)
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: 2 * time.Second})
+		o.submit(j)
+		Eventually(o.state, 10*time.Second).WithArguments(j.ID).Should(Equal("completed"))
+		Expect(replaced.Load()).To(BeFalse())
+		f.expectNoViolation()
+	})
+})
