--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -42,18 +42,19 @@
 		o.mu.Lock()
 		sent := monotonic.Now()
 		command := worker.HeartbeatCommand{Token: s.token, Wait: s.heartbeatWait()}
-		if last := s.lastAcknowledgeable(sent); last > s.acknowledged && s.incarnationKnown {
+		if last := s.lastAcknowledgeable(sent); last > s.acknowledged && s.incarnationKnown && s.startsInFlight == 0 {
 			// A restarted worker numbers its completions from 1 again. Repeating the old number
 			// would acknowledge completions of the new incarnation that were never received.
 			command.Acknowledged = last
 		}
+		s.holdStarts(command.Acknowledged, sent)
 		// The lease of an unreachable worker is not extended: every attempt may take effect, and
 		// its runs would never count as finished.
 		leaseEndBefore := s.leaseEnd
 		if s.fenced && s.reachable && s.needsLease() {
 			command.LeaseEndMS = s.grantLease(sent)
 		}
-		leaseEnd := s.leaseEnd
+		leaseEnd, incarnation := s.leaseEnd, s.incarnation
 		// The lease and the acknowledgement are for the worker at the current address.
 		conn := s.conn.conn()
 		o.mu.Unlock()
@@ -78,7 +79,10 @@
 				}
 				s.leaseEnd = leaseEndBefore
 			}
-			pause = s.heartbeatFailed(err, received)
+			if command.LeaseEndMS != 0 && !isDefinite(err) {
+				s.leaseNotAnswered(incarnation, sent, received)
+			}
+			pause = s.heartbeatFailed(err, sent, received)
 		default:
 			s.handleStatus(status, command, sent, received)
 			pause = heartbeatDelay
@@ -101,7 +105,7 @@
 
 func (s *session) heartbeatWait() time.Duration {
 	switch {
-	case !s.fenced || s.restarted || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
+	case !s.fenced || s.restarted || s.startsResumed != nil || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
 		return 0
 	case s.needsPacing():
 		return pacedHeartbeatWait
@@ -149,15 +153,15 @@
 }
 
 // waitForRecords gives the store time to record the completions that the next heartbeat
-// acknowledges.
+// acknowledges, and the worker time to answer the starts that keep it from doing so.
 func (s *session) waitForRecords(ctx context.Context) {
 	limit := time.NewTimer(ackWait)
 	defer limit.Stop()
 	for {
 		s.owner.mu.Lock()
-		recorded := s.processed <= s.durable
+		ready := s.processed <= s.durable && !s.acknowledgementWaits(monotonic.Now())
 		s.owner.mu.Unlock()
-		if recorded {
+		if ready {
 			return
 		}
 		select {
@@ -170,12 +174,28 @@
 	}
 }
 
+// shownSince reports whether the worker has shown a run, or accepted its stop, at a time or later. The caller holds mu.
+func (s *session) shownSince(t monotonic.Time) bool {
+	for _, r := range s.runs {
+		if r.shown.made() && r.shown.at >= t || r.stopAccepted.made() && r.stopAccepted.at >= t {
+			return true
+		}
+	}
+	return false
+}
+
 // heartbeatFailed handles a heartbeat without a status and returns the delay before the next.
-func (s *session) heartbeatFailed(err error, now monotonic.Time) time.Duration {
+func (s *session) heartbeatFailed(err error, sent, now monotonic.Time) time.Duration {
 	var refused *worker.RefusedError
 	o := s.owner
 	switch {
 	case errors.As(err, new(*worker.GoneError)) && s.answeredAtAddress():
+		if s.shownSince(sent) {
+			o.Log.WithError(err).WithFields(logrus.Fields{
+				"worker": s.ID, "shard": o.Shard, "address": s.Address, "runs": len(s.runs), "took_ms": now.Sub(sent).Milliseconds(),
+			}).Info("worker answered itself meanwhile")
+			return retryDelay
+		}
 		// A worker that has not answered at its new address may still be at the former one.
 		o.recordGone(s, now)
 		s.markAllLost("worker gone")
@@ -197,6 +217,9 @@
 		}
 		s.reachable = false
 	}
+	if len(s.runs) > 0 && s.isNewIncarnation(s.Worker) {
+		s.extendByLongestLease()
+	}
 	if len(s.runs) > 0 && now > s.leaseEnd {
 		s.markAllLost("lease ended without contact")
 	}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -44,6 +44,8 @@
 	clockKnown bool
 	clockMS    int64
 	clockAt    monotonic.Time
+	// clockSent is when the call was sent whose answer contained the clock.
+	clockSent monotonic.Time
 	// incarnationStartMS is the Unix time at which the worker's incarnation started; 0 if unknown.
 	incarnationStartMS int64
 	// fenced is set once the worker has received this owner's token.
@@ -52,15 +54,21 @@
 	lostOwnership bool
 	// leaseEnd is the latest time until which runs may continue on the worker.
 	leaseEnd monotonic.Time
+	// leaseUnanswered is when a command that granted a lease at the current address last stayed without an answer, or 0.
+	leaseUnanswered monotonic.Time
 	// processed and durable are the sequence numbers of the last completion processed and of the
 	// last one recorded; acknowledged is the last one whose acknowledgement the worker confirmed.
 	processed, durable, acknowledged int64
 	// held are the processed completions whose acknowledgement may have to wait, in order.
 	held []heldCompletion
 	// incarnation counts the worker incarnations that these numbers belong to. incarnationKnown is
-	// cleared by a heartbeat without a response: the worker may have restarted since.
+	// cleared by a heartbeat or a start without a response: the worker may have restarted since.
 	incarnation      int
 	incarnationKnown bool
+	// startsInFlight counts the start commands that have neither an answer nor timed out.
+	startsInFlight int
+	// startsResumed is set while starts wait for an acknowledgement, and closed when they may go on.
+	startsResumed chan struct{}
 	// restarted is set if the last status was the first one of an incarnation. The next one is requested at
 	// once, as the first one does not show the runs that were accepted after its request.
 	restarted bool
@@ -122,7 +130,7 @@
 		if w.Missing && !s.Missing {
 			s.notify()
 		}
-		if w.StartMS != s.StartMS && w.StartMS != 0 && s.incarnationStartMS != 0 && w.StartMS != s.incarnationStartMS {
+		if w.StartMS != s.StartMS && s.isNewIncarnation(w) {
 			// The restarted worker has forgotten the fencing token, so it accepts commands of former owners.
 			s.restartListed = monotonic.Now()
 			s.notify()
@@ -198,6 +206,7 @@
 	s.conn.redial(s.owner.Dialer.Dial(w))
 	s.Worker, s.dialedAt = w, monotonic.Now()
 	s.reachable, s.incarnationKnown, s.clockKnown = false, false, false
+	s.leaseUnanswered = 0
 	s.resetCompletions()
 	s.notify()
 }
