hosts: compare a list of hosts with commands by the time of its request

A wave could have more hosts down than it allows, and could be reported as completed without the upkeep of a host that stays.

Cause: a list of hosts counted from when it was received. A list of several pages takes seconds on a slow platform. One that was read before a command of the previous holder took effect showed the host as up, and released its place to another host; one that was read right after an accepted command counted as the return of the host. A host that one list did not contain counted as removed by the clock alone, without a second list, when the drains of another wave took six seconds.

The time of the request is kept beside that of the answer, and all beliefs about hosts go by the former. The pause between two lists still counts from the answer.

--- a/internal/hosts/manager.go
+++ b/internal/hosts/manager.go
@@ -76,9 +76,11 @@
 // singleton role.
 type Manager struct {
 	Config
-	waves    map[int64]*waveState
-	hosts    map[fleet.HostID]Host
-	listedAt monotonic.Time
+	waves map[int64]*waveState
+	hosts map[fleet.HostID]Host
+	// requestedAt is when the list of hosts was requested, and listedAt when it was received. What the list shows is
+	// compared with commands by the time of the request.
+	requestedAt, listedAt monotonic.Time
 
 	// lastCommand is when the last call that commanded each host ended. blocked holds the
 	// time until which a host gets no command, because the previous holder issued one recently.
@@ -254,6 +256,7 @@
 }
 
 func (m *Manager) list(ctx context.Context) error {
+	requested := monotonic.Now()
 	hosts, err := m.Platform.List(ctx)
 	if err != nil {
 		return err
@@ -273,29 +276,28 @@
 		}
 	}
 	m.hosts = listed
-	m.listedAt = monotonic.Now()
+	m.requestedAt, m.listedAt = requested, monotonic.Now()
 	return nil
 }
 
 // observe updates the progress of a wave's hosts from the latest listing.
 func (m *Manager) observe(w *waveState) {
-	now := monotonic.Now()
 	for _, id := range w.Hosts {
 		p := w.progress[id]
 		h, ok := m.hosts[id]
 		if !ok {
 			if p.missingSince == 0 {
-				p.missingSince = m.listedAt
+				p.missingSince = m.requestedAt
 			}
-			p.gone = p.gone || now.Sub(p.missingSince) > goneAfter
+			p.gone = p.gone || m.requestedAt.Sub(p.missingSince) > goneAfter
 			continue
 		}
 		p.missingSince, p.gone = 0, false
-		if p.announced && !p.accepted && h.State == Up && m.listedAt.Sub(p.commandedAt) > m.TermGap+returnSlack {
+		if p.announced && !p.accepted && h.State == Up && m.requestedAt.Sub(p.commandedAt) > m.TermGap+returnSlack {
 			// The previous holder's command was not carried out, or its maintenance is over.
 			p.commandedAt, p.announced = 0, false
 		}
-		if p.accepted && !p.returned && h.State == Up && m.listedAt.Sub(p.commandedAt) > m.MaintenanceTime+returnSlack {
+		if p.accepted && !p.returned && h.State == Up && m.requestedAt.Sub(p.commandedAt) > m.MaintenanceTime+returnSlack {
 			p.returned = true
 		}
 	}
