endpoint: count outcomes for the health state in which the request was sent

An endpoint that had recovered was ejected again, for twice the time, so callers had fewer endpoints; or it was readmitted without a probe.

Cause: the outcome of a request that was sent before an endpoint was ejected counted as the outcome of a probe, or, after the readmission, among the recent attempts. An endpoint that restarts at its address is judged by requests to its former process in that way, which fail late.

An attempt carries the number of the health period in which it was sent, and its outcome changes the health only in that one. It still counts for the mean duration and the concurrency.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -20,6 +20,8 @@
 	// running counts the requests at the endpoint, including this one.
 	running int
 	sample  sampleID
+	// period is the health period in which the request was sent.
+	period int
 }
 
 // Tracker holds the statistics of one endpoint. It is not safe for concurrent use; callers
@@ -69,7 +71,7 @@
 // Start records that a request is about to be sent; running counts the requests at the endpoint,
 // including this one.
 func (t *Tracker) Start(now time.Time, running int) Attempt {
-	return Attempt{running: running, sample: t.concurrency.start(now, running)}
+	return Attempt{running: running, sample: t.concurrency.start(now, running), period: t.health.period}
 }
 
 // Finish records the outcome of the attempt.
@@ -82,6 +84,10 @@
 		t.health.reset()
 		return
 	}
+	if a.period != t.health.period {
+		// The endpoint has changed its state since, and may have restarted.
+		return
+	}
 	if t.health.finish(now, o) {
 		t.concurrency.slowStart(now)
 	}
--- a/internal/endpoint/health.go
+++ b/internal/endpoint/health.go
@@ -41,7 +41,9 @@
 
 // health decides when an endpoint is ejected, probed and readmitted.
 type health struct {
-	state          State
+	state State
+	// period counts the changes of state.
+	period         int
 	recent         []attempt
 	ejectedUntil   time.Time
 	ejectionPeriod time.Duration
@@ -111,12 +113,17 @@
 
 func (h *health) eject(now time.Time) {
 	h.ejectionPeriod = min(max(2*h.ejectionPeriod, firstEjection), maxEjection)
-	h.state, h.ejectedUntil = Ejected, now.Add(h.ejectionPeriod)
-	h.reset()
+	h.ejectedUntil = now.Add(h.ejectionPeriod)
+	h.enter(Ejected)
 }
 
 func (h *health) readmit() {
-	h.state = InUse
+	h.enter(InUse)
+}
+
+func (h *health) enter(s State) {
+	h.state = s
+	h.period++
 	h.reset()
 }
 
@@ -127,6 +134,6 @@
 
 func (h *health) tick(now time.Time) {
 	if h.state == Ejected && !now.Before(h.ejectedUntil) {
-		h.state = Probing
+		h.enter(Probing)
 	}
 }
