membership: ignore late messages of a process that was replaced at its address

The seats of a daemon that had restarted became inactive at a peer until the next heartbeat with it, so its endpoints could go to other owners and back.

Cause: any message of an incarnation made it the active one at its address and all others inactive. A heartbeat of the former process, or its reply, may be handled after the first message of the new one, for example after a pause of the receiver.

An incarnation that was replaced at its address becomes active again only by the reply to a request that was sent after that. Other messages of it are ignored, and the address is asked, as the order of two requests of peers is not known.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -37,7 +37,10 @@
 	// suspect is set if this daemon's own last exchange with the peer failed. Only such
 	// peers are reported to others: passing on reports of third parties would keep all
 	// daemons probing each other.
-	suspect       bool
+	suspect bool
+	// supersededAt is when another incarnation was recorded at the same address, or zero. Only the reply to a request
+	// that was sent later shows that this one is there.
+	supersededAt  time.Time
 	lastSeen      time.Time
 	lastHeartbeat time.Time
 	rows          map[string]oas.TeamRow
@@ -254,7 +257,7 @@
 	defer m.notifyPeerState(&reply.State)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.recordPeer(&reply.State)
+	m.recordPeer(&reply.State, sent)
 	p.requestEnded(msg, now, reply.State.Incarnation == p.incarnation)
 	for _, vouch := range reply.Vouched {
 		if s := m.held[fleet.SeatID(vouch.Seat)]; s != nil && s.vouches[fleet.SeatID(vouch.Voter)].Before(sent) {
@@ -383,7 +386,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if req.Incarnation != m.cfg.Incarnation {
-		m.recordPeer(req)
+		m.recordPeer(req, time.Time{})
 	}
 	now := time.Now()
 	reply := &oas.HeartbeatReply{Vouched: []oas.Vouch{}}
@@ -417,21 +420,26 @@
 	return true
 }
 
-// recordPeer records the state received from a peer.
-func (m *Membership) recordPeer(h *oas.Heartbeat) {
+// recordPeer records the state received from a peer, in the reply to a request that was sent at a time, or in
+// a request of the peer if that is zero. A message of an incarnation that was replaced at its address may arrive late.
+func (m *Membership) recordPeer(h *oas.Heartbeat, sent time.Time) {
 	now := time.Now()
-	m.lastContact = now
 	p := m.peers[h.Incarnation]
 	if p == nil {
 		p = &peer{incarnation: h.Incarnation, sent: map[string]sentRow{}, rows: map[string]oas.TeamRow{}}
 		m.peers[h.Incarnation] = p
 	}
+	if !p.supersededAt.IsZero() && !sent.After(p.supersededAt) {
+		m.ignoreSuperseded(p, now)
+		return
+	}
+	m.lastContact = now
 	p.daemon, p.address, p.zone = h.Daemon, h.PeerAddress, fleet.AvailabilityZone(h.AvailabilityZone)
-	p.active, p.suspect, p.lastSeen, p.leaving = true, false, now, h.Leaving.Or(false)
+	p.active, p.suspect, p.lastSeen, p.leaving, p.supersededAt = true, false, now, h.Leaving.Or(false), time.Time{}
 	for _, other := range m.peers {
 		// An address belongs to one process: an earlier incarnation at it has stopped.
 		if other != p && other.address == p.address {
-			other.active = false
+			other.active, other.supersededAt = false, now
 		}
 	}
 	for _, known := range m.cellSeats {
@@ -460,6 +468,17 @@
 	m.refreshView()
 }
 
+// ignoreSuperseded handles a message of an incarnation that was replaced at its address. Which of two incarnations is there
+// is certain only once the address was asked.
+func (m *Membership) ignoreSuperseded(p *peer, now time.Time) {
+	m.log.WithFields(map[string]any{
+		"peer": p.daemon, "address": p.address, "incarnation": p.incarnation, "superseded_ms": now.Sub(p.supersededAt).Milliseconds(),
+	}).Info("message of a replaced peer ignored")
+	if now.Sub(p.lastHeartbeat) >= m.cfg.HeartbeatInterval {
+		m.runInBackgroundLocked(func(ctx context.Context) { m.exchangeOrProbe(ctx, p) })
+	}
+}
+
 // mergeSeatState merges a received state of one seat. The occupant with more handovers
 // takes precedence, and the highest renewal counter is kept.
 func (m *Membership) mergeSeatState(st oas.SeatState) *cellSeat {
