follow: ignore a watch that ended before the records of the last read

A worker that drained could seem ready again, or a partition be without a worker that it had, until the next answer of the watch. Found by reading; only lists of several pages are affected.

A watch that was waiting when the list was read may be answered with changes between the two, which replaced these records by former ones.

A watch whose revision is lower than that of the newest listed record is ignored; the next one starts at the revision of the list and delivers all changes since. A record that is removed while the pages are read may still reappear for the time of one watch, as the list does not tell at which revision its last page was read.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -57,6 +57,9 @@
 
 	mu       sync.Mutex
 	revision uint64
+	// newestListed is the revision of the newest record of the last full read, which is higher than revision if
+	// records changed while its pages were read.
+	newestListed uint64
 	// recordCount is the number of records at the last full read.
 	recordCount int
 	wake        chan struct{}
@@ -158,7 +161,10 @@
 		return nil
 	}
 	f.Target.Replace(records, revision)
-	f.revision, f.recordCount = revision, len(records)
+	f.revision, f.recordCount, f.newestListed = revision, len(records), 0
+	for _, r := range records {
+		f.newestListed = max(f.newestListed, r.Version)
+	}
 	return nil
 }
 
@@ -196,6 +202,10 @@
 		// read, which covers all changes.
 		return
 	}
+	if revision < f.newestListed {
+		// The watch ended before the last full read did: its changes would undo later ones. The next watch delivers all.
+		return
+	}
 	newer := changes[:0:0]
 	for _, c := range changes {
 		if c.Version > f.revision {
