claim: apply removals of claims and wanted workers by their revisions

Until the watch delivered the own writes as well, a partition could lose a worker that it had just claimed, and count too few workers as wanted.

Cause: a daemon applies its own writes at once. The watch may deliver changes before them later: the removal of the former claim on the worker, or an earlier number of wanted workers. Only claims that were written were compared by revision.

--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -77,6 +77,12 @@
 	Revision uint64
 }
 
+// wantedWorkers is how many workers a partition wants, with the revision of its record.
+type wantedWorkers struct {
+	workers  int
+	revision uint64
+}
+
 // Table is a daemon's local copy of the claims.
 type Table struct {
 	follower *follow.Follower
@@ -91,7 +97,7 @@
 	views map[fleet.ServiceID]map[worker.ID]Claim
 	held  map[fleet.ServiceID]map[string][]worker.ID
 	// wanted is how many workers each partition wants, by shard.
-	wanted map[string]int
+	wanted map[string]wantedWorkers
 	// version counts the changes of claims and of wanted workers.
 	version uint64
 }
@@ -99,7 +105,7 @@
 // NewTable returns an empty table. It follows the claims in the store only while needed
 // returns true, and calls changed after each change.
 func NewTable(s store.Transactional, needed func() bool, changed func(), log *logrus.Logger) *Table {
-	t := &Table{changed: changed, rejections: follow.NewRejections(log), wanted: map[string]int{}}
+	t := &Table{changed: changed, rejections: follow.NewRejections(log), wanted: map[string]wantedWorkers{}}
 	t.claims, t.views, t.held = map[fleet.ServiceID]map[worker.ID]Claim{}, map[fleet.ServiceID]map[worker.ID]Claim{}, map[fleet.ServiceID]map[string][]worker.ID{}
 	t.follower = follow.New(follow.Config{
 		Store: s, Prefix: keyPrefix, Target: t, RelistInterval: relistInterval, Needed: needed, Log: log,
@@ -163,7 +169,7 @@
 func (t *Table) Wanted(shard string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.wanted[shard]
+	return t.wanted[shard].workers
 }
 
 // Replace implements follow.Target. Claims that this daemon has written after the listing
@@ -200,7 +206,8 @@
 			t.put(c.Entry)
 			continue
 		}
-		if pool, id, ok := parseKey(c.Key); ok {
+		// A claim that this daemon has written may be newer than the removal.
+		if pool, id, ok := parseKey(c.Key); ok && t.claims[pool][id].Revision <= c.Version {
 			delete(t.claims[pool], id)
 			t.invalidate(pool)
 		}
@@ -225,8 +232,12 @@
 			t.rejections.Report(e.Key, err)
 			return
 		}
-		if t.wanted[shard] != n {
-			t.wanted[shard] = n
+		old := t.wanted[shard]
+		if e.Version < old.revision {
+			return
+		}
+		t.wanted[shard] = wantedWorkers{n, e.Version}
+		if old.workers != n {
 			t.version++
 		}
 		return
