lease: apply removals and lists of owners and bindings by their revisions

Until the watch delivered the own writes, calls for a shard that a daemon had just acquired could be refused or forwarded to its former owner, and a queue that had just been bound could seem unbound. Found by reading; no call was seen to fail.

Cause: a daemon applies its own acquisitions and bindings at once. A list or a change from before them may be delivered later: the list replaced all owners, a removal removed whatever was known, and the record of a former owner replaced a newer one. Only the loss of an own shard was decided by revisions.

--- a/internal/lease/owners.go
+++ b/internal/lease/owners.go
@@ -184,7 +184,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	members, owners := len(o.members), len(o.owners)
-	o.members, o.owners = map[string]Member{}, map[string]owner{}
+	o.members = map[string]Member{}
+	// A shard that this daemon has acquired since is not in the list.
+	maps.DeleteFunc(o.owners, func(_ string, record owner) bool { return record.token <= revision })
 	bound := map[string]bool{}
 	for _, e := range records {
 		o.put(e)
@@ -236,6 +238,9 @@
 	if shard, ok := strings.CutPrefix(e.Key, ownerPrefix); ok {
 		// A shard whose record cannot be read is not vacant: as long as the key exists, each attempt
 		// to acquire the shard fails.
+		if e.Created < o.owners[shard].token {
+			return
+		}
 		o.owners[shard] = owner{Member: m, token: e.Created, lease: e.Lease}
 	}
 }
@@ -253,10 +258,13 @@
 		if name, ok := strings.CutPrefix(e.Key, memberPrefix); ok {
 			delete(o.members, name)
 		}
-		if shard, ok := strings.CutPrefix(e.Key, ownerPrefix); ok {
+		// What this daemon has written may be newer than the removal.
+		if shard, ok := strings.CutPrefix(e.Key, ownerPrefix); ok && o.owners[shard].token <= e.Version {
 			delete(o.owners, shard)
 		}
-		delete(o.bindings, e.Key)
+		if o.bindings[e.Key].Revision <= e.Version {
+			delete(o.bindings, e.Key)
+		}
 	}
 	o.changedAt = monotonic.Now()
 	o.notify()
