roster: count heartbeats of the digest that are delivered at once as one

After a pause of a daemon its digest of the workers counted as fresh for up to 1.2 s, with workers that drained or had left during the pause.

Cause: two consecutive heartbeats show that the publisher is alive, as the first one that is read may be old. One answer of the watch that was given before the pause may hold several, which are all old.

--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -121,23 +121,28 @@
 	defer r.mu.Unlock()
 	before := r.digest.version
 	seen := map[worker.ID]bool{}
+	heartbeat := r.heartbeat
 	for _, e := range records {
 		seen[digestID(e.Key)] = true
-		d.put(e)
+		d.put(e, &heartbeat)
 	}
 	r.digest.markOthersMissing(seen)
 	r.digest.readAt = monotonic.Now()
+	r.recordHeartbeat(heartbeat)
 	d.confirm()
 	r.notifyIfChanged(r.digest, before)
 }
 
-// Apply implements follow.Target.
+// Apply implements follow.Target. Several heartbeats that are delivered at once count as one: after a pause of this
+// daemon all of them may be old.
 func (d digestTarget) Apply(changes []store.Event) {
 	r := d.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.digest.version
-	r.digest.apply(changes, digestID, d.put)
+	heartbeat := r.heartbeat
+	r.digest.apply(changes, digestID, func(e store.Entry) { d.put(e, &heartbeat) })
+	r.recordHeartbeat(heartbeat)
 	d.confirm()
 	r.notifyIfChanged(r.digest, before)
 }
@@ -150,9 +155,10 @@
 	}
 }
 
-func (d digestTarget) put(e store.Entry) {
+// put applies a record of a worker, or stores the publisher's heartbeat in heartbeat.
+func (d digestTarget) put(e store.Entry, heartbeat *string) {
 	if e.Key == heartbeatKey {
-		d.r.recordHeartbeat(string(e.Value))
+		*heartbeat = string(e.Value)
 		return
 	}
 	w, err := decodeDigest(e)
