membership: keep a leaving peer as leaving when an earlier heartbeat arrives late

A peer that stops was counted again as one that stays: its units counted for the shares of its teams, and it could be offered a seat, which it refuses.

Cause: each message replaced the state of its sender, and messages overtake each other. A daemon that leaves does not come back under its incarnation, so the state is kept.

"counts a peer as leaving when an earlier heartbeat of it arrives late": 3 of 3 failed before, passes now.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -435,7 +435,9 @@
 	}
 	m.lastContact = now
 	p.daemon, p.address, p.zone = h.Daemon, h.PeerAddress, fleet.AvailabilityZone(h.AvailabilityZone)
-	p.active, p.suspect, p.lastSeen, p.leaving, p.supersededAt = true, false, now, h.Leaving.Or(false), time.Time{}
+	p.active, p.suspect, p.lastSeen, p.supersededAt = true, false, now, time.Time{}
+	// A daemon that leaves does not stay. An earlier message of it may arrive later.
+	p.leaving = p.leaving || h.Leaving.Or(false)
 	for _, other := range m.peers {
 		// An address belongs to one process: an earlier incarnation at it has stopped.
 		if other != p && other.address == p.address {
--- a/internal/membership/late_heartbeat_test.go
+++ b/internal/membership/late_heartbeat_test.go
@@ -34,4 +34,16 @@
 		send(s, n, "former")
 		s.Expect(active(n)).To(Equal([]string{"seat-of-new"}))
 	})
+
+	scenarioIt("counts a peer as leaving when an earlier heartbeat of it arrives late", func(s *scenario) {
+		n := s.cell(52, limits(4)).startAll(1)[0]
+		for _, leaving := range []bool{false, true, false} {
+			_, err := n.Heartbeat(context.Background(), &oas.Heartbeat{
+				Daemon: "x", Incarnation: "i-x", PeerAddress: "x", Seats: []oas.SeatState{}, Leaving: oas.NewOptBool(leaving),
+			})
+			s.Expect(err).NotTo(HaveOccurred())
+		}
+		s.Expect(n.PeerTeamRows()).To(HaveLen(1))
+		s.Expect(n.PeerTeamRows()[0].Leaving).To(BeTrue())
+	})
 })
