membership: count contact from when the call was sent

A daemon that was cut from the store and from all peers could accept requests with revoked keys for another failure time after a pause of its process.

Cause: it counts as isolated, and accepts nothing, once nobody replied for the failure time. A reply that was handled after the pause counted as contact at that time, although its request was sent before.

A request of a peer still counts from its arrival, as it does not tell when it was sent.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -433,7 +433,11 @@
 		m.ignoreSuperseded(p, now)
 		return
 	}
-	m.lastContact = now
+	if sent.IsZero() {
+		m.recordContact(now)
+	} else {
+		m.recordContact(sent)
+	}
 	p.daemon, p.address, p.zone = h.Daemon, h.PeerAddress, fleet.AvailabilityZone(h.AvailabilityZone)
 	p.active, p.suspect, p.lastSeen, p.supersededAt = true, false, now, time.Time{}
 	// A daemon that leaves does not stay. An earlier message of it may arrive later.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -51,7 +51,8 @@
 	view      View
 	subs      notifier
 	rowSubs   notifier
-	// lastContact is the time of the last reply of the store or exchange with a peer.
+	// lastContact is when the last request was sent to which the store or a peer replied, or when the last request of a
+	// peer arrived.
 	lastContact     time.Time
 	leaving         bool
 	heartbeatRounds int
@@ -262,7 +263,8 @@
 	}
 }
 
-// LastContact returns the time of the last reply of the store or exchange with a peer.
+// LastContact returns when the last request was sent to which the store or a peer replied, or when the last request
+// of a peer arrived. A reply may arrive long after its request, for example after a pause of this process.
 func (m *Membership) LastContact() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -272,10 +274,10 @@
 // StoreReachable reports whether the store responded to the last call.
 func (m *Membership) StoreReachable() bool { return m.store.reachable() }
 
-func (m *Membership) recordStoreContact(recovered bool) {
+func (m *Membership) recordStoreContact(sent time.Time, recovered bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastContact = time.Now()
+	m.recordContact(sent)
 	if recovered {
 		// A record that was not renewed during the store outage does not show that its
 		// occupant has failed.
@@ -283,6 +285,13 @@
 	}
 }
 
+// recordContact records a contact of the given time. The caller holds mu.
+func (m *Membership) recordContact(at time.Time) {
+	if at.After(m.lastContact) {
+		m.lastContact = at
+	}
+}
+
 // Seats returns the observed seats of the cell, for snapshots sent to peers.
 func (m *Membership) Seats() []oas.SeatState {
 	m.mu.Lock()
