--- a/internal/shard/review_test.go
+++ b/internal/shard/review_test.go
@@ -121,6 +121,7 @@
 			case 1:
 				f.worker(string(w.ID)).SetFaults(cluster.WorkerFaults{LoseStartReplies: 1})
 			case 2:
+				f.worker(string(w.ID)).SetFaults(cluster.WorkerFaults{SlowStops: stopGrace - 100*time.Millisecond})
 				f.mu.Lock()
 				f.claims[w.ID] = 100
 				f.mu.Unlock()
@@ -229,3 +230,93 @@
 		Expect(cluster.Check(f.workers.History.Events(), cluster.Expectation{})).To(BeEmpty())
 	})
 })
+
+// delayedAnswers delays answers on their way back.
+type delayedAnswers struct {
+	worker.Dialer
+	// start is called after each start command was executed, stop before each stop command is.
+	start func(worker.StartCommand)
+	stop  func()
+}
+
+type delayedAnswersConn struct {
+	worker.Conn
+	dialer *delayedAnswers
+}
+
+func (d *delayedAnswers) Dial(w worker.Worker) worker.Conn {
+	return &delayedAnswersConn{d.Dialer.Dial(w), d}
+}
+
+func (c *delayedAnswersConn) Start(ctx context.Context, command worker.StartCommand) (int64, error) {
+	clock, err := c.Conn.Start(ctx, command)
+	c.dialer.start(command)
+	return clock, err
+}
+
+func (c *delayedAnswersConn) Stop(ctx context.Context, token uint64, task string, number int) (int64, error) {
+	c.dialer.stop()
+	return c.Conn.Stop(ctx, token, task, number)
+}
+
+var _ = Describe("a worker that restarts under its ID while an answer of its former incarnation is on its way", func() {
+	// Guards against the acknowledgement of a completion that the owner never received, by the number of one of the former incarnation.
+	simulatedIt("keeps its completions until the owner has received them", func(f *fixture) {
+		f.workers.Remove("w1")
+		d := &hookedDialer{}
+		f.wrapDialer = func(wrapped worker.Dialer) worker.Dialer { d.Dialer = wrapped; return d }
+		first, second := testJob(1, job.Step{}), testJob(2, job.Step{})
+		f.setBehaviour(string(first.ID)+".0.0.0", cluster.Behaviour{Duration: 3 * time.Second})
+		var delayed atomic.Bool
+		d.answer = func(_ context.Context, _ worker.Worker, status worker.Status, err error) (worker.Status, error) {
+			if err == nil && len(status.Finished) > 0 && !delayed.Swap(true) {
+				time.Sleep(300 * time.Millisecond)
+			}
+			return status, err
+		}
+		o := f.startOwner()
+		o.submit(first)
+		time.Sleep(3*time.Second + 100*time.Millisecond)
+		Expect(delayed.Load()).To(BeTrue())
+		f.worker("w0").Crash()
+		o.submit(second)
+		Eventually(o.state, 20*time.Second).WithArguments(second.ID).Should(Equal("completed"))
+		Expect(cluster.Check(f.workers.History.Events(), cluster.Expectation{})).To(BeEmpty())
+	})
+
+	// Guards against a second run beside a late start, when the answer to its repetition came from the former incarnation.
+	simulatedIt("is told to stop a run that may start late before its task starts again", func(f *fixture) {
+		f.workers.Remove("w1")
+		faults := &commandFaults{startTimeout: 300 * time.Millisecond, paces: map[string]int{}}
+		d := &delayedAnswers{}
+		var attempts atomic.Int64
+		f.wrapDialer = func(wrapped worker.Dialer) worker.Dialer { faults.Dialer = wrapped; d.Dialer = faults; return d }
+		d.start = func(command worker.StartCommand) {
+			switch {
+			case command.Task == "0000000000000001.0.0.0" && command.Number == 1 && faults.count() > 0 && attempts.Add(1) == 2:
+				time.Sleep(1500 * time.Millisecond) // the answer to the repetition
+			case command.Task == "0000000000000001.0.0.0" && command.Number == 2 && faults.count() > 0:
+				_ = faults.release()
+			}
+		}
+		d.stop = func() { time.Sleep(5 * time.Millisecond) }
+		o := f.startOwner()
+		j := testJob(1, job.Step{})
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: 3 * time.Second})
+		busy := testJob(100, job.Step{Count: 16, Need: worker.Resources{CPU: 100, MemMB: 1}})
+		for i := range busy.Steps[0].Count {
+			f.setBehaviour(fmt.Sprintf("%s.0.0.%d", busy.ID, i), cluster.Behaviour{Duration: time.Duration(i+1) * 100 * time.Millisecond})
+		}
+		o.submit(busy)
+		time.Sleep(50 * time.Millisecond)
+		faults.set(func(d *commandFaults) { d.heldStarts = 1 })
+		o.submit(j)
+		w := f.worker("w0")
+		received := w.StartsReceived()
+		Eventually(w.StartsReceived, callTimeout).Should(Equal(received + 1))
+		time.Sleep(120 * time.Millisecond) // a status lists the run
+		w.Crash()
+		Eventually(o.state, 20*time.Second).WithArguments(j.ID).Should(Equal("completed"))
+		Expect(cluster.Check(f.workers.History.Events(), cluster.Expectation{})).To(BeEmpty())
+	})
+})
