shard: do not take answers of a former incarnation for those of the present one

Callers saw a task start again after its end was acknowledged, and two runs of a task at once.

Cause: a status of the former incarnation that was handled after an answer of the new one set the numbers of the completions, and the next heartbeat acknowledged those of the new incarnation by them. The answer of the former incarnation to a repeated start showed the run in the new one; when a status did not list it, the task started again although the first start could take effect late.

A status whose clock is higher than the known one allows is ignored. The answer to a start that was sent in a former incarnation counts as a word of that one, so a status of the present one decides, and the run is stopped first if one of its starts has no answer.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -94,7 +94,13 @@
 	now = monotonic.Now()
 	r.startInFlight = false
 	s.startAnswered(err)
+	sameIncarnation := s.incarnation == incarnation
 	s.recordClock(clock, sent, now)
+	shown := s.observe(now)
+	if !sameIncarnation {
+		// The answer may be from the former incarnation. The next status shows whether the present one has the run.
+		shown.incarnation = incarnation
+	}
 	s.confirmLease(leaseEnd, clock, now)
 	if err != nil && !isDefinite(err) {
 		s.leaseNotAnswered(incarnation, sent, now)
@@ -104,13 +110,13 @@
 	}
 	if err == nil {
 		s.logStart(r, attempt, clock, incarnation, now.Sub(sent))
-		r.shown = s.observe(now)
+		r.shown = shown
 		if r.state != runConfirmed {
 			r.state, r.started = runConfirmed, now
 		}
 		return
 	}
-	s.startFailed(r, err, attempt, leaseEnd, sent, now)
+	s.startFailed(r, err, attempt, command, sent, now)
 }
 
 // logStart logs the answer to a start. clock is that of the worker in the answer, incarnation the one that
@@ -130,28 +136,29 @@
 	return account == "" || r.step.Gang || o.ledger.Allows(account, o.limit(account), o.usage[account])
 }
 
-// startFailed handles a start command that was refused or got no response. leaseEndMS is the lease that it granted. The
-// caller holds mu.
-func (s *session) startFailed(r *run, err error, attempt int, leaseEndMS int64, sent, now monotonic.Time) {
+// startFailed handles a start command that was refused or got no response. The caller holds mu.
+func (s *session) startFailed(r *run, err error, attempt int, command worker.StartCommand, sent, now monotonic.Time) {
 	o := s.owner
 	var refused *worker.RefusedError
 	fields := logrus.Fields{
-		"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": s.token, "took_ms": now.Sub(sent).Milliseconds(),
+		"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": command.Token, "took_ms": now.Sub(sent).Milliseconds(),
 		"incarnation": s.incarnation,
 	}
+	// The token was raised on the way, so a refusal does not show that there is another owner.
+	raised := command.Token < s.token
 	switch {
 	case errors.As(err, &refused):
 		s.recordClock(refused.ClockMS, sent, now)
 		if refused.Reason == worker.RefusedStaleRun || refused.Reason == worker.RefusedCapacity {
 			// The worker takes the lease over all the same.
-			s.confirmLease(leaseEndMS, refused.ClockMS, now)
+			s.confirmLease(command.LeaseEndMS, refused.ClockMS, now)
 		}
 		o.Log.WithFields(fields).WithField("reason", refused.Reason).Info("start refused")
 		switch refused.Reason {
 		case worker.RefusedCapacity:
 			s.closedUntil = now.Add(capacityBackoff)
 		case worker.RefusedFence:
-			s.lostOwnership = true
+			s.lostOwnership = s.lostOwnership || !raised
 		case worker.RefusedUnhealthy:
 			s.closedUntil = now.Add(unhealthyBackoff)
 			s.recordFailure(now)
@@ -172,7 +179,7 @@
 			// discarded.
 			s.clockKnown = false
 		}
-		if attempt > 1 && refused.Reason != worker.RefusedFence {
+		if attempt > 1 && (refused.Reason != worker.RefusedFence || raised) {
 			// The first attempt may have taken effect, or may still do so.
 			s.stopUnanswered(r)
 			return
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -14,6 +14,14 @@
 // handleStatus processes a status. The caller holds mu.
 func (s *session) handleStatus(status worker.Status, command worker.HeartbeatCommand, sent, received monotonic.Time) {
 	o := s.owner
+	if s.isFormerClock(status.ClockMS, sent, received) {
+		// Its completions have other numbers, and its runs have ended.
+		o.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "shard": o.Shard, "clock_ms": status.ClockMS, "known_clock_ms": s.clockMS, "listed": len(status.Running),
+			"finished": len(status.Finished), "requested_ms": received.Sub(sent).Milliseconds(), "incarnation": s.incarnation,
+		}).Info("status of a former incarnation ignored")
+		return
+	}
 	if !s.reachable {
 		o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard}).Info("worker answers again")
 		s.stops.restart(received)
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -19,6 +19,12 @@
 	return s.clockMS + now.Sub(s.clockAt).Milliseconds()
 }
 
+// isFormerClock reports whether a clock is that of a former incarnation, in the answer to a call that overlapped the one
+// with the known clock. It is higher than any that a later incarnation can show.
+func (s *session) isFormerClock(clockMS int64, sent, received monotonic.Time) bool {
+	return s.clockKnown && sent <= s.clockAt && clockMS > s.clockMS+received.Sub(s.clockSent).Milliseconds()+clockRounding
+}
+
 // recordClock stores the worker's clock from the response to a call.
 func (s *session) recordClock(clockMS int64, sent, received monotonic.Time) {
 	if clockMS <= 0 || sent <= s.dialedAt {
@@ -28,8 +34,7 @@
 	if s.clockKnown && received < s.clockAt {
 		return
 	}
-	// The clock of a former incarnation is higher than any that a later one can show.
-	if s.clockKnown && sent <= s.clockAt && clockMS > s.clockMS+received.Sub(s.clockSent).Milliseconds()+clockRounding {
+	if s.isFormerClock(clockMS, sent, received) {
 		s.owner.Log.WithFields(logrus.Fields{
 			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "known_clock_ms": s.clockMS, "incarnation": s.incarnation,
 			"took_ms": received.Sub(sent).Milliseconds(), "known_ms": received.Sub(s.clockAt).Milliseconds(),
