shard: repeat a stop that was accepted at a former address until it is accepted at the present one

A task never started again, and its worker got heartbeats without a pause.

Cause: since accepted stops hold only for the incarnation that accepted them, the stop of a run that never arrived was neither accepted nor pending after a change of the address, and no status lists such a run.

A status that does not list a run whose stop is not accepted requests the stop again, unless it is pending.

--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -198,7 +198,14 @@
 // showed or stopped them before the status was requested. Runs that it showed in a former incarnation are lost.
 func (s *session) detachUnlisted(listed map[runKey]bool, sent, received monotonic.Time) {
 	for key, r := range s.runs {
-		if listed[key] || !s.hasEnded(r, sent, received) {
+		if listed[key] {
+			continue
+		}
+		if !s.hasEnded(r, sent, received) {
+			if r.stopping && !s.holds(r.stopAccepted) {
+				// The stop was accepted by a former incarnation, or at a former address.
+				s.requestStop(key, received)
+			}
 			continue
 		}
 		if !s.holds(r.shown) && !s.holds(r.stopAccepted) {
@@ -219,6 +226,7 @@
 	switch {
 	case s.holds(r.stopAccepted):
 	case r.state != runConfirmed || !r.shown.precedes(sent) || r.startInFlight:
+		r.missingSince = 0
 		return false
 	case r.stopAttempts == 0 || !s.holds(r.shown):
 		return true
