shard: ask a worker that did not answer for its runs without a wait

A task whose worker restarted started again more than a second after the worker was back.

Cause: the first heartbeat to a worker that had not answered let it wait up to a second for the end of a run, as usual. A restarted worker has no runs, so the wait was over only after the whole second.

"is given its tasks again as soon as it answers": failed 3 of 3 before, passes now.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -105,7 +105,7 @@
 
 func (s *session) heartbeatWait() time.Duration {
 	switch {
-	case !s.fenced || s.restarted || s.startsResumed != nil || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
+	case !s.fenced || !s.reachable || s.restarted || s.startsResumed != nil || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
 		return 0
 	case s.needsPacing():
 		return pacedHeartbeatWait
--- a/internal/shard/incarnation_test.go
+++ b/internal/shard/incarnation_test.go
@@ -60,6 +60,21 @@
 	})
 })
 
+var _ = Describe("a worker that restarts under its ID while it runs tasks", func() {
+	// Guards against a second in which the restarted, idle worker is asked to wait for the end of a run that it has lost.
+	simulatedIt("is given its tasks again as soon as it answers", func(f *fixture) {
+		f.workers.Remove("w1")
+		o := f.startOwner()
+		j := testJob(1, job.Step{})
+		task := string(j.ID) + ".0.0.0"
+		f.setBehaviour(task, cluster.Behaviour{Duration: 3 * time.Second})
+		o.submit(j)
+		time.Sleep(500 * time.Millisecond)
+		f.worker("w0").Crash()
+		Eventually(func() int { return f.workers.History.Starts(task) }, 500*time.Millisecond).Should(Equal(2))
+	})
+})
+
 var _ = Describe("a run that its worker does not list as running while it stops", func() {
 	const stopTime = stopGrace - 100*time.Millisecond
 
