shard: let each run that was told to stop end within the stop grace before its task starts again

Callers saw two runs of a task at once where a worker did not list a run while it stopped it.

Cause: there were two shortcuts. A run that had been shown by a former incarnation, or at a former address, counted as ended at once although the answers to its stop might be missing; one restart is also noticed twice, by the clock and by the start of the incarnation, and the worker may go on at another address. And a run counted as not at work if its stop was accepted soon after a status without it, although a late start might have arrived in between.

Each run to which a stop command was sent waits for its listed end or the stop grace now. mayBeEnding and hasEnded are plain questions; detachUnlisted records since when a run is missing.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -117,7 +117,7 @@
 func (s *session) waitForMissing(now monotonic.Time) time.Duration {
 	wait := maxHeartbeatWait
 	for _, r := range s.runs {
-		if r.missingSince != 0 {
+		if r.missingSince != 0 && s.mayBeEnding(r) {
 			wait = min(wait, max(0, s.stoppedBy(r).Sub(now)))
 		}
 	}
--- a/internal/shard/observation.go
+++ b/internal/shard/observation.go
@@ -22,5 +22,6 @@
 // known.
 func (b observation) precedes(sent monotonic.Time) bool { return b.made() && b.at < sent }
 
-// holds reports whether an observation was made and the worker is not known to have restarted since.
+// holds reports whether an observation was made and the worker neither restarted since, as far as is known, nor changed
+// its address, with which it may have.
 func (s *session) holds(b observation) bool { return b.made() && b.incarnation == s.incarnation }
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -45,7 +45,8 @@
 	// shown is when the worker last showed the run: by the answer to a start, or in a status, of which the time
 	// of the request counts.
 	shown observation
-	// missingSince is when a status first did not list the run although it may be ending, or 0.
+	// missingSince is when a status first did not list the run although it had been shown or told to stop before, or 0 if
+	// it was listed since.
 	missingSince monotonic.Time
 	// reportedPercent is the share of the task that was active in the last status, in percent.
 	reportedPercent int
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -201,11 +201,14 @@
 		if listed[key] {
 			continue
 		}
-		if !s.hasEnded(r, sent, received) {
-			if r.stopping && !s.holds(r.stopAccepted) {
-				// The stop was accepted by a former incarnation, or at a former address.
-				s.requestStop(key, received)
-			}
+		if r.missingSince == 0 && (r.shown.precedes(sent) || s.holds(r.stopAccepted)) {
+			r.missingSince = received
+		}
+		if r.stopping && !s.holds(r.stopAccepted) {
+			// Needed if the stop was accepted by a former incarnation, or at a former address.
+			s.requestStop(key, received)
+		}
+		if !s.hasEnded(r, sent) {
 			continue
 		}
 		if !s.holds(r.shown) && !s.holds(r.stopAccepted) {
@@ -214,37 +217,30 @@
 		}
 		s.owner.Log.WithFields(logrus.Fields{
 			"worker": s.ID, "task": key.task.String(), "run": key.number, "stopped": s.holds(r.stopAccepted), "incarnation": s.incarnation,
-			"shown_ms": received.Sub(r.shown.at).Milliseconds(), "requested_ms": received.Sub(sent).Milliseconds(),
+			"missing_ms": received.Sub(r.missingSince).Milliseconds(), "requested_ms": received.Sub(sent).Milliseconds(),
 		}).Info("run not listed any more")
 		s.detach(r)
 	}
 }
 
-// hasEnded reports whether a run has ended, given a status that does not list it. A run takes up to the stop grace to
-// end once its worker has received a stop command, and need not be listed as running meanwhile.
-func (s *session) hasEnded(r *run, sent, received monotonic.Time) bool {
-	switch {
-	case s.holds(r.stopAccepted):
-	case r.state != runConfirmed || !r.shown.precedes(sent) || r.startInFlight:
-		r.missingSince = 0
+// mayBeEnding reports whether a run that a status does not list may be at work yet, because it was told to stop: it takes up
+// to the stop grace to end and need not be listed as running meanwhile.
+func (s *session) mayBeEnding(r *run) bool {
+	return s.holds(r.stopAccepted) || r.state == runConfirmed && r.stopAttempts > 0
+}
+
+// hasEnded reports whether a run has ended, given a status that does not list it.
+func (s *session) hasEnded(r *run, sent monotonic.Time) bool {
+	if s.mayBeEnding(r) && sent <= s.stoppedBy(r) {
 		return false
-	case r.stopAttempts == 0 || !s.holds(r.shown):
-		return true
-	}
-	if r.missingSince == 0 {
-		r.missingSince = received
 	}
-	return sent > s.stoppedBy(r)
+	return s.holds(r.stopAccepted) || r.state == runConfirmed && r.shown.precedes(sent) && !r.startInFlight
 }
 
-// stoppedBy returns when a run that a status did not list has ended at the latest. A stop command without an answer may have
-// been carried out until that status arrived.
+// stoppedBy returns when a run that a status did not list has ended at the latest after a stop command. A command without
+// an answer may have been carried out until that status arrived.
 func (s *session) stoppedBy(r *run) monotonic.Time {
-	switch {
-	case s.holds(r.stopAccepted) && r.unlistedAt != 0 && r.stopAccepted.at.Sub(r.unlistedAt) <= maxUnlistedAge:
-		// The run was not at work when it was told to stop.
-		return r.stopAccepted.at
-	case s.holds(r.stopAccepted):
+	if s.holds(r.stopAccepted) {
 		return r.stopAccepted.at.Add(s.owner.stopTime())
 	}
 	return r.missingSince.Add(s.owner.stopTime())
@@ -262,6 +258,6 @@
 		s.markLost(r, "worker restarted")
 		return
 	}
-	r.state, r.shown, r.unlistedAt = runUnknown, observation{}, monotonic.Now()
+	r.state, r.shown = runUnknown, observation{}
 	s.stop(r, "worker restarted")
 }
