--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -109,7 +109,7 @@
 		s.settleLateStart(r, err, s.incarnation == incarnation, sent, now)
 	}
 	if err == nil {
-		s.logStart(r, attempt, clock, incarnation, now.Sub(sent))
+		s.logStart(r, attempt, command.Token, clock, incarnation, now.Sub(sent))
 		r.shown = shown
 		if r.state != runConfirmed {
 			r.state, r.started = runConfirmed, now
@@ -121,9 +121,9 @@
 
 // logStart logs the answer to a start. clock is that of the worker in the answer, incarnation the one that
 // was known when the command was sent.
-func (s *session) logStart(r *run, attempt int, clock int64, incarnation int, took time.Duration) {
+func (s *session) logStart(r *run, attempt int, token uint64, clock int64, incarnation int, took time.Duration) {
 	s.owner.Log.WithFields(logrus.Fields{
-		"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": s.token, "took_ms": took.Milliseconds(),
+		"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": token, "took_ms": took.Milliseconds(),
 		"clock_ms": clock, "incarnation": s.incarnation, "incarnation_sent": incarnation, "born_ms": s.incarnationStartMS, "attached": s.attached(r),
 	}).Info("start answered")
 }
