shard: delay the starts of a job after one was refused as old

Cause: such a refusal was followed by the next scheduling pass without any delay.

Further starts of the job wait for 50 ms, then twice as long after each further refusal up to 800 ms, until a start of the job is accepted. Refusals of starts that were sent together count as one. The next heartbeat is sent at once to an idle worker, whose status may show why the run is refused.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -27,6 +27,9 @@
 	// failureBackoff delays further starts of a job after one of its runs failed, so that a task
 	// that always fails does not occupy a worker again at once.
 	failureBackoff = 50 * time.Millisecond
+	// maxStaleBackoff limits the delay of further starts of a job after starts that were refused as old. It
+	// begins with failureBackoff and doubles with each of them.
+	maxStaleBackoff = 800 * time.Millisecond
 	// longRunningBackoff delays further starts of a job after a run of one of its long-running
 	// tasks ended, for any cause.
 	longRunningBackoff = 100 * time.Millisecond
@@ -104,6 +107,7 @@
 	}
 	if err == nil {
 		s.logStart(r, attempt, clock, incarnation, now.Sub(sent))
+		r.entry.staleBackoff = 0
 		r.shown = s.observe(now)
 		if r.state != runConfirmed {
 			r.state, r.started = runConfirmed, now
@@ -160,11 +164,11 @@
 			// possibly successfully: the next status lists the completion. A stopping run is refused
 			// because its stop arrived first. Otherwise the worker has received this run number or a
 			// higher one from another owner.
-			if attempt > 1 {
-				s.notify()
-			} else if !r.stopping {
+			if attempt == 1 && !r.stopping {
 				r.entry.job.Task(r.task).LastRun += takeoverRunGap
+				r.entry.delayAfterStale(now)
 			}
+			s.notify()
 		case worker.RefusedApproval:
 			r.entry.dropApproval(r.task, s.ID)
 		case worker.RefusedExpired:
@@ -199,6 +203,16 @@
 	}
 }
 
+// delayAfterStale delays further starts of a job after one was refused as old. Refusals of starts that were sent together
+// count as one. The caller holds mu.
+func (e *jobEntry) delayAfterStale(now monotonic.Time) {
+	if now < e.retryAt {
+		return
+	}
+	e.staleBackoff = min(max(2*e.staleBackoff, failureBackoff), maxStaleBackoff)
+	e.retryAt = now.Add(e.staleBackoff)
+}
+
 // abandonStart gives up a start that may not be sent, or not be repeated, any more. The caller holds
 // mu.
 func (s *session) abandonStart(r *run) {
--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -330,3 +330,22 @@
 		f.expectNoViolation()
 	})
 })
+
+var _ = Describe("starts that a worker refuses as stale", func() {
+	// Guards against a start command, with a new run number, for every round trip while a worker refuses the task.
+	simulatedIt("are repeated after growing delays", func(f *fixture) {
+		f.workers.Remove("w1")
+		var refused atomic.Int32
+		f.route(&routedDialer{start: func(context.Context, worker.Conn, worker.StartCommand) (int64, error) {
+			time.Sleep(5 * time.Millisecond)
+			refused.Add(1)
+			return 0, &worker.RefusedError{Reason: worker.RefusedStaleRun}
+		}})
+		o := f.startOwner()
+		o.submit(testJob(1, job.Step{}))
+		time.Sleep(time.Second)
+		Expect(refused.Load()).To(BeNumerically("<=", 8))
+		time.Sleep(4 * time.Second)
+		Expect(refused.Load()).To(BeNumerically(">=", 6))
+	})
+})
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -201,9 +201,11 @@
 	// count the runs since then.
 	firstStart               monotonic.Time
 	starts, failures, losses int
-	// retryAt is the earliest time of the next start after a failed run, or after any
-	// ended run of a long-running task.
+	// retryAt is the earliest time of the next start after a failed run, after any ended run of a
+	// long-running task, or after a start that was refused as old.
 	retryAt monotonic.Time
+	// staleBackoff is the last delay after a start that was refused as old, or 0 after an accepted start.
+	staleBackoff time.Duration
 	// skips is the number of consecutive scheduling passes, up to the last one, that ended before they
 	// looked at the job.
 	skips int
