shard: allow for the longest lease also when a clock in an answer shows a restart

Callers saw two runs of a task at once, on two workers.

Cause: a start without an answer had given a new incarnation the longest lease, and the answer to a stop showed the restart by its clock. Only a status of the new incarnation raised the believed end of the lease; the worker fell silent before that, and a run that had started there since counted as lost too early.

The believed end of the lease is raised when the clock of a worker began anew, as it is for a status of a new incarnation.

--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -218,6 +218,53 @@
 		Eventually(o.state, 30*time.Second).WithArguments(kept.ID).Should(Equal("completed"))
 		f.expectNoViolation()
 	})
+
+	// Guards against the same if only the answer to a command showed the new incarnation before it fell silent.
+	simulatedIt("allows for such a lease also after the answer to a stop has shown the new incarnation", func(f *fixture) {
+		f.hide("w1")
+		unanswered, kept := testJob(2, job.Step{}), testJob(3, job.Step{})
+		var restarted atomic.Bool
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				if restarted.Load() {
+					time.Sleep(2 * time.Second)
+					return worker.Status{}, &worker.NoAnswerError{Cause: errDelayed}
+				}
+				command.Wait = 0
+				return conn.Heartbeat(ctx, command)
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				if command.Task[:16] != string(unanswered.ID) {
+					return conn.Start(ctx, command)
+				}
+				if !restarted.Load() {
+					time.Sleep(30 * time.Millisecond)
+					f.worker("w0").Crash()
+					restarted.Store(true)
+					time.Sleep(10 * time.Millisecond)
+				}
+				_, _ = conn.Start(ctx, command)
+				return 0, &worker.NoAnswerError{Cause: errDelayed}
+			},
+		})
+		o := f.startOwner()
+		first := testJob(1, job.Step{})
+		o.submit(first)
+		Eventually(o.state, callTimeout).WithArguments(first.ID).Should(Equal("completed"))
+		time.Sleep(clock)
+		f.setBehaviour(string(unanswered.ID)+".0.0.0", cluster.Behaviour{Duration: time.Hour})
+		f.setBehaviour(string(kept.ID)+".0.0.0", cluster.Behaviour{Duration: 8 * time.Second})
+		o.submit(unanswered)
+		time.Sleep(100 * time.Millisecond)
+		Expect(o.Cancel(context.Background(), unanswered.ID)).To(Succeed())
+		time.Sleep(500 * time.Millisecond)
+		o.submit(kept)
+		Eventually(f.worker("w0").Running, callTimeout).Should(Equal(1))
+		f.worker("w0").SetFaults(cluster.WorkerFaults{DelayedStops: 1 << 20, StopDelay: time.Hour})
+		f.list("w1")
+		Eventually(o.state, 30*time.Second).WithArguments(kept.ID).Should(Equal("completed"))
+		f.expectNoViolation()
+	})
 })
 
 var _ = Describe("the clock of a worker", func() {
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -48,6 +48,7 @@
 			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": passed.Milliseconds(),
 			"runs": len(s.runs), "incarnation": s.incarnation,
 		}).Warn("clock of a worker began anew")
+		s.extendByLongestLease()
 	}
 	s.clockKnown, s.clockMS, s.clockAt, s.clockSent = true, clockMS, received, sent
 }
