claim: count the time of a stranded claim from that claim

A partition could take a worker at once from one that had just been split off, instead of after six seconds.

Cause: a claim by a shard that is not known yet is left alone for six seconds, counted from when a claim on the worker was first found to be so. That time stayed if the passes in between failed, and then counted for a later claim by another new shard.

The time is kept with the revision of the claim.

--- a/internal/claim/assigner.go
+++ b/internal/claim/assigner.go
@@ -92,9 +92,9 @@
 	// unclaimedSince holds when workers were first found without a claim, unlistedSince when
 	// claimed workers were first found missing from the list.
 	unclaimedSince, unlistedSince map[worker.ID]monotonic.Time
-	// strandedSince holds when the claims on workers were first found to name an unknown shard.
-	strandedSince map[worker.ID]monotonic.Time
-	balancedAt    monotonic.Time
+	// strandedClaims holds the claims on workers that were found to name an unknown shard.
+	strandedClaims map[worker.ID]strandedClaim
+	balancedAt     monotonic.Time
 	// lastView is the state for which the workers were last examined.
 	lastView view
 	// unresolved holds the workers whose transfer has an unknown outcome, with the revision
@@ -108,9 +108,15 @@
 	shortage bool
 }
 
+// strandedClaim is a claim that names an unknown shard, and when it was first found to do so.
+type strandedClaim struct {
+	revision uint64
+	since    monotonic.Time
+}
+
 // New returns an assigner; call Run to start it.
 func New(c Config) *Assigner {
-	return &Assigner{Config: c, unclaimedSince: map[worker.ID]monotonic.Time{}, unlistedSince: map[worker.ID]monotonic.Time{}, strandedSince: map[worker.ID]monotonic.Time{}, unresolved: map[worker.ID]uint64{}}
+	return &Assigner{Config: c, unclaimedSince: map[worker.ID]monotonic.Time{}, unlistedSince: map[worker.ID]monotonic.Time{}, strandedClaims: map[worker.ID]strandedClaim{}, unresolved: map[worker.ID]uint64{}}
 }
 
 // view identifies a state of the pool.
@@ -184,15 +190,15 @@
 		if c, ok := claims[id]; ok && held[c.Shard] != nil {
 			held.Add(c.Shard, w)
 			delete(a.unclaimedSince, id)
-			delete(a.strandedSince, id)
+			delete(a.strandedClaims, id)
 			continue
-		} else if ok && !a.stranded(id) {
+		} else if ok && !a.stranded(id, c) {
 			continue
 		}
 		free = append(free, w)
 	}
 	maps.DeleteFunc(a.unclaimedSince, func(id worker.ID, _ monotonic.Time) bool { _, ok := listed[id]; return !ok })
-	maps.DeleteFunc(a.strandedSince, func(id worker.ID, _ monotonic.Time) bool { _, ok := listed[id]; return !ok })
+	maps.DeleteFunc(a.strandedClaims, func(id worker.ID, _ strandedClaim) bool { _, ok := listed[id]; return !ok })
 	maps.DeleteFunc(a.unlistedSince, func(id worker.ID, _ monotonic.Time) bool { _, ok := claims[id]; return !ok })
 	if own := held[self.Shard()]; own != nil {
 		a.workers = own.Workers
@@ -241,13 +247,14 @@
 
 // stranded reports whether the claim on a worker has named an unknown shard for strandedRetention.
 // Without the shard nobody transfers the worker, and it may be claimed again.
-func (a *Assigner) stranded(id worker.ID) bool {
+func (a *Assigner) stranded(id worker.ID, c Claim) bool {
 	now := monotonic.Now()
-	since, ok := a.strandedSince[id]
-	if !ok {
-		a.strandedSince[id], since = now, now
+	known, ok := a.strandedClaims[id]
+	if !ok || known.revision != c.Revision {
+		known = strandedClaim{c.Revision, now}
+		a.strandedClaims[id] = known
 	}
-	return now.Sub(since) > strandedRetention
+	return now.Sub(known.since) > strandedRetention
 }
 
 // claim claims the free workers that are assigned to this shard, and those that the
--- a/internal/claim/late_change_test.go
+++ b/internal/claim/late_change_test.go
@@ -41,4 +41,16 @@
 		apply(wantedKey("p", "p#1"), "7", 21, false)
 		Expect(table.Wanted("p#1")).To(Equal(7))
 	})
+
+	It("keeps a later claim by another unknown shard as long as the first one", func() {
+		a := New(Config{Table: table})
+		first := Claim{Shard: "p#1", Revision: 11}
+		Expect(a.stranded("w1", first)).To(BeFalse())
+		known := a.strandedClaims["w1"]
+		known.since = known.since.Add(-2 * strandedRetention)
+		a.strandedClaims["w1"] = known
+		Expect(a.stranded("w1", first)).To(BeTrue())
+		// The passes between failed because the store did not answer.
+		Expect(a.stranded("w1", Claim{Shard: "p#11", Revision: 12})).To(BeFalse())
+	})
 })
