lease: read the member record before the lease is granted

The read that the conditional write of the member record needs took place within the time of the lease.

--- a/internal/lease/renewer.go
+++ b/internal/lease/renewer.go
@@ -190,39 +190,32 @@
 }
 
 func (r *Renewer) acquire(ctx context.Context) error {
-	sent := monotonic.Now()
-	id, err := r.store.Grant(ctx, TTL)
-	if err != nil {
-		return fmt.Errorf("grant lease: %w", err)
-	}
-	if err := r.writeMember(ctx, id); err != nil {
-		return err
-	}
-	if !r.replace(0, id, sent) {
-		return &RevokedError{id}
-	}
-	r.log.WithField("lease", id).Info("lease acquired")
-	return nil
-}
-
-// writeMember binds the member record to a lease. The write requires the record that was read before, so that an earlier
-// write without an answer cannot bind the record to a former lease later.
-func (r *Renewer) writeMember(ctx context.Context, id store.LeaseID) error {
+	// The lease runs from its grant, so the record is read before.
 	key := memberPrefix + r.self.Name
 	current, err := r.store.Get(ctx, key)
 	if err != nil && !errors.As(err, new(*store.NotFoundError)) {
 		return fmt.Errorf("read member record %s: %w", r.self.Name, err)
 	}
+	sent := monotonic.Now()
+	id, err := r.store.Grant(ctx, TTL)
+	if err != nil {
+		return fmt.Errorf("grant lease: %w", err)
+	}
 	value, err := json.Marshal(r.self)
 	if err != nil {
 		return fmt.Errorf("encode member record %s: %w", r.self.Name, err)
 	}
+	// An earlier write without an answer must not bind the record to a former lease later.
 	_, err = r.store.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{{Key: key, Version: current.Version}}, Writes: []store.Write{{Key: key, Value: value, Lease: id}},
 	})
 	if err != nil {
 		return fmt.Errorf("write member record %s: %w", r.self.Name, err)
 	}
+	if !r.replace(0, id, sent) {
+		return &RevokedError{id}
+	}
+	r.log.WithField("lease", id).Info("lease acquired")
 	return nil
 }
 
