shard: show a job that never ends after a late answer of a former incarnation

A worker restarts while an answer is on its way. The new incarnation accepts a repeated stop; then the late answer sets the clock back to the former one, the next answer lets it "begin anew", and the owner takes the stop for one of a former incarnation. handleRestart is not called, as the incarnation is known already, so no further stop is sent: the run stays attached, and the job is running for ever.

--- a/internal/shard/reordered_test.go
+++ b/internal/shard/reordered_test.go
@@ -507,7 +507,8 @@
 	if len(s.ended) < len(s.jobs) || len(s.jobs) < steps/4 {
 		for id := range s.jobs {
 			if _, ok := s.ended[id]; !ok {
-				problems = append(problems, fmt.Sprintf("seed %d: job %s is %s\n%s", seed, id, s.owner.state(id), cluster.FormatTask(f.workers.History.Events(), string(id)+".0.0.0")))
+				problems = append(problems, fmt.Sprintf("seed %d: job %s is %s", seed, id, s.owner.state(id)))
+				GinkgoWriter.Printf("%s\n%s\n%s\n", problems[len(problems)-1], s.log.about(string(id), s.ids(), time.Time{}, time.Now().Add(-time.Minute)), s.log.about(string(id), s.ids(), time.Now().Add(-time.Second), time.Now()))
 			}
 		}
 		problems = append(problems, fmt.Sprintf("seed %d: %d of %d accepted jobs ended, %d submitted", seed, len(s.ended), len(s.jobs), steps))
