relay: random delays for each direction

A relay delayed all data of a direction by the same time, so answers on different connections kept their order. A switch for each direction adds a random delay to each chunk; a fifth of them exceed half of its bound.

--- a/internal/emulator/relay/relay.go
+++ b/internal/emulator/relay/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,10 @@
 	BlackholeDown bool `json:"blackhole_down,omitempty"`
 	DelayUpMS     int  `json:"delay_up_ms,omitempty"`
 	DelayDownMS   int  `json:"delay_down_ms,omitempty"`
+	// JitterUpMS and JitterDownMS bound a random delay of each chunk that is added. Most chunks are delayed by
+	// a small part of it.
+	JitterUpMS   int `json:"jitter_up_ms,omitempty"`
+	JitterDownMS int `json:"jitter_down_ms,omitempty"`
 }
 
 // AnySource stands for all sources. Its switches apply to the sources that have no
@@ -289,6 +294,14 @@
 type chunk struct {
 	data   []byte
 	readAt time.Time
+	// jitter is the share of the largest random delay that applies.
+	jitter float64
+}
+
+// randomJitter has a median of 1/8; a fifth of the values is above 1/2.
+func randomJitter() float64 {
+	u := rand.Float64()
+	return u * u * u
 }
 
 const (
@@ -308,7 +321,7 @@
 		readErr = c.read(src, chunks)
 	}()
 	for ch := range chunks {
-		if !c.waitToForward(ch.readAt, up) {
+		if !c.waitToForward(ch.readAt, ch.jitter, up) {
 			return
 		}
 		n, err := dst.Write(ch.data)
@@ -322,7 +335,7 @@
 		c.reset()
 		return
 	}
-	if c.waitToForward(time.Now(), up) {
+	if c.waitToForward(time.Now(), 0, up) {
 		_ = dst.CloseWrite()
 	}
 }
@@ -334,7 +347,7 @@
 		n, err := src.Read(buf)
 		if n > 0 {
 			select {
-			case chunks <- chunk{data: buf[:n], readAt: time.Now()}:
+			case chunks <- chunk{data: buf[:n], readAt: time.Now(), jitter: randomJitter()}:
 			case <-c.done:
 				return net.ErrClosed
 			}
@@ -350,14 +363,15 @@
 
 // waitToForward waits until a chunk that was read at readAt may be forwarded; it
 // returns false if the connection is closed.
-func (c *conn) waitToForward(readAt time.Time, up bool) bool {
+func (c *conn) waitToForward(readAt time.Time, jitter float64, up bool) bool {
 	for {
 		s, changed := c.relay.switchesFor(c.source)
-		blackhole, delay := s.BlackholeDown, s.DelayDownMS
+		blackhole, delayMS, jitterMS := s.BlackholeDown, s.DelayDownMS, s.JitterDownMS
 		if up {
-			blackhole, delay = s.BlackholeUp, s.DelayUpMS
+			blackhole, delayMS, jitterMS = s.BlackholeUp, s.DelayUpMS, s.JitterUpMS
 		}
-		wait := time.Until(readAt.Add(time.Duration(delay) * time.Millisecond))
+		delay := time.Duration((float64(delayMS) + jitter*float64(jitterMS)) * float64(time.Millisecond))
+		wait := time.Until(readAt.Add(delay))
 		if !blackhole && wait <= 0 {
 			return !c.isClosed()
 		}
--- a/internal/emulator/relay/relay_test.go
+++ b/internal/emulator/relay/relay_test.go
@@ -104,6 +104,34 @@
 	}
 }
 
+// Guards against random delays that are all equal, exceed their bound or apply to the other direction.
+func TestJitterDelaysChunksAtRandomWithinItsBound(t *testing.T) {
+	const exchanges, bound = 40, 60 * time.Millisecond
+	r := startRelay(t)
+	c := dial(t, r)
+	for _, s := range []Switches{{JitterUpMS: int(bound.Milliseconds())}, {JitterDownMS: int(bound.Milliseconds())}} {
+		_ = r.Set(s)
+		short, long := 0, 0
+		for range exchanges {
+			begin := time.Now()
+			if err := exchange(c, time.Second); err != nil {
+				t.Fatal(err)
+			}
+			switch took := time.Since(begin); {
+			case took < bound/4:
+				short++
+			case took < 2*bound:
+				long++
+			default:
+				t.Logf("exchange took %v on a busy machine", took)
+			}
+		}
+		if short < exchanges/4 || long == 0 {
+			t.Errorf("%+v: %d exchanges took less than a quarter of the bound and %d longer, of %d", s, short, long, exchanges)
+		}
+	}
+}
+
 // Guards against connections that survive ResetConnections, and a half-close that
 // closes both directions.
 func TestResetAndHalfClose(t *testing.T) {
