emulator: run a worker as a separate process that records its runs

Emulated workers lived in the process of the test: calls to them had no latency, and a restart broke no connection. The command "worker" serves one incarnation of a worker and writes each event to a file before the call that caused it is answered, so that its history survives SIGKILL. The spec of a job describes its runs, because such a worker knows no task of the test.

The tests of platform, internal/emulator and cmd pass.

--- a/cmd/samphirestile-emulator/main.go
+++ b/cmd/samphirestile-emulator/main.go
@@ -9,6 +9,7 @@
 type commandLine struct {
 	Platform platformCommand `cmd:"" help:"Emulate the platform: key-value store and host list."`
 	Endpoint endpointCommand `cmd:"" help:"Emulate an endpoint of a service."`
+	Worker   workerCommand   `cmd:"" help:"Emulate one worker and record its runs."`
 	Relay    relayCommand    `cmd:"" help:"Relay TCP connections with fault switches."`
 	Load     loadCommand     `cmd:"" help:"Send the requests of a plan and print the events as JSON lines."`
 	Demo     demoCommand     `cmd:"" help:"Run the whole path on this machine once."`
--- a/internal/emulator/cluster/worker.go
+++ b/internal/emulator/cluster/worker.go
@@ -90,6 +90,9 @@
 
 // History collects the events of all workers.
 type History struct {
+	// Record is called with each event, in their order and before the call that caused it is answered; it may be nil.
+	Record func(Event)
+
 	mu     sync.Mutex
 	events []Event
 }
@@ -99,6 +102,9 @@
 	defer h.mu.Unlock()
 	e.At = time.Now()
 	h.events = append(h.events, e)
+	if h.Record != nil {
+		h.Record(e)
+	}
 }
 
 // Events returns a copy of the events recorded so far.
@@ -130,7 +136,7 @@
 type Worker struct {
 	worker.Worker
 	history   *History
-	behaviour func(task string, number int) Behaviour
+	behaviour func(cmd worker.StartCommand) Behaviour
 	// admits checks the approval of a start.
 	admits func(cmd worker.StartCommand, incarnation int) bool
 
@@ -165,8 +171,10 @@
 // Workers emulates the workers of a pool and implements worker.Dialer.
 type Workers struct {
 	History History
-	// Behaviour chooses the duration and result of each run; it must not be nil.
+	// Behaviour chooses the duration and result of each run; it must not be nil unless SpecBehaviour is set.
 	Behaviour func(task string, number int) Behaviour
+	// SpecBehaviour chooses them by the spec of the job instead; nil means that Behaviour does.
+	SpecBehaviour func(spec string) Behaviour
 	// NeedsApproval reports whether a task needs an approval of Advisor; nil means never.
 	NeedsApproval func(task string) bool
 	Advisor       *Advisor
@@ -181,14 +189,19 @@
 
 // Add creates a worker.
 func (w *Workers) Add(description worker.Worker) *Worker {
+	return w.AddIncarnation(description, 0, time.Now())
+}
+
+// AddIncarnation creates a worker whose process was started before, at other times.
+func (w *Workers) AddIncarnation(description worker.Worker, incarnation int, start time.Time) *Worker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.byID == nil {
 		w.byID = map[worker.ID]*Worker{}
 	}
 	n := &Worker{
-		Worker: description, history: &w.History, behaviour: func(task string, number int) Behaviour { return w.Behaviour(task, number) },
-		runs: map[emulatedKey]*emulatedRun{}, highest: map[string]int{}, started: time.Now(), changed: make(chan struct{}),
+		Worker: description, history: &w.History, behaviour: w.behaviour,
+		runs: map[emulatedKey]*emulatedRun{}, highest: map[string]int{}, started: start, incarnation: incarnation, changed: make(chan struct{}),
 	}
 	n.admits = func(cmd worker.StartCommand, incarnation int) bool {
 		return w.NeedsApproval == nil || !w.NeedsApproval(cmd.Task) || w.Advisor.approves(cmd.Approval, cmd.Task, n.ID, incarnation)
@@ -197,6 +210,13 @@
 	return n
 }
 
+func (w *Workers) behaviour(cmd worker.StartCommand) Behaviour {
+	if w.SpecBehaviour != nil {
+		return w.SpecBehaviour(cmd.Spec)
+	}
+	return w.Behaviour(cmd.Task, cmd.Number)
+}
+
 // Remove removes a worker and ends its runs; it becomes unreachable.
 func (w *Workers) Remove(id worker.ID) {
 	w.mu.Lock()
@@ -528,7 +548,7 @@
 		n.history.add(Event{Kind: Unapproved, Worker: n.ID, Task: cmd.Task, Number: cmd.Number, Token: cmd.Token, Incarnation: n.incarnation})
 		return refuse(worker.RefusedApproval)
 	}
-	b := n.behaviour(cmd.Task, cmd.Number)
+	b := n.behaviour(cmd)
 	r := &emulatedRun{}
 	cause := worker.FinishDone
 	if b.Fails {
