test/soak: workers as separate processes that restart under their ID

The soak could not show two runs of a task at once on one worker after a restart: its workers lived in the process of the test, so no answer overtook another one. Now each seed of "workers as separate processes" runs 8 workers (40 in every fifth seed) behind relays with random latency in each direction. They are killed and started again under their ID and at their address, most of them at once and several at a time; their entries in the store show that at once or seconds later. Daemons run with GOMAXPROCS=1 and are interrupted again and again, beside all faults of the soak. Load and checks are those of the soak; the workers of a cell are behind an interface, and clients leave them idle at times.

-soak.program runs a daemon that was built before.

--- a/test/soak/cell_test.go
+++ b/test/soak/cell_test.go
@@ -45,45 +45,59 @@
 // cell is an in-process platform with daemons that run as separate processes.
 type cell struct {
 	dir, program string
-	platform     *standin.Platform
-	nodes        []*daemonNode
+	// variables are added to the environment of the daemons.
+	variables []string
+	platform  *standin.Platform
+	pool      workerPool
+	nodes     []*daemonNode
 
 	mu sync.Mutex
 	// version is the version of the last configuration.
 	version int
 }
 
-// startCell starts the platform and the daemons. The daemons' addresses are derived
-// from 14 bits of the process ID, so that concurrent runs on one machine rarely conflict.
-func startCell(dir, program string, seed uint64) (*cell, error) {
-	c := &cell{dir: dir, program: program}
+// profile describes the runs of a task.
+func profile(task string) cluster.Profile {
+	switch {
+	case isLongRunning(task):
+		return cluster.Profile{MinMS: int(time.Hour.Milliseconds())}
+	case isSpeculative(task):
+		// The slow runs are slow enough to be copied.
+		return cluster.Profile{MinMS: 50, MaxMS: 450, FailsOneIn: 50, SlowMS: 1500, SlowOneIn: 4}
+	}
+	return cluster.Profile{MinMS: 50, MaxMS: 450, FailsOneIn: 50}
+}
+
+var capacity = worker.Resources{CPU: 8000, MemMB: 16_000}
+
+// loopbackIP returns an address that is derived from 14 bits of the process ID, so that concurrent runs on one machine
+// rarely conflict.
+func loopbackIP(host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, host)
+}
+
+// startCell starts the platform, the workers and the daemons.
+func startCell(dir, program string, seed uint64, addWorkers func(*cell, uint64) (workerPool, error), variables ...string) (*cell, error) {
+	c := &cell{dir: dir, program: program, variables: variables}
 	outcomes := rand.New(rand.NewPCG(seed, 2))
 	var mu sync.Mutex
 	behaviour := func(task string, _ int) cluster.Behaviour {
-		if isLongRunning(task) {
-			return cluster.Behaviour{Duration: time.Hour}
-		}
 		mu.Lock()
 		defer mu.Unlock()
-		if isSpeculative(task) && outcomes.IntN(4) == 0 {
-			// Slow enough to be copied.
-			return cluster.Behaviour{Duration: 1500 * time.Millisecond}
-		}
-		return cluster.Behaviour{Duration: time.Duration(50+outcomes.IntN(400)) * time.Millisecond, Fails: outcomes.IntN(50) == 0}
+		return profile(task).Draw(outcomes)
 	}
 	var err error
-	capacity := worker.Resources{CPU: 8000, MemMB: 16_000}
-	if c.platform, err = standin.Start(service, workerCount/2, capacity, behaviour); err != nil {
+	if c.platform, err = standin.Start(service, 0, capacity, behaviour); err != nil {
 		return nil, err
 	}
-	if err := c.platform.AddWorkers(otherService, workerCount/2, capacity); err != nil {
+	if c.pool, err = addWorkers(c, seed); err != nil {
 		return c, err
 	}
 	if err := c.bindQueue(service); err != nil {
 		return c, err
 	}
 	for i := range daemonCount {
-		n := &daemonNode{ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, i+1)}
+		n := &daemonNode{ip: loopbackIP(i + 1)}
 		if n.relay, err = relay.Listen("127.0.0.1:0", c.platform.StoreAddress(), nil); err != nil {
 			return c, err
 		}
@@ -118,7 +132,7 @@
 		return nil
 	}
 	var err error
-	n.p, err = process.Launch(c.dir, filepath.Base(n.settings), []string{platform.SettingsVariable + "=" + n.settings}, c.program, "serve")
+	n.p, err = process.Launch(c.dir, filepath.Base(n.settings), append([]string{platform.SettingsVariable + "=" + n.settings}, c.variables...), c.program, "serve")
 	return err
 }
 
@@ -158,8 +172,8 @@
 // clearFaults clears all faults and starts the daemons that are down.
 func (c *cell) clearFaults() error {
 	c.platform.Store.SetFaults(cluster.StoreFaults{})
-	for _, id := range workerIDs() {
-		c.platform.Workers.Find(id).SetFaults(cluster.WorkerFaults{})
+	if err := c.pool.clearFaults(); err != nil {
+		return err
 	}
 	for _, n := range c.nodes {
 		n.withProcess((*process.Process).Resume)
@@ -183,11 +197,63 @@
 			n.relay.Close()
 		}
 	}
+	if c.pool != nil {
+		c.pool.close()
+	}
 	if c.platform != nil {
 		c.platform.Close()
 	}
 }
 
+// workerPool are the workers of a cell.
+type workerPool interface {
+	// events returns the history of all workers in time order.
+	events() []cluster.Event
+	// completed reports whether a run has completed the task.
+	completed(task string) bool
+	// crash ends a random worker and starts it again under its ID.
+	crash(s *schedule, r *rand.Rand)
+	// disturb injects random faults of a worker, or of its connections.
+	disturb(s *schedule, r *rand.Rand)
+	// clearFaults clears all faults and starts the workers that are down.
+	clearFaults() error
+	close()
+}
+
+// emulatedPool are workers in the process of the test.
+type emulatedPool struct{ workers *cluster.Workers }
+
+func startEmulatedWorkers(c *cell, _ uint64) (workerPool, error) {
+	p := emulatedPool{c.platform.Workers}
+	if err := c.platform.AddWorkers(service, workerCount/2, capacity); err != nil {
+		return p, err
+	}
+	return p, c.platform.AddWorkers(otherService, workerCount/2, capacity)
+}
+
+func (p emulatedPool) events() []cluster.Event { return p.workers.History.Events() }
+
+func (p emulatedPool) completed(task string) bool { return p.workers.History.Completions(task) > 0 }
+
+func (p emulatedPool) crash(s *schedule, r *rand.Rand) {
+	id := randomWorker(r)
+	s.record("worker %s crashes", id)
+	p.workers.Find(id).Crash()
+}
+
+func (p emulatedPool) disturb(s *schedule, r *rand.Rand) { s.disturbWorker(r) }
+
+func (p emulatedPool) clearFaults() error {
+	for _, id := range workerIDs() {
+		p.workers.Find(id).SetFaults(cluster.WorkerFaults{})
+	}
+	return nil
+}
+
+func (emulatedPool) close() {}
+
+func randomWorker(r *rand.Rand) worker.ID { return workerIDs()[r.IntN(workerCount)] }
+
 func workerIDs() []worker.ID {
 	var ids []worker.ID
 	for i := range workerCount {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -73,10 +73,13 @@
 }
 
 // begin records a fault of a daemon or the store, which ends with undoAfter.
-func (s *schedule) begin() *fault {
+func (s *schedule) begin() *fault { return s.beginFor("") }
+
+// beginFor records a fault of a worker, which ends with undoAfter.
+func (s *schedule) beginFor(w worker.ID) *fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := &fault{from: time.Now()}
+	f := &fault{worker: w, from: time.Now()}
 	s.faults = append(s.faults, f)
 	return f
 }
@@ -130,7 +133,7 @@
 	s.start, s.active = time.Now(), map[worker.ID]*fault{}
 	s.pending.Go(func() {
 		for r := rand.New(rand.NewPCG(s.seed, 4)); time.Since(s.start) < length+workerTime; time.Sleep(randomDuration(r, 50*time.Millisecond, 700*time.Millisecond)) {
-			s.disturbWorker(r)
+			s.cell.pool.disturb(s, r)
 		}
 	})
 	for r := rand.New(rand.NewPCG(s.seed, 1)); time.Since(s.start) < length; {
@@ -147,7 +150,7 @@
 // inject injects a fault of one kind, which chooses its target and duration at random.
 func (s *schedule) inject(fault int, r *rand.Rand) {
 	i := r.IntN(len(s.cell.nodes))
-	n, w := s.cell.nodes[i], workerIDs()[r.IntN(workerCount)]
+	n := s.cell.nodes[i]
 	duration := randomDuration(r, 200*time.Millisecond, 4*time.Second)
 	switch fault {
 	case 0:
@@ -202,8 +205,7 @@
 		s.record("event history of the store dropped")
 		s.cell.platform.Store.DropHistory()
 	case 10:
-		s.record("worker %s crashes", w)
-		s.cell.platform.Workers.Find(w).Crash()
+		s.cell.pool.crash(s, r)
 	case 11, 12:
 		// Jobs that were accepted before stay with their service. Versions follow each other within a second.
 		for range 1 + r.IntN(3) {
@@ -215,14 +217,14 @@
 			time.Sleep(randomDuration(r, 0, 600*time.Millisecond))
 		}
 	default:
-		s.disturbWorker(r)
+		s.cell.pool.disturb(s, r)
 	}
 }
 
 // disturbWorker injects faults of a worker. Delayed starts may be followed by a cut of the worker, so that they take
 // effect during or after it.
 func (s *schedule) disturbWorker(r *rand.Rand) {
-	w, duration := workerIDs()[r.IntN(workerCount)], randomDuration(r, 200*time.Millisecond, 4*time.Second)
+	w, duration := randomWorker(r), randomDuration(r, 200*time.Millisecond, 4*time.Second)
 	delay := randomDuration(r, 0, maxOrderDelay)
 	late := cluster.WorkerFaults{DelayedStarts: 10, StartDelay: delay, LeaseFromArrival: r.IntN(2) == 0}
 	lateBoth := late
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,6 +20,10 @@
 	clientCount = 6
 	// maxSubmitAttempts is how often a client submits one job before it abandons it.
 	maxSubmitAttempts = 12
+	// jobPause bounds the pause of a client between two jobs, unless workers are to be idle at times.
+	jobPause = 400 * time.Millisecond
+	// idleJobPause leaves workers idle at times: an idle worker gets no heartbeats, so its restart is seen late.
+	idleJobPause = 1500 * time.Millisecond
 	// clientTimeout limits one request of a client.
 	clientTimeout = 3 * time.Second
 )
@@ -93,6 +98,8 @@
 type jobLoad struct {
 	cell *cell
 	seed uint64
+	// maxPause bounds the pause of a client between two jobs.
+	maxPause time.Duration
 
 	mu         sync.Mutex
 	results    []*result
@@ -132,7 +139,7 @@
 					random := rand.New(rand.NewPCG(l.seed, random.Uint64()))
 					group.Go(func() { l.cancelAt(ctx, when, client, r, random) })
 				}
-				time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+				time.Sleep(randomDuration(random, 0, l.maxPause))
 				l.pollState(client, r, random)
 			}
 		})
@@ -159,9 +166,13 @@
 
 // submit submits a job and retries, with the same ID, if there is no response or a rejection.
 func (l *jobLoad) submit(c standin.Client, r *result, random *rand.Rand) {
+	spec, err := json.Marshal(profile(string(r.id)))
+	if err != nil {
+		l.recordUnexpected("spec of job %s: %v", r.id, err)
+	}
 	rejections, sent := 0, 0
 	for range maxSubmitAttempts {
-		status, err := c.Submit(context.Background(), l.anyDaemon(random), r.id, "spec", r.steps)
+		status, err := c.Submit(context.Background(), l.anyDaemon(random), r.id, string(spec), r.steps)
 		sent++
 		switch {
 		case err == nil && status/100 == 2:
@@ -221,7 +232,7 @@
 // awaitFirstStep waits until the first step of a job is done, at most 3 s.
 func (l *jobLoad) awaitFirstStep(ctx context.Context, r *result) {
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(2 * time.Millisecond) {
-		if !slices.ContainsFunc(r.tasks()[:r.steps[0].Count], func(t string) bool { return l.cell.platform.Workers.History.Completions(t) == 0 }) {
+		if !slices.ContainsFunc(r.tasks()[:r.steps[0].Count], func(t string) bool { return !l.cell.pool.completed(t) }) {
 			return
 		}
 	}
--- a/test/soak/moved_test.go
+++ b/test/soak/moved_test.go
@@ -30,7 +30,7 @@
 	BeforeEach(func() {
 		dir, err := os.MkdirTemp("", "samphirestile-moved-")
 		Expect(err).NotTo(HaveOccurred())
-		c, err = startCell(dir, program, 1)
+		c, err = startCell(dir, program, 1, startEmulatedWorkers)
 		DeferCleanup(func() { c.close(); Expect(os.RemoveAll(dir)).To(Succeed()) })
 		Expect(err).NotTo(HaveOccurred())
 		client = standin.Client{Queue: queue, Timeout: clientTimeout, HTTP: &http.Client{Transport: &http.Transport{}}}
@@ -81,7 +81,7 @@
 		Expect(states(cancelled)).To(Equal(each(job.Running)))
 		Eventually(func() (int, error) { return client.Cancel(ctx, c.nodes[0].ip, cancelled) }, clientTimeout).Should(Equal(http.StatusOK))
 		Expect(states(cancelled)).To(Equal(each(job.Cancelled)))
-		events := c.platform.Workers.History.Events()
+		events := c.pool.events()
 		Expect(cluster.Check(events, cluster.Expectation{MaxAttempts: queue.MaxAttempts})).To(BeEmpty())
 		pool := map[string]bool{}
 		for _, w := range workerIDs()[:workerCount/2] {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,7 +1,9 @@
 // Package soak runs real daemons as separate processes under random faults that are
 // injected from outside, and checks the guarantees as clients and workers observe them.
 //
-// To run more seeds: go test ./test/soak -timeout 60m -args -soak.first 100 -soak.seeds 50
+// To run more seeds: go test ./test/soak -timeout 60m -args -soak.first 100 -soak.seeds 50 -soak.processseeds 50
+// To run a daemon that was built before, with workers as separate processes only: go test ./test/soak -timeout 60m
+// -ginkgo.focus "separate processes" -args -soak.processseeds 20 -soak.program PATH
 package soak
 
 import (
@@ -28,8 +30,12 @@
 
 var (
 	firstSeed = flag.Uint64("soak.first", 1, "first seed")
-	seeds     = flag.Int("soak.seeds", 2, "number of seeds")
-	length    = flag.Duration("soak.length", 8*time.Second, "time in which faults of all kinds are injected; those of workers go on for workerTime")
+	seeds     = flag.Int("soak.seeds", 2, "number of seeds with emulated workers")
+	// Seeds of workers as separate processes are counted apart, because each takes longer.
+	processSeeds = flag.Int("soak.processseeds", 1, "number of seeds with workers as separate processes")
+	processCount = flag.Int("soak.workers", 0, "number of workers as separate processes; 0 chooses it by the seed")
+	ready        = flag.String("soak.program", "", "daemon to run; empty builds it")
+	length       = flag.Duration("soak.length", 8*time.Second, "time in which faults of all kinds are injected; those of workers go on for workerTime")
 )
 
 // regressionSeeds are seeds that failed in the past, each with its cause. Every run
@@ -48,7 +54,7 @@
 	clockTolerance = 50 * time.Millisecond
 )
 
-var program string
+var program, emulator string
 
 func TestSoak(t *testing.T) {
 	RegisterFailHandler(Fail)
@@ -56,9 +62,15 @@
 }
 
 var _ = BeforeSuite(func() {
-	var err error
-	program, err = gexec.Build("samphirestile.example/samphirestile/cmd/samphirestiled")
-	Expect(err).NotTo(HaveOccurred())
+	build := func(command string) string {
+		path, err := gexec.Build("samphirestile.example/samphirestile/cmd/" + command)
+		Expect(err).NotTo(HaveOccurred())
+		return path
+	}
+	if program = *ready; program == "" {
+		program = build("samphirestiled")
+	}
+	emulator = build("samphirestile-emulator")
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
 
@@ -70,23 +82,46 @@
 		}
 		for _, seed := range selected {
 			By(fmt.Sprintf("seed %d", seed))
-			runSeed(seed)
+			runSeed(seed, jobPause, startEmulatedWorkers)
+		}
+	})
+
+	// Guards against beliefs about a worker that restarts under its ID which hold only while calls and answers arrive in
+	// order: two runs of a task at once, and a start after an acknowledged completion.
+	Describe("keep their guarantees with workers as separate processes", func() {
+		for i := range *processSeeds {
+			seed := *firstSeed + uint64(i)
+			It(fmt.Sprintf("seed %d", seed), func() {
+				runSeed(seed, idleJobPause, startProcessWorkers(processWorkers(seed)), "GOMAXPROCS=1")
+			})
 		}
 	})
 })
 
-// runSeed runs the load and the faults of one seed and checks the results.
-func runSeed(seed uint64) {
+// processWorkers returns the number of workers as separate processes.
+func processWorkers(seed uint64) int {
+	switch {
+	case *processCount > 0:
+		return *processCount
+	case seed%5 == 0:
+		return 40
+	}
+	return 8
+}
+
+// runSeed runs the load and the faults of one seed and checks the results. Variables are added to the environment of the
+// daemons.
+func runSeed(seed uint64, maxPause time.Duration, addWorkers func(*cell, uint64) (workerPool, error), variables ...string) {
 	GinkgoHelper()
 	// The directory with the logs is kept after a failure.
 	dir, err := os.MkdirTemp("", "samphirestile-soak-")
 	Expect(err).NotTo(HaveOccurred())
-	c, err := startCell(dir, program, seed)
+	c, err := startCell(dir, program, seed, addWorkers, variables...)
 	if c != nil {
 		defer c.close()
 	}
 	Expect(err).NotTo(HaveOccurred())
-	l := &jobLoad{cell: c, seed: seed}
+	l := &jobLoad{cell: c, seed: seed, maxPause: maxPause}
 	s := &schedule{cell: c, seed: seed}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -128,7 +163,7 @@
 
 func (l *jobLoad) summary() string {
 	accepted, rejected, cancelled, late := 0, 0, 0, 0
-	for _, e := range l.cell.platform.Workers.History.Events() {
+	for _, e := range l.cell.pool.events() {
 		if e.Late {
 			late++
 		}
@@ -150,7 +185,7 @@
 // problems returns all violations, of job results and of the run history.
 func (l *jobLoad) problems(faults []fault) []string {
 	problems := slices.Clone(l.unexpected)
-	until, events := time.Now(), l.cell.platform.Workers.History.Events()
+	until, events := time.Now(), l.cell.pool.events()
 	cancelledAt := map[job.ID]time.Time{}
 	expectation := cluster.Expectation{After: map[string][]string{}, MaxAttempts: queue.MaxAttempts}
 	expectation.Speculative = isSpeculative
