shard: count an acknowledgement only for the incarnation to which it was sent

Ends of a restarted worker were never acknowledged, and in one schedule a job was running for ever.

Cause: a status of a new incarnation was taken to confirm the number in its heartbeat, which belonged to the former one. The new incarnation's ends up to that number then counted as acknowledged.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -84,7 +84,7 @@
 			}
 			pause = s.heartbeatFailed(err, sent, received)
 		default:
-			s.handleStatus(status, command, sent, received)
+			s.handleStatus(status, command, incarnation, sent, received)
 			pause = heartbeatDelay
 		}
 		o.mu.Unlock()
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -11,8 +11,8 @@
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
-// handleStatus processes a status. The caller holds mu.
-func (s *session) handleStatus(status worker.Status, command worker.HeartbeatCommand, sent, received monotonic.Time) {
+// handleStatus processes a status, the answer to a command that was sent to an incarnation. The caller holds mu.
+func (s *session) handleStatus(status worker.Status, command worker.HeartbeatCommand, incarnation int, sent, received monotonic.Time) {
 	o := s.owner
 	if s.isFormerClock(status.ClockMS, sent, received) {
 		// Its completions have other numbers, and its runs have ended.
@@ -52,7 +52,9 @@
 		o.schedule()
 	}
 	s.requestRecord()
-	s.acknowledged = max(s.acknowledged, command.Acknowledged)
+	if s.incarnation == incarnation {
+		s.acknowledged = max(s.acknowledged, command.Acknowledged)
+	}
 	sort.Slice(status.Finished, func(i, j int) bool { return status.Finished[i].Sequence < status.Finished[j].Sequence })
 	listed := make(map[runKey]bool, len(status.Running))
 	for _, finished := range status.Finished {
