hosts: repeat no command to a host whose entry cannot be read

An upkeep could end the tasks of a host without emptying its worker first, beyond the limit on unavailable tasks.

Cause: a command without an answer is repeated. A host that is not listed as up counts as one without a worker, and so did one whose entry cannot be read. It may be up, if the first command was not carried out.

Such a host gets no command while its entry cannot be read. It still counts as down for its wave.

--- a/internal/hosts/late_list_test.go
+++ b/internal/hosts/late_list_test.go
@@ -76,4 +76,14 @@
 		m.observe(w)
 		Expect(w.progress[host].gone).To(BeTrue())
 	})
+
+	It("does not show that a host has no worker if its entry cannot be read", func() {
+		*w.progress[host] = hostProgress{commandedAt: monotonic.Now().Add(-2 * commandRetryInterval)}
+		platform.hosts[host].State, platform.upAgainAt[host] = Unreadable, time.Now().Add(time.Hour)
+		Expect(m.list(ctx)).To(Succeed())
+		Expect(m.candidates(w)).To(BeEmpty())
+		platform.upAgainAt[host] = time.Now()
+		Expect(m.list(ctx)).To(Succeed())
+		Expect(m.candidates(w)).To(HaveLen(1))
+	})
 })
--- a/internal/hosts/manager.go
+++ b/internal/hosts/manager.go
@@ -360,6 +360,10 @@
 			continue
 		}
 		h, ok := m.hosts[id]
+		if ok && h.State == Unreadable {
+			// Tasks may run there, on a worker that is not known.
+			continue
+		}
 		if !ok {
 			h.ID = id
 		}
