shard: ask an idle worker for its clock while that is not known

A worker that restarted, or refused a start as expired, could get no runs any more.

Cause: no start is sent while the clock of a worker is not known, and an idle worker gets no heartbeats, which would show it. A status from the first millisecond of an incarnation contains no usable clock.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -138,7 +138,7 @@
 	for {
 		s.owner.mu.Lock()
 		now := monotonic.Now()
-		need := !s.fenced || len(s.runs) > 0 || len(s.lateStarts) > 0 || s.processed > s.acknowledged || !s.reachable || s.restartListed != 0 ||
+		need := !s.fenced || !s.clockKnown || len(s.runs) > 0 || len(s.lateStarts) > 0 || s.processed > s.acknowledged || !s.reachable || s.restartListed != 0 ||
 			(s.Missing && now.Sub(s.contact) > maxMissingContactAge) || (s.emptied && now >= s.cordonUntil)
 		s.owner.mu.Unlock()
 		if need {
