shard: let the long-running tasks of the spec on full queues last

Cause: the 600 long-running tasks of the spec ended after 30 ms each and started again, so all of them ran at once only if 600 starts took less than 30 ms.

The tasks last now, as long-running tasks do. What is expected is unchanged: all 602 runs at work, and the pace at 0.

--- a/internal/shard/delayed_test.go
+++ b/internal/shard/delayed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -244,7 +245,11 @@
 		Eventually(f.worker("w0").Running, callTimeout).Should(Equal(2))
 		// Two unanswered starts hold both senders, and the others fill the queue.
 		faults.set(func(d *commandFaults) { d.heldStarts, d.startTimeout = 1<<20, 4*time.Second })
-		o.submit(testJob(3, job.Step{LongRunning: true, Count: 600, Need: worker.Resources{CPU: 5, MemMB: 5}}))
+		many := testJob(3, job.Step{LongRunning: true, Count: 600, Need: worker.Resources{CPU: 5, MemMB: 5}})
+		for i := range many.Steps[0].Count {
+			f.setBehaviour(fmt.Sprintf("%s.0.0.%d", many.ID, i), cluster.Behaviour{Duration: time.Hour})
+		}
+		o.submit(many)
 		Eventually(faults.count, callTimeout).Should(Equal(2))
 		faults.set(func(d *commandFaults) { d.startTimeout, d.tailLatency = time.Millisecond, 200 })
 		time.Sleep(5 * time.Second)
