shard: allow for the longest lease of a former owner on a worker that restarted recently

Callers saw two runs of a task at once, on two workers.

Cause: a former owner had not noticed the restart of a worker and granted the new incarnation the longest lease by the former clock. Its successor assumed the shorter lease from the time of its acquisition, so the runs of that worker counted as lost too early when it fell silent.

If a worker that a former owner had recorded answers its successor for the first time, and its clock shows that it started less than the longest lease ago, the believed end of the lease is the longest lease after that answer.

--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -265,6 +265,44 @@
 		Eventually(o.state, 30*time.Second).WithArguments(kept.ID).Should(Equal("completed"))
 		f.expectNoViolation()
 	})
+
+	// Guards against a second run beside one to which a former owner gave the longest lease when its worker had restarted.
+	simulatedIt("allows for such a lease also in a successor", func(f *fixture) {
+		f.hide("w1")
+		j := testJob(2, job.Step{})
+		var restarted, silent atomic.Bool
+		f.route(&routedDialer{
+			heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+				if silent.Load() {
+					return worker.Status{}, &worker.NoAnswerError{Cause: errDelayed}
+				}
+				return conn.Heartbeat(ctx, command)
+			},
+			start: func(ctx context.Context, conn worker.Conn, command worker.StartCommand) (int64, error) {
+				if command.Task[:16] == string(j.ID) && restarted.CompareAndSwap(false, true) {
+					f.worker("w0").Crash()
+					time.Sleep(10 * time.Millisecond)
+				}
+				return conn.Start(ctx, command)
+			},
+		})
+		o := f.startOwner()
+		first := testJob(1, job.Step{})
+		o.submit(first)
+		Eventually(o.state, callTimeout).WithArguments(first.ID).Should(Equal("completed"))
+		time.Sleep(clock)
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: 8 * time.Second})
+		o.submit(j)
+		Eventually(f.worker("w0").Running, callTimeout).Should(Equal(1))
+		o.stop()
+		o = f.startOwner()
+		time.Sleep(200 * time.Millisecond)
+		silent.Store(true)
+		f.worker("w0").SetFaults(cluster.WorkerFaults{DelayedStops: 1 << 20, StopDelay: time.Hour})
+		f.list("w1")
+		Eventually(o.state, 30*time.Second).WithArguments(j.ID).Should(Equal("completed"))
+		f.expectNoViolation()
+	})
 })
 
 var _ = Describe("the clock of a worker", func() {
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -54,7 +54,8 @@
 	lostOwnership bool
 	// leaseEnd is the latest time until which runs may continue on the worker.
 	leaseEnd monotonic.Time
-	// leaseUnanswered is when a command that granted a lease at the current address last stayed without an answer, or 0.
+	// leaseUnanswered is when a command that granted a lease at the current address last stayed without an answer, also one
+	// of a former owner, or 0.
 	leaseUnanswered monotonic.Time
 	// processed and durable are the sequence numbers of the last completion processed and of the
 	// last one recorded; acknowledged is the last one whose acknowledgement the worker confirmed.
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -34,6 +34,7 @@
 	s.confirmLease(command.LeaseEndMS, status.ClockMS, received)
 	if !s.fenced {
 		s.fenced = true
+		s.inheritLease(status.ClockMS, received)
 		delete(o.uncontacted, s.ID)
 		o.recordReturn(s)
 		s.leaseEnd = max(s.leaseEnd, o.acquired.Add(o.lease()))
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -103,6 +103,17 @@
 	return s.leaseUnanswered.Add(time.Duration((1+maxClockDrift)*float64(s.owner.Bounds.MaxLease)) + leaseSlack)
 }
 
+// inheritLease raises the believed end of the lease of a worker that answers this owner for the first time. A former owner
+// may have granted it the longest lease by the clock of a former incarnation, if it restarted less than that ago. The caller
+// holds mu.
+func (s *session) inheritLease(clockMS int64, now monotonic.Time) {
+	longest := s.owner.Bounds.MaxLease
+	if _, former := s.owner.uncontacted[s.ID]; former && clockMS < longest.Milliseconds() {
+		s.leaseUnanswered = now
+		s.extendByLongestLease()
+	}
+}
+
 // isNewIncarnation reports whether an entry of the worker names another incarnation than the last status. The caller
 // holds mu.
 func (s *session) isNewIncarnation(w worker.Worker) bool {
