shard: count an acknowledgement only for the incarnation to which it was sent

Workers listed ends that were never acknowledged, and answered each heartbeat at once because of them.

Cause: if the status that showed a restart answered a heartbeat with an acknowledgement, the number of the former incarnation counted as acknowledged by the new one. Its ends up to that number were not acknowledged.

The number counts only if no restart was noticed between the heartbeat and its status.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -85,6 +85,9 @@
 			pause = s.heartbeatFailed(err, sent, received)
 		default:
 			s.handleStatus(status, command, sent, received)
+			if s.incarnation == incarnation {
+				s.acknowledged = max(s.acknowledged, command.Acknowledged)
+			}
 			pause = heartbeatDelay
 		}
 		o.mu.Unlock()
--- a/internal/shard/lease_beliefs_test.go
+++ b/internal/shard/lease_beliefs_test.go
@@ -117,6 +117,35 @@
 		}
 		Expect(ended).To(BeNumerically(">", 15))
 	})
+
+	// Guards against ends of a new incarnation that are never acknowledged, because their numbers were sent to it before.
+	simulatedIt("is sent to a new incarnation that answered one with a number of the former one", func(f *fixture) {
+		f.workers.Remove("w1")
+		var crashed atomic.Bool
+		f.route(&routedDialer{heartbeat: func(ctx context.Context, conn worker.Conn, command worker.HeartbeatCommand) (worker.Status, error) {
+			if command.Acknowledged > 0 && crashed.CompareAndSwap(false, true) {
+				f.worker("w0").Crash()
+				time.Sleep(10 * time.Millisecond)
+			}
+			return conn.Heartbeat(ctx, command)
+		}})
+		o := f.startOwner()
+		first, second := testJob(1, job.Step{Count: 6}), testJob(2, job.Step{Count: 3})
+		o.submit(first)
+		Eventually(o.state, callTimeout).WithArguments(first.ID).Should(Equal("completed"))
+		Eventually(crashed.Load, callTimeout).Should(BeTrue())
+		o.submit(second)
+		Eventually(o.state, callTimeout).WithArguments(second.ID).Should(Equal("completed"))
+		time.Sleep(2 * time.Second)
+		acknowledged := 0
+		for _, e := range f.workers.History.Events() {
+			if e.Kind == cluster.Acknowledged && e.Task[:16] == string(second.ID) {
+				acknowledged++
+			}
+		}
+		Expect(acknowledged).To(Equal(3))
+		f.expectNoViolation()
+	})
 })
 
 var _ = Describe("the believed end of a lease", func() {
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -45,7 +45,6 @@
 		o.schedule()
 	}
 	s.requestRecord()
-	s.acknowledged = max(s.acknowledged, command.Acknowledged)
 	sort.Slice(status.Finished, func(i, j int) bool { return status.Finished[i].Sequence < status.Finished[j].Sequence })
 	listed := make(map[runKey]bool, len(status.Running))
 	for _, finished := range status.Finished {
