shard: set the hook of a spec before its owner starts

The spec set the function that its connections call at each start while starts were on their way; an atomic switch arms it now. What is expected is unchanged.

--- a/internal/shard/observation_test.go
+++ b/internal/shard/observation_test.go
@@ -112,11 +112,12 @@
 	simulatedIt("is not replaced while it goes on", func(f *fixture) {
 		d := &hookedDialer{}
 		f.wrapDialer = func(wrapped worker.Dialer) worker.Dialer { d.Dialer = wrapped; return d }
-		o := f.startOwner()
-		keepAnswering(f, o)
-		time.Sleep(100 * time.Millisecond)
+		var armed atomic.Bool
 		var sent atomic.Int64
 		d.start = func(w worker.Worker, _ worker.StartCommand) {
+			if !armed.Load() {
+				return
+			}
 			switch sent.Add(1) {
 			case 1:
 				f.worker(string(w.ID)).SetFaults(cluster.WorkerFaults{LoseStartReplies: 1})
@@ -128,6 +129,10 @@
 				time.Sleep(400 * time.Millisecond)
 			}
 		}
+		o := f.startOwner()
+		keepAnswering(f, o)
+		time.Sleep(100 * time.Millisecond)
+		armed.Store(true)
 		j := testJob(1, job.Step{Need: worker.Resources{CPU: 1, MemMB: 1}})
 		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: 3 * time.Second})
 		o.submit(j)
