--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -148,7 +148,7 @@
 		"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "token": command.Token, "took_ms": now.Sub(sent).Milliseconds(),
 		"incarnation": s.incarnation,
 	}
-	// The token was raised on the way, so a refusal does not show that there is another owner.
+	// A refusal of a token that was raised on the way does not show that there is another owner.
 	raised := command.Token < s.token
 	switch {
 	case errors.As(err, &refused):
