--- a/review/standin-2/cell.go
+++ b/review/standin-2/cell.go
@@ -191,26 +191,24 @@
 }
 
 // addMinions adds minions to the pools in turn, four to a rack.
-func (c *cell) addMinions(n int, uptime time.Duration, rate float64) ([]*minion, error) {
-	var added []*minion
+func (c *cell) addMinions(n int) error {
 	for range n {
 		i := len(c.fleet.minions)
 		service := c.services()[i%len(c.services())]
-		m, err := c.fleet.addMinion(fmt.Sprintf("i-%08x", 0x7f3a9100+i), service, i/4+1, 32_000, 131_072, uptime, rate)
+		m, err := c.fleet.addMinion(fmt.Sprintf("i-%08x", 0x7f3a9100+i), service, i/4+1, 32_000, 131_072)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		added = append(added, m)
 		// The machine service lists what was listed here; the entry is written below.
 		listed := worker.Worker{
-			ID: worker.ID(m.id), Service: fleetid.ServiceID(service), Address: m.address, Capacity: worker.Resources{CPU: 32_000, MemMB: 131_072}, Labels: m.labels, StartMS: m.bornMS,
+			ID: worker.ID(m.id), Service: fleetid.ServiceID(service), Address: m.address, Capacity: worker.Resources{CPU: 32_000, MemMB: 131_072}, Labels: m.labels, StartMS: m.born.UnixMilli(),
 		}
 		if err := c.platform.ListWorker(listed); err != nil {
-			return nil, err
+			return err
 		}
 		go c.beat(m)
 	}
-	return added, nil
+	return nil
 }
 
 // beat writes the entry of a minion as long as it lives, and removes it after three missing beats.
--- a/review/standin-2/largejob.go
+++ b/review/standin-2/largejob.go
@@ -32,7 +32,7 @@
 			m.crash()
 		}
 		time.AfterFunc(7*time.Second, func() {
-			if _, err := c.addMinions(minionCount/2, 0, 1); err != nil {
+			if err := c.addMinions(minionCount / 2); err != nil {
 				c.record.add("minions not added: %v", err)
 			}
 		})
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -48,19 +48,15 @@
 	capCPU int64
 	// statusS is the bound status_s of the settings.
 	statusS int
-	// uptime is how long the minions have been up, rate the speed of their steady clocks, without and with trouble.
-	uptime            time.Duration
-	rate, troubleRate float64
-	play              play
+	play    play
 }
 
 var scenes = map[string]scene{
-	"cancelled":  {services: 1, statusS: 60, uptime: time.Minute, rate: 1, troubleRate: 1, play: cancelled},
-	"large-job":  {services: 1, statusS: 120, uptime: time.Minute, rate: 1, troubleRate: 1, play: largeJob},
-	"advice":     {services: 4, advised: true, statusS: 120, uptime: time.Minute, rate: 1, troubleRate: 1, play: advice},
-	"cap":        {services: 4, capCPU: 24_000, statusS: 120, uptime: time.Minute, rate: 1, troubleRate: 1, play: lowerCap},
-	"slow-clock": {services: 1, statusS: 120, uptime: time.Hour, rate: 1, troubleRate: 0.99, play: slowClock},
-	"gang":       {services: 1, statusS: 120, uptime: time.Minute, rate: 1, troubleRate: 1, play: gang},
+	"cancelled": {services: 1, statusS: 60, play: cancelled},
+	"large-job": {services: 1, statusS: 120, play: largeJob},
+	"advice":    {services: 4, advised: true, statusS: 120, play: advice},
+	"cap":       {services: 4, capCPU: 24_000, statusS: 120, play: lowerCap},
+	"gang":      {services: 1, statusS: 120, play: gang},
 }
 
 const (
@@ -77,11 +73,7 @@
 		return notRun, err
 	}
 	defer c.close(keepLogs)
-	rate := s.rate
-	if trouble {
-		rate = s.troubleRate
-	}
-	if _, err := c.addMinions(minionCount*s.services, s.uptime, rate); err != nil {
+	if err := c.addMinions(minionCount * s.services); err != nil {
 		return notRun, err
 	}
 	if err := c.startDaemons(); err != nil {
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -105,11 +105,7 @@
 	labels   []string
 	server   *http.Server
 
-	bornMS int64
-	// rate is the speed of the steady clock; uptime is how long the minion has run when it is added.
-	rate    float64
-	uptime  time.Duration
-	added   time.Time
+	born    time.Time
 	token   uint64
 	leaseMS int64
 	runs    map[string]*run
@@ -139,11 +135,11 @@
 	saved  string
 }
 
-// addMinion starts a minion that has run for the uptime, with a steady clock of the given rate.
-func (f *fleet) addMinion(id, service string, rack int, cpu, memMB int64, uptime time.Duration, rate float64) (*minion, error) {
+// addMinion starts a minion.
+func (f *fleet) addMinion(id, service string, rack int, cpu, memMB int64) (*minion, error) {
 	m := &minion{
 		fleet: f, id: id, service: service, capacity: map[string]int64{"cpu": cpu, "memMb": memMB, "gpu": 0},
-		labels: []string{"a", fmt.Sprintf("r1-%d", rack)}, bornMS: time.Now().Add(-uptime).UnixMilli(), rate: rate, uptime: uptime, added: time.Now(),
+		labels: []string{"a", fmt.Sprintf("r1-%d", rack)}, born: time.Now(),
 		runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -180,7 +176,7 @@
 
 // clock returns the steady clock in milliseconds.
 func (m *minion) clock() int64 {
-	return int64(m.rate * float64((m.uptime + time.Since(m.added)).Milliseconds()))
+	return time.Since(m.born).Milliseconds()
 }
 
 type command struct {
@@ -348,7 +344,7 @@
 	for _, e := range m.ends[:min(len(m.ends), maxListedEnds)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
-	body := map[string]any{"clockMs": m.clock(), "born": m.bornMS, "running": running, "finished": finished}
+	body := map[string]any{"clockMs": m.clock(), "born": m.born.UnixMilli(), "running": running, "finished": finished}
 	f.mu.Unlock()
 	respond(w, http.StatusOK, body)
 }
@@ -440,6 +436,6 @@
 	m.entrySq++
 	return map[string]any{
 		"service": m.service, "address": m.address, "zone": "nz-north-a", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
-		"capacity": m.capacity, "labels": m.labels, "clockMs": m.clock(), "sequence": m.entrySq, "born": m.bornMS,
+		"capacity": m.capacity, "labels": m.labels, "clockMs": m.clock(), "sequence": m.entrySq, "born": m.born.UnixMilli(),
 	}
 }
