shard: apply each change of a job's records in one transaction

Cause: a commit that took several transactions wrote the final states first and removed the jobs' own records last. An owner that ended in between left both; its successor never removed the job's own record, the final state expired alone, and the owner after that took the job for a new one.

A commit is now a list of changes that are each applied in one transaction: a final state and the removal of the job's own record are one.

--- a/internal/shard/acceptance.go
+++ b/internal/shard/acceptance.go
@@ -175,17 +175,17 @@
 	return held, nil
 }
 
-// bindingConditions returns the conditions under which the records may be the first ones of their jobs. The caller
+// bindingConditions returns the conditions under which the changes may write the first records of their jobs. The caller
 // holds mu.
-func (o *Owner) bindingConditions(records []record) []store.Condition {
+func (o *Owner) bindingConditions(changes []change) []store.Condition {
 	var conditions []store.Condition
-	for _, r := range records {
-		if r.first == nil {
+	for _, c := range changes {
+		if c.first == nil {
 			continue
 		}
-		c := store.Condition{Key: o.Bindings.BindingKey(r.first.job.QueueAddress), Version: r.first.bindingRevision}
-		if !slices.Contains(conditions, c) {
-			conditions = append(conditions, c)
+		condition := store.Condition{Key: o.Bindings.BindingKey(c.first.job.QueueAddress), Version: c.first.bindingRevision}
+		if !slices.Contains(conditions, condition) {
+			conditions = append(conditions, condition)
 		}
 	}
 	return conditions
@@ -193,21 +193,21 @@
 
 // rebind makes the owner look again for the bindings of jobs that were not recorded because one has changed. Jobs
 // whose binding cannot be read are refused, because their condition would fail each batch of the shard.
-func (o *Owner) rebind(ctx context.Context, records []record, failed *jobstore.PreconditionError) error {
+func (o *Owner) rebind(ctx context.Context, changes []change, failed *jobstore.PreconditionError) error {
 	if err := o.Bindings.ReadBindings(ctx); err != nil {
 		return fmt.Errorf("read bindings of queues: %w", err)
 	}
-	for _, r := range records {
-		if r.first == nil {
+	for _, c := range changes {
+		if c.first == nil {
 			continue
 		}
-		address := r.first.job.QueueAddress
+		address := c.first.job.QueueAddress
 		read := o.Bindings.Binding(address).Revision >= failed.Version(o.Bindings.BindingKey(address))
 		o.mu.Lock()
-		r.first.bindingRevision = 0
+		c.first.bindingRevision = 0
 		if !read {
-			o.Log.WithFields(logrus.Fields{"job": r.first.job.ID, "queue": address, "shard": o.Shard, "token": o.Token}).Error("job refused; the binding of its queue cannot be read")
-			o.dropUnrecorded(r.first, &RejectedError{Reason: "the binding of the queue cannot be read", RetryAfter: outageRetryAfter})
+			o.Log.WithFields(logrus.Fields{"job": c.first.job.ID, "queue": address, "shard": o.Shard, "token": o.Token}).Error("job refused; the binding of its queue cannot be read")
+			o.dropUnrecorded(c.first, &RejectedError{Reason: "the binding of the queue cannot be read", RetryAfter: outageRetryAfter})
 		}
 		o.mu.Unlock()
 	}
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -70,22 +70,31 @@
 	}
 }
 
-// record is one write of a commit.
-type record struct {
-	store.Write
+// change is a part of a commit that is applied in one transaction.
+type change struct {
+	writes   []store.Write
+	removals []string
 	// first is the job whose first record this is, which requires that its queue is bound to the shard's
 	// service; nil for other records.
 	first *jobEntry
 }
 
-// batch holds the writes of one commit.
+func (c change) entries() int { return len(c.writes) + len(c.removals) }
+
+func write(key string, value []byte) change {
+	return change{writes: []store.Write{{Key: key, Value: value}}}
+}
+
+// batch holds the changes of one commit. A commit may take several transactions, and an owner may end after
+// any of them, so the records must be consistent after each change.
 type batch struct {
-	writes   []record
-	removals []string
+	changes  []change
 	jobs     []*jobEntry
 	progress []*jobEntry
 	finals   []*jobEntry
 	expired  []job.ID
+	// repaired are the jobs whose own record is removed because their final state was recorded without that.
+	repaired []*jobEntry
 	workers  map[worker.ID]recordedWorker
 	// dropsWorkers is set when workers lacks some that the stored record names.
 	dropsWorkers bool
@@ -122,18 +131,13 @@
 	if err != nil {
 		return err
 	}
-	writes, removals := b.writes, b.removals
-	for len(writes)+len(removals) > 0 {
+	for changes := b.changes; len(changes) > 0; {
 		o.mu.Lock()
-		w, conditions := o.nextBatch(writes)
+		next, conditions := o.nextTransaction(changes)
 		o.mu.Unlock()
-		var r []string
-		if len(w) == len(writes) {
-			// The record of an ended job is removed only with or after its final state.
-			r = removals[:min(len(removals), jobstore.MaxBatch-len(w)-len(conditions))]
-		}
+		writes, removals := join(next)
 		began := monotonic.Now()
-		if err := o.chain.Commit(ctx, storeWrites(w), r, conditions...); err != nil {
+		if err := o.chain.Commit(ctx, writes, removals, conditions...); err != nil {
 			o.mu.Lock()
 			for _, e := range b.progress {
 				e.dirty = true
@@ -146,21 +150,21 @@
 			}
 			var failed *jobstore.PreconditionError
 			if errors.As(err, &failed) {
-				if readErr := o.rebind(ctx, w, failed); readErr != nil {
+				if readErr := o.rebind(ctx, next, failed); readErr != nil {
 					err = readErr
 				}
 			}
-			return fmt.Errorf("write %d records and remove %d: %w", len(w), len(r), err)
+			return fmt.Errorf("write %d records and remove %d: %w", len(writes), len(removals), err)
 		}
 		o.recordCommit(monotonic.Now().Sub(began))
 		o.mu.Lock()
-		for _, written := range w {
+		for _, written := range next {
 			if written.first != nil {
 				written.first.recorded = true
 			}
 		}
 		o.mu.Unlock()
-		writes, removals = writes[len(w):], removals[len(r):]
+		changes = changes[len(next):]
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -168,22 +172,30 @@
 	return nil
 }
 
-// nextBatch returns the first records that fit into one transaction together with their conditions. The caller
-// holds mu.
-func (o *Owner) nextBatch(records []record) ([]record, []store.Condition) {
-	for n := min(len(records), jobstore.MaxBatch); ; n-- {
-		if conditions := o.bindingConditions(records[:n]); n+len(conditions) <= jobstore.MaxBatch || n <= 1 {
-			return records[:n], conditions
+// nextTransaction returns the first changes that fit into one transaction together with their conditions. The
+// caller holds mu.
+func (o *Owner) nextTransaction(changes []change) ([]change, []store.Condition) {
+	n, entries := 0, 0
+	for n < len(changes) && entries+changes[n].entries() <= jobstore.MaxBatch {
+		entries += changes[n].entries()
+		n++
+	}
+	for ; ; n-- {
+		conditions := o.bindingConditions(changes[:n])
+		if entries+len(conditions) <= jobstore.MaxBatch || n <= 1 {
+			return changes[:n], conditions
 		}
+		entries -= changes[n-1].entries()
 	}
 }
 
-func storeWrites(records []record) []store.Write {
-	writes := make([]store.Write, len(records))
-	for i, r := range records {
-		writes[i] = r.Write
+// join returns the writes and removals of changes.
+func join(changes []change) (writes []store.Write, removals []string) {
+	for _, c := range changes {
+		writes = append(writes, c.writes...)
+		removals = append(removals, c.removals...)
 	}
-	return writes
+	return writes, removals
 }
 
 // collect gathers unrecorded changes. Jobs are written before progress, so that a batch split over
@@ -192,7 +204,7 @@
 	b := &batch{processed: map[*session]completionNumber{}}
 	o.urgent = false
 	now := time.Now().UnixMilli()
-	var progress []record
+	var progress []change
 	// splitWaits is set if a job that was accepted before the split is not in this batch.
 	unbound, splitWaits := false, false
 	for id, e := range o.jobs {
@@ -210,7 +222,9 @@
 			if err != nil {
 				return nil, fmt.Errorf("encode job %s: %w", id, err)
 			}
-			b.writes = append(b.writes, record{store.Write{Key: jobstore.JobPrefix(o.Shard) + string(id), Value: value}, first})
+			c := write(jobstore.JobPrefix(o.Shard)+string(id), value)
+			c.first = first
+			b.changes = append(b.changes, c)
 			b.jobs = append(b.jobs, e)
 		}
 		if e.dirty {
@@ -219,16 +233,27 @@
 				return nil, err
 			}
 			e.dirty = false
-			progress = append(progress, record{store.Write{Key: jobstore.ProgressPrefix(o.Shard) + string(id), Value: value}, first})
-			b.progress = append(b.progress, e)
+			c := write(jobstore.ProgressPrefix(o.Shard)+string(id), value)
+			c.first = first
 			if e.job.FinalState.IsFinal() {
 				b.finals = append(b.finals, e)
-				b.removals = append(b.removals, jobstore.JobPrefix(o.Shard)+string(id))
+				// The final state expires. A job's own record that outlived it would make the job a new one.
+				c.removals = []string{jobstore.JobPrefix(o.Shard) + string(id)}
 			}
+			progress = append(progress, c)
+			b.progress = append(b.progress, e)
+		}
+		var removals []string
+		if e.finalStored && e.unremoved {
+			b.repaired = append(b.repaired, e)
+			removals = append(removals, jobstore.JobPrefix(o.Shard)+string(id))
 		}
 		if e.finalStored && e.job.EndedMS > 0 && now-e.job.EndedMS > o.Bounds.StatusRetention.Milliseconds()+retentionSlackMS {
 			b.expired = append(b.expired, id)
-			b.removals = append(b.removals, jobstore.ProgressPrefix(o.Shard)+string(id))
+			removals = append(removals, jobstore.ProgressPrefix(o.Shard)+string(id))
+		}
+		if len(removals) > 0 {
+			progress = append(progress, change{removals: removals})
 		}
 	}
 	if unbound {
@@ -236,7 +261,7 @@
 		o.urgent = true
 		o.requestCommit()
 	}
-	b.writes = append(b.writes, progress...)
+	b.changes = append(b.changes, progress...)
 	if err := o.collectWorkers(b); err != nil {
 		return nil, err
 	}
@@ -244,7 +269,7 @@
 		// Written after all jobs that were accepted before the split: the new partition's owner
 		// reads them.
 		b.depth = o.partition.Depth
-		b.writes = append(b.writes, record{Write: store.Write{Key: o.PartitionKey, Value: partition.EncodeDepth(b.depth)}})
+		b.changes = append(b.changes, write(o.PartitionKey, partition.EncodeDepth(b.depth)))
 	}
 	for _, s := range o.sessions {
 		b.processed[s] = completionNumber{s.incarnation, s.processed}
@@ -306,7 +331,7 @@
 		}
 	case named == len(o.recordedWorkers)+len(o.leaving):
 		return nil
-	case len(b.writes) == 0 && !o.closed:
+	case len(b.changes) == 0 && !o.closed:
 		// Departed workers are dropped only together with other writes.
 		return nil
 	default:
@@ -324,11 +349,11 @@
 		return fmt.Errorf("encode record of %d workers: %w", len(workers), err)
 	}
 	b.workers = workers
-	write := record{Write: store.Write{Key: jobstore.WorkersKey(o.Shard), Value: value}}
+	c := write(jobstore.WorkersKey(o.Shard), value)
 	if b.dropsWorkers {
-		b.writes = append(b.writes, write)
+		b.changes = append(b.changes, c)
 	} else {
-		b.writes = append([]record{write}, b.writes...)
+		b.changes = append([]change{c}, b.changes...)
 	}
 	return nil
 }
@@ -391,6 +416,9 @@
 			}
 		}
 	}
+	for _, e := range b.repaired {
+		e.unremoved = false
+	}
 	for _, id := range b.expired {
 		delete(o.jobs, id)
 	}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -188,8 +188,10 @@
 	// finalStoredChan is closed once the final state is in the store.
 	finalStoredChan chan struct{}
 	finalStored     bool
-	accepted        monotonic.Time
-	objective       time.Duration
+	// unremoved is set while the job's own record is in the store although its final state is.
+	unremoved bool
+	accepted  monotonic.Time
+	objective time.Duration
 	// copyable is set if a step allows speculative copies of its running tasks.
 	copyable bool
 	// recovered is set for jobs that were accepted by an earlier owner.
@@ -426,8 +428,14 @@
 	if e.job.FinalState.IsFinal() {
 		e.finalStored = true
 		close(e.finalStoredChan)
+		if o.active[id] != nil {
+			// Versions that removed the job's own record in a transaction after that of the final state left it.
+			o.Log.WithFields(logrus.Fields{"job": id, "shard": o.Shard, "token": o.Token, "state": e.job.FinalState, "ended_ms": e.job.EndedMS}).
+				Info("record of an ended job found; it will be removed")
+			e.unremoved = true
+			o.requestCommit()
+		}
 		delete(o.active, id)
-		return
 	}
 }
 
