quota, shard: let shards return what a task needs that waits for its account's limit

Cause: shards divide an account's limit, and each keeps a part without demand, or a quarter of what is free with it. No shard learned that another one waited, so a task or gang that needs more than what the others leave, 13/16 of the limit with four idle services, never started. Several such tasks each held a part and waited for the others', and parts of a service that is not used any more were never returned.

A job that has waited for a second for its account's limit only makes its shard record what it needs. The others return what their tasks do not need, and for 10 s of each 40 s start nothing with the resources that the first request lacks. Grants of a shard that has had no owner for 30 s are removed on condition that it has none. The bound on the sum of all grants is unchanged.

--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -28,6 +28,7 @@
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/operatorapi"
 	"samphirestile.example/samphirestile/internal/partition"
+	"samphirestile.example/samphirestile/internal/quota"
 	"samphirestile.example/samphirestile/internal/roster"
 	"samphirestile.example/samphirestile/internal/shard"
 	"samphirestile.example/samphirestile/internal/store"
@@ -71,6 +72,7 @@
 	configurations *entry.ConfigurationFollower
 	roster         *roster.Roster
 	claims         *claim.Table
+	quotaRequests  *quota.Requests
 	clients        *jobapi.Clients
 	advisor        worker.Advisor // nil if no queue has one
 	hostAPI        *platform.Hosts
@@ -121,6 +123,7 @@
 		Configuration: platform.DecodeConfiguration, Wave: decodeWave,
 	}, log)
 	d.roster = roster.New(d.store, platform.WorkerPrefix, platform.DecodeWorker, d.ownsShards, log)
+	d.quotaRequests = quota.NewRequests(d.store, d.ownsShards, log)
 	d.claims = claim.NewTable(d.store, func() bool { return d.ownsAny() && d.partitioned() }, d.roster.Notify, log)
 	return d, nil
 }
@@ -282,12 +285,18 @@
 	}
 }
 
+func (d *Daemon) hasOwner(shard string) bool {
+	_, ok := d.owners.Owner(shard)
+	return ok
+}
+
 func (d *Daemon) shardConfig(name string, token uint64, id store.LeaseID, changes <-chan struct{}) shard.Config {
 	b := d.settings.Bounds
 	service := partition.Parse(name).Pool
 	workerLease := min(shard.MaxWorkerLease, b.MaxLease/2)
 	return shard.Config{
 		Shard: name, Service: service, Token: token, OwnerKey: lease.OwnerKey(name), PartitionKey: lease.PartitionKey(name), Store: d.store, Bindings: d.owners,
+		Quota:  quota.Peers{Requests: d.quotaRequests, Lease: id, HasOwner: d.hasOwner, OwnerKey: lease.OwnerKey},
 		Dialer: d.workers, Advisor: d.advisor, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
 		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention},
 		LatestWorkerLeaseEnd: func() monotonic.Time { return d.renewer.ValidUntil(id).Add(workerLease) },
@@ -392,7 +401,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run, d.endBindings} {
+	for _, run := range []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run, d.quotaRequests.Run, d.endBindings} {
 		group.Go(func() { run(background) })
 	}
 	d.log.WithFields(logrus.Fields{
--- a/internal/jobdaemon/malformed_test.go
+++ b/internal/jobdaemon/malformed_test.go
@@ -142,7 +142,7 @@
 		t := store.Transaction{}
 		for _, prefix := range []string{
 			platform.WorkerPrefix, platform.WavePrefix, "samphirestile/lease/member/", "samphirestile/lease/own/", "samphirestile/lease/part/", "samphirestile/claim/s/",
-			"samphirestile/claim/s//", "samphirestile/roster/", "samphirestile/wave/", "samphirestile/job/s/", "samphirestile/progress/s/",
+			"samphirestile/claim/s//", "samphirestile/roster/", "samphirestile/wave/", "samphirestile/job/s/", "samphirestile/progress/s/", "samphirestile/quota-request/",
 		} {
 			for i, value := range []string{"null", "{}", "[]", `"x"`, "-1", "99999999999999999999", "\xff\x00", strings.Repeat("[", 100_000), `{"id":"00000000000000aa","steps":[{"count":1,"after":[9]}]}`} {
 				t.Writes = append(t.Writes, store.Write{Key: fmt.Sprintf("%sodd%d", prefix, i), Value: []byte(value)})
--- a/internal/quota/invalid_test.go
+++ b/internal/quota/invalid_test.go
@@ -26,7 +26,7 @@
 	log.SetOutput(io.Discard)
 	src := &source{limit: worker.Resources{CPU: 1000}}
 	src.set(0, 5000)
-	l := NewLedger(s, "x", "own", token, src, func() {}, log)
+	l := NewLedger(s, "x", "own", token, src, func() {}, Peers{}, log)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_, err = l.adapt(ctx)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -28,6 +28,11 @@
 	// longest lease of a worker, four seconds, during which runs of the predecessor may go on on
 	// workers that have not responded to the new owner. A UsageReporter ends it earlier.
 	inheritedHold = 5 * time.Second
+	// abandonedDelay exceeds the time for which runs of the last owner of a shard may go on: the longest lease of a
+	// worker, and commands that are executed late.
+	abandonedDelay = 30 * time.Second
+	// maxRemovedShards bounds the conditions of one write.
+	maxRemovedShards = 16
 )
 
 // Grants holds the granted parts of accounts' limits, by shard and account.
@@ -47,6 +52,24 @@
 	UsageKnown() bool
 }
 
+// ShortageReporter is implemented by a Source that knows which of its tasks wait only for the limit of their account.
+type ShortageReporter interface {
+	// Shortages returns, by account, the task or gang that has been waiting the longest.
+	Shortages() map[string]Shortage
+}
+
+// Peers is what a ledger knows of the other shards.
+type Peers struct {
+	// Requests are the requests of all shards; nil means that shards neither request resources nor yield them.
+	Requests *Requests
+	// Lease is the lease of this daemon, to which the record of its requests is attached.
+	Lease store.LeaseID
+	// HasOwner reports whether a shard has an owner, and OwnerKey returns the key that exists while it has one. Nil means
+	// that all shards have owners.
+	HasOwner func(shard string) bool
+	OwnerKey func(shard string) string
+}
+
 // Ledger maintains one shard's grants.
 type Ledger struct {
 	store    store.Transactional
@@ -55,8 +78,14 @@
 	token    uint64
 	source   Source
 	onGrowth func()
+	peers    Peers
 	log      *logrus.Logger
 
+	// requests is used by Run only.
+	requests ownRequests
+	// abandoned holds since when shards with grants have had no owner. It is used by Run only.
+	abandoned map[string]monotonic.Time
+
 	mu      sync.Mutex
 	grants  Grants
 	version uint64
@@ -73,10 +102,10 @@
 
 // NewLedger returns a ledger of the shard; onGrowth is called when more resources may
 // have been granted.
-func NewLedger(s store.Transactional, shard, ownerKey string, token uint64, source Source, onGrowth func(), log *logrus.Logger) *Ledger {
+func NewLedger(s store.Transactional, shard, ownerKey string, token uint64, source Source, onGrowth func(), peers Peers, log *logrus.Logger) *Ledger {
 	return &Ledger{
-		store: s, shard: shard, ownerKey: ownerKey, token: token, source: source, onGrowth: onGrowth, log: log,
-		grants: Grants{}, wake: make(chan struct{}, 1),
+		store: s, shard: shard, ownerKey: ownerKey, token: token, source: source, onGrowth: onGrowth, peers: peers, log: log,
+		grants: Grants{}, abandoned: map[string]monotonic.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -95,6 +124,29 @@
 	return Within(limit, Effective(limit, own, own.Plus(l.others(account))), use)
 }
 
+// AllowsStart reports whether tasks may start with which the account's use would be the given one: the grant covers
+// it, and it leaves the resources that another shard's request reserves.
+func (l *Ledger) AllowsStart(account string, limit, use worker.Resources) bool {
+	if !l.Allows(account, limit, use) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	missing, reserved := l.requestedByOthers(account, limit)
+	return !reserved || Within(limit, limit.Minus(l.others(account)).Minus(missing), use)
+}
+
+// requestedByOthers returns what the first request for an account lacks, and whether that is reserved. It is nothing if
+// this shard's request is the first. The caller holds mu.
+func (l *Ledger) requestedByOthers(account string, limit worker.Resources) (missing worker.Resources, reserved bool) {
+	shard, q := l.peers.Requests.first(account, l.peers.HasOwner)
+	if shard == "" || shard == l.shard {
+		return missing, false
+	}
+	missing = limited(largest(worker.Resources{}, Capped(q.Need, limit).Minus(l.grants[shard][account])), limit)
+	return missing, q.Reserved && missing != (worker.Resources{})
+}
+
 func (l *Ledger) others(account string) worker.Resources {
 	var sum worker.Resources
 	for shard, accounts := range l.grants {
@@ -117,8 +169,11 @@
 // Run adapts the grants to the demand until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	lastFailure := ""
+	requested := l.peers.Requests.subscribe()
+	defer l.peers.Requests.unsubscribe(requested)
 	for ctx.Err() == nil {
 		changed, err := l.adapt(ctx)
+		err = errors.Join(err, l.updateRequests(ctx))
 		if err == nil {
 			lastFailure = ""
 		} else if err.Error() != lastFailure {
@@ -133,6 +188,9 @@
 		select {
 		case <-ctx.Done():
 		case <-l.wake:
+		case <-requested:
+			// Tasks may start that had to leave resources to another shard.
+			l.onGrowth()
 		// Surplus is returned even if no update is requested.
 		case <-time.After(8 * passInterval):
 		}
@@ -166,14 +224,42 @@
 	if err := l.read(ctx); err != nil {
 		return false, err
 	}
+	removed := l.findAbandoned()
 	next, change, _ := l.planGrants()
 	l.mu.Lock()
 	loaded, unresolved := l.loaded, l.unresolved
 	l.mu.Unlock()
-	if !change && !unresolved {
+	if !change && !unresolved && len(removed) == 0 {
 		return !loaded, nil
 	}
-	return l.write(ctx, next)
+	return l.write(ctx, next, removed)
+}
+
+// findAbandoned returns shards whose grants may be removed because they have had no owner for abandonedDelay.
+func (l *Ledger) findAbandoned() []string {
+	if l.peers.HasOwner == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := monotonic.Now()
+	maps.DeleteFunc(l.abandoned, func(shard string, _ monotonic.Time) bool { _, ok := l.grants[shard]; return !ok })
+	var abandoned []string
+	for shard := range l.grants {
+		if shard == l.shard || l.peers.HasOwner(shard) {
+			delete(l.abandoned, shard)
+			continue
+		}
+		since, ok := l.abandoned[shard]
+		if !ok {
+			since = now
+			l.abandoned[shard] = now
+		}
+		if now.Sub(since) > abandonedDelay && len(abandoned) < maxRemovedShards {
+			abandoned = append(abandoned, shard)
+		}
+	}
+	return abandoned
 }
 
 // limit limits each grant to the range of amounts: a negative grant of one shard would raise what
@@ -231,10 +317,11 @@
 	next = map[string]worker.Resources{}
 	for account, limit := range limits {
 		own := l.grants[l.shard][account]
-		planned := Plan(limit, own, l.others(account), shards, demands[account])
+		missing, reserved := l.requestedByOthers(account, limit)
+		planned := Plan(limit, own, l.others(account), shards, demands[account], Requested{missing, reserved})
 		if hold {
 			// The limit may have been lowered since, or the record may be invalid.
-			planned = largest(planned, capped(own.Min(l.inherited[account]), limit))
+			planned = largest(planned, Capped(own.Min(l.inherited[account]), limit))
 		}
 		if planned != (worker.Resources{}) {
 			next[account] = planned
@@ -246,14 +333,22 @@
 	return next, change, unmet
 }
 
-// write writes the shard's next grants and reports whether the grants may have grown.
-func (l *Ledger) write(ctx context.Context, next map[string]worker.Resources) (bool, error) {
+// write writes the shard's next grants, removes those of abandoned shards, and reports whether the grants may have
+// grown.
+func (l *Ledger) write(ctx context.Context, next map[string]worker.Resources, abandoned []string) (bool, error) {
+	conditions := []store.Condition{{Key: recordKey}, {Key: l.ownerKey, Version: l.token}}
 	l.mu.Lock()
 	grants := Grants{}
 	for shard, accounts := range l.grants {
 		grants[shard] = accounts
 	}
 	grants[l.shard] = next
+	for _, shard := range abandoned {
+		l.log.WithFields(logrus.Fields{"shard": shard, "by": l.shard, "grants": grants[shard], "version": l.version}).Info("grants of a shard without an owner are removed")
+		delete(grants, shard)
+		// Without an owner the key does not exist.
+		conditions = append(conditions, store.Condition{Key: l.peers.OwnerKey(shard)})
+	}
 	// Resources that are returned must not be used from here on, as the write may take effect
 	// even if its response is lost.
 	kept := map[string]worker.Resources{}
@@ -268,6 +363,7 @@
 	reduced[l.shard] = kept
 	l.grants = reduced
 	version := l.version
+	conditions[0].Version = version
 	l.mu.Unlock()
 
 	value, err := json.Marshal(grants)
@@ -275,12 +371,14 @@
 		return false, fmt.Errorf("encode grants of %d shards: %w", len(grants), err)
 	}
 	revision, err := l.store.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: recordKey, Version: version}, {Key: l.ownerKey, Version: l.token}},
-		Writes:     []store.Write{{Key: recordKey, Value: value}},
+		Conditions: conditions, Writes: []store.Write{{Key: recordKey, Value: value}},
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
+		for _, shard := range abandoned {
+			delete(l.abandoned, shard)
+		}
 		l.unresolved = errors.As(err, new(*store.UnknownOutcomeError))
 		// After a definite failure nothing is allowed until the record has been read again. After an
 		// unknown outcome the reduced grants set above stay usable.
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -26,30 +26,44 @@
 // those of the other shards, and the number of all shards. A dimension without
 // limit is granted 0.
 //
+// Resources that another shard's request lacks are left to it, except those that tasks require. While they are reserved,
+// only running tasks keep them.
+//
 // Load pattern: demand moves from one shard to the next within a second, while the sum
 // over all shards must never exceed the limit. Surplus is returned at once, and free
 // resources are taken in large amounts. Shards without demand leave most of the limit to
 // those that need it, regardless of the number of shards.
-func Plan(limit, own, others worker.Resources, shards int, d AccountDemand) worker.Resources {
+func Plan(limit, own, others worker.Resources, shards int, d AccountDemand, r Requested) worker.Resources {
 	return worker.Resources{
-		CPU:   plan(limit.CPU, own.CPU, others.CPU, shards, d.Running.CPU, d.Waiting.CPU),
-		MemMB: plan(limit.MemMB, own.MemMB, others.MemMB, shards, d.Running.MemMB, d.Waiting.MemMB),
-		GPU:   plan(limit.GPU, own.GPU, others.GPU, shards, d.Running.GPU, d.Waiting.GPU),
+		CPU:   plan(limit.CPU, own.CPU, others.CPU, shards, d.Running.CPU, d.Waiting.CPU, r.Missing.CPU, r.Reserved),
+		MemMB: plan(limit.MemMB, own.MemMB, others.MemMB, shards, d.Running.MemMB, d.Waiting.MemMB, r.Missing.MemMB, r.Reserved),
+		GPU:   plan(limit.GPU, own.GPU, others.GPU, shards, d.Running.GPU, d.Waiting.GPU, r.Missing.GPU, r.Reserved),
 	}
 }
 
-func plan(limit, own, others int64, shards int, running, waiting int64) int64 {
+// Requested is what the first request of another shard for an account lacks.
+type Requested struct {
+	Missing worker.Resources
+	// Reserved is set if it has precedence over tasks that wait.
+	Reserved bool
+}
+
+func plan(limit, own, others int64, shards int, running, waiting, missing int64, reserved bool) int64 {
 	if limit <= 0 {
 		return 0
 	}
 	free := max(0, limit-others)
 	wanted := running + waiting
-	spare := max(0, free-wanted) / headroomDivisor
+	unrequested := max(0, free-missing)
+	spare := max(0, unrequested-wanted) / headroomDivisor
 	if wanted == 0 {
 		spare = min(spare, limit/(idleDivisor*int64(max(shards, 1))))
 	}
+	if reserved {
+		free = unrequested
+	}
 	next := min(wanted+spare, free)
-	if next < own && wanted+2*spare >= own {
+	if missing == 0 && next < own && wanted+2*spare >= own {
 		// A small surplus is kept: returning it would cost a write each time.
 		next = min(own, free)
 	}
@@ -84,8 +98,22 @@
 	return within(limit.CPU, grant.CPU, use.CPU) && within(limit.MemMB, grant.MemMB, use.MemMB) && within(limit.GPU, grant.GPU, use.GPU)
 }
 
-// capped reduces r to the limit in each dimension that has one.
-func capped(r, limit worker.Resources) worker.Resources {
+// limited returns the dimensions of r that have a limit.
+func limited(r, limit worker.Resources) worker.Resources {
+	if limit.CPU <= 0 {
+		r.CPU = 0
+	}
+	if limit.MemMB <= 0 {
+		r.MemMB = 0
+	}
+	if limit.GPU <= 0 {
+		r.GPU = 0
+	}
+	return r
+}
+
+// Capped reduces r to the limit in each dimension that has one.
+func Capped(r, limit worker.Resources) worker.Resources {
 	c := func(n, limit int64) int64 {
 		if limit > 0 {
 			return min(n, limit)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -56,16 +56,16 @@
 				}
 			}
 			running[i] = min(running[i], grants[i])
-			grants[i] = plan(limit, grants[i], others, shards, running[i], int64(rng.IntN(800)))
+			grants[i] = plan(limit, grants[i], others, shards, running[i], int64(rng.IntN(800)), 0, false)
 			running[i] = rng.Int64N(grants[i] + 1)
 			Expect(others + grants[i]).To(BeNumerically("<=", limit))
 		}
 	})
 	It("go to the shard with demand", func() {
-		Expect(plan(1000, 0, 100, 2, 0, 900)).To(Equal(int64(900)))
-		Expect(plan(1000, 900, 100, 2, 0, 0)).To(BeNumerically("<=", 300))
-		Expect(plan(1000, 900, 100, 2, 800, 0)).To(BeNumerically(">=", 800))
-		Expect(plan(0, 0, 0, 2, 50, 50)).To(BeZero())
+		Expect(plan(1000, 0, 100, 2, 0, 900, 0, false)).To(Equal(int64(900)))
+		Expect(plan(1000, 900, 100, 2, 0, 0, 0, false)).To(BeNumerically("<=", 300))
+		Expect(plan(1000, 900, 100, 2, 800, 0, 0, false)).To(BeNumerically(">=", 800))
+		Expect(plan(0, 0, 0, 2, 50, 50, 0, false)).To(BeZero())
 	})
 	It("are left to the shard with demand by all idle shards, however many there are", func() {
 		const limit, shards = 1000, 16
@@ -78,11 +78,11 @@
 		}
 		for range 3 {
 			for i := range grants {
-				grants[i] = plan(limit, grants[i], sum()-grants[i], shards, 0, 0)
+				grants[i] = plan(limit, grants[i], sum()-grants[i], shards, 0, 0, 0, false)
 				Expect(grants[i]).To(BeNumerically(">", 0))
 			}
 		}
-		Expect(plan(limit, grants[0], sum()-grants[0], shards, 0, limit)).To(BeNumerically(">=", limit*7/10))
+		Expect(plan(limit, grants[0], sum()-grants[0], shards, 0, limit, 0, false)).To(BeNumerically(">=", limit*7/10))
 	})
 	It("shrink in proportion as soon as a limit is lowered", func() {
 		Expect(Effective(worker.Resources{CPU: 500}, worker.Resources{CPU: 600}, worker.Resources{CPU: 1000})).To(Equal(worker.Resources{CPU: 300}))
@@ -104,7 +104,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			src := &source{limit: limit}
 			src.set(running, waiting)
-			l := NewLedger(s, name, "own/"+name, token, src, func() {}, discardLog)
+			l := NewLedger(s, name, "own/"+name, token, src, func() {}, Peers{}, discardLog)
 			group.Go(func() { l.Run(ctx) })
 			return l, src
 		}
@@ -136,7 +136,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			src := &source{limit: limit}
 			src.set(running, waiting)
-			return NewLedger(s, name, key, token, src, func() {}, discardLog), src
+			return NewLedger(s, name, key, token, src, func() {}, Peers{}, discardLog), src
 		}
 		adapt := func(l *Ledger) {
 			_, err := l.adapt(ctx)
@@ -187,7 +187,7 @@
 			token, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: "own/" + name}}})
 			Expect(err).NotTo(HaveOccurred())
 			src := &source{limit: limit}
-			l := NewLedger(s, name, "own/"+name, token, src, func() {}, discardLog)
+			l := NewLedger(s, name, "own/"+name, token, src, func() {}, Peers{}, discardLog)
 			ledgers, sources = append(ledgers, l), append(sources, src)
 			group.Go(func() { l.Run(ctx) })
 		}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -74,9 +74,11 @@
 	Store    store.Transactional
 	// Bindings are the bindings of queues to services; nil means that jobs are accepted from any queue.
 	Bindings Bindings
-	Dialer   worker.Dialer
-	Advisor  worker.Advisor
-	Bounds   Bounds
+	// Quota is what the shard knows of the others that share the limits of accounts.
+	Quota   quota.Peers
+	Dialer  worker.Dialer
+	Advisor worker.Advisor
+	Bounds  Bounds
 	// LatestWorkerLeaseEnd returns the latest end of a lease that may be granted to a worker.
 	LatestWorkerLeaseEnd func() monotonic.Time
 	// Workers returns the listed workers of the service.
@@ -130,8 +132,10 @@
 	// closedLateStarts are the late starts of closed sessions.
 	closedLateStarts map[worker.ID]map[runKey]*lateStart
 	usage            map[string]worker.Resources
-	durationModels   map[string]*durationModel
-	urgent           bool
+	// limited holds, by account, the job that has been waiting the longest for the limit only.
+	limited        map[string]*limitWait
+	durationModels map[string]*durationModel
+	urgent         bool
 	// lastEmpty is when a worker was last reported empty.
 	lastEmpty monotonic.Time
 	// maintenanceDue holds workers whose hosts go down for maintenance soon.
@@ -213,6 +217,8 @@
 	skips int
 	// unplaced are the tasks that found no worker when a scheduling pass last looked at the job.
 	unplaced unplacedTasks
+	// limited is what the job waits for since the limit of its account has kept it from starting tasks.
+	limited limitWait
 	// noReadyTasks is set while no task can start before a run of the job finishes.
 	noReadyTasks bool
 	// path is the critical path of the remaining steps, computed at pathAt after pathDoneRuns
@@ -240,11 +246,11 @@
 		Config: c, acquired: monotonic.Now(), wake: make(chan struct{}, 1), commits: make(chan struct{}, 1),
 		jobs: map[job.ID]*jobEntry{}, active: map[job.ID]*jobEntry{}, completing: map[job.ID]*jobEntry{}, sessions: map[worker.ID]*session{},
 		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, goneWorkers: map[worker.ID]goneWorker{},
-		closedLateStarts: map[worker.ID]map[runKey]*lateStart{}, usage: map[string]worker.Resources{},
+		closedLateStarts: map[worker.ID]map[runKey]*lateStart{}, usage: map[string]worker.Resources{}, limited: map[string]*limitWait{},
 		durationModels: map[string]*durationModel{}, countedArrivals: map[job.ID]monotonic.Time{}, ready: make(chan struct{}),
 		adviceWake: make(chan struct{}, 1), partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
 	}
-	o.ledger = quota.NewLedger(c.Store, c.Shard, c.OwnerKey, c.Token, o, o.schedule, c.Log)
+	o.ledger = quota.NewLedger(c.Store, c.Shard, c.OwnerKey, c.Token, o, o.schedule, c.Quota, c.Log)
 	return o
 }
 
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -124,6 +124,7 @@
 	for _, e := range o.active {
 		if !o.hasReadyTask(e, now) {
 			e.noReadyTasks = e.stored && now >= e.retryAt && !e.job.Scheduled() && !e.recovered
+			e.limited.since = 0
 			if now >= e.retryAt {
 				e.unplaced = unplacedTasks{}
 			}
@@ -137,6 +138,7 @@
 	if len(entries) == 0 && len(slow) == 0 {
 		return
 	}
+	o.findLimited(now)
 	p := &placer{owner: o, now: now, inherited: o.inheritedUsage(now), index: make(map[*session]int, len(o.sessions))}
 	for _, s := range o.sessions {
 		p.add(s)
@@ -287,6 +289,14 @@
 // placeJob starts the job's ready tasks for which there is capacity.
 func (p *placer) placeJob(e *jobEntry) {
 	e.unplaced = unplacedTasks{}
+	e.limited.refused = false
+	starts := e.starts
+	defer func() {
+		if e.limited.update(e.starts > starts, p.now) {
+			// The request for the job is withdrawn.
+			p.owner.ledger.RequestUpdate()
+		}
+	}()
 	var tasks []readyTask
 	for t, s := range p.owner.readyTasks(e, p.now) {
 		if len(tasks) > 0 && (s != tasks[0].step || t.Occurrence != tasks[0].id.Occurrence) {
@@ -318,11 +328,13 @@
 	// Many jobs may wait for an account at its limit, so this check precedes the scan of all
 	// workers.
 	if !p.withinAccountLimit(e, tasks[0].step, 1) {
+		p.refuseByLimit(e, tasks[0].step, 1)
 		return
 	}
 	rack := p.prepareCandidates(e, tasks[0])
 	for n, t := range tasks {
 		if !p.withinAccountLimit(e, t.step, 1) {
+			p.refuseByLimit(e, t.step, 1)
 			return
 		}
 		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
@@ -361,7 +373,11 @@
 
 // placeGang starts all members or none.
 func (p *placer) placeGang(e *jobEntry, tasks []readyTask) {
-	if len(tasks) < tasks[0].step.Count || !p.withinAccountLimit(e, tasks[0].step, len(tasks)) {
+	if len(tasks) < tasks[0].step.Count {
+		return
+	}
+	if !p.withinAccountLimit(e, tasks[0].step, len(tasks)) {
+		p.refuseByLimit(e, tasks[0].step, len(tasks))
 		return
 	}
 	rack := p.prepareCandidates(e, tasks[0])
@@ -409,13 +425,19 @@
 		return true
 	}
 	use := o.usage[e.job.Account].Plus(p.inherited[e.job.Account]).Plus(s.Need.Times(int64(tasks)))
-	if o.ledger.Allows(e.job.Account, o.limit(e.job.Account), use) {
+	use = use.Plus(o.limited[e.job.Account].reservedFor(e, p.now))
+	if o.ledger.AllowsStart(e.job.Account, o.limit(e.job.Account), use) {
 		return true
 	}
 	o.ledger.RequestUpdate()
 	return false
 }
 
+// refuseByLimit records that the limit of the job's account kept tasks from starting.
+func (p *placer) refuseByLimit(e *jobEntry, s *job.Step, tasks int) {
+	e.limited.refuse(s.Need.Times(int64(tasks)), p.owner.limit(e.job.Account), p.now)
+}
+
 func (p *placer) assign(i int, s *job.Step) {
 	c := &p.candidates[i]
 	c.Used = c.Used.Plus(s.RequiredResources())
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -22,6 +22,7 @@
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/quota"
 	"samphirestile.example/samphirestile/internal/shard"
 	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
@@ -92,6 +93,8 @@
 	// service and bindings are those of owners that are started from then on.
 	service  fleet.ServiceID
 	bindings shard.Bindings
+	// quota is what owners that are started from then on know of the shards that share limits with them.
+	quota quota.Peers
 	// log receives the log lines of owners that are started from then on.
 	log io.Writer
 	// simulated is set for specs on simulated time. Their owners must be stopped before the clock is removed.
@@ -248,7 +251,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{cancel: cancel, done: make(chan struct{})}
 	o.Owner = shard.New(shard.Config{
-		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advisor: f.advisor,
+		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, Quota: f.quota, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advisor: f.advisor,
 		Bounds: shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute},
 		LatestWorkerLeaseEnd: func() monotonic.Time {
 			o.mu.Lock()
