shard: allow for the longest lease of a former owner on a worker that restarted

Cause: a start by the clock of a former incarnation grants the new one up to the longest lease, 10 s. Its owner knows; a successor assumed the usual lease of 4 s and started the task elsewhere while the first run went on.

The record of the workers names the incarnation whose clock the owner goes by, and whether a lease by a former clock may hold. A successor allows for the longest lease where the worker, or its entry if it does not answer, shows another incarnation, or the record says so. Workers that did not restart are treated as before.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -25,9 +25,9 @@
 	// demand peak several shards request larger grants at the same time.
 	conflictRetries = 3
 	// inheritedHold is how long a new owner keeps the grants of its predecessor. It exceeds the
-	// longest lease of a worker, four seconds, during which runs of the predecessor may go on on
-	// workers that have not responded to the new owner. A UsageReporter ends it earlier.
-	inheritedHold = 5 * time.Second
+	// longest lease that workers accept, ten seconds, during which runs of the predecessor may go on
+	// on workers that have not responded to the new owner. A UsageReporter ends it earlier.
+	inheritedHold = 11 * time.Second
 	// abandonedDelay exceeds the time for which runs of the last owner of a shard may go on: the longest lease of a
 	// worker, and commands that are executed late.
 	abandonedDelay = 30 * time.Second
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -284,6 +284,11 @@
 // recordedWorker is a worker on which runs may exist.
 type recordedWorker struct {
 	Address string `json:"address"`
+	// BornMS is the start of the incarnation of which the owner knows the clock, in Unix milliseconds; 0 if it has not
+	// answered the owner yet.
+	BornMS int64 `json:"born_ms,omitempty"`
+	// LongLease is set while a command with a lease by the clock of a former incarnation may take effect, or hold.
+	LongLease bool `json:"long_lease,omitempty"`
 	// Tasks are the only tasks that may run there. A planned handover lists them for workers that
 	// do not respond; nil means any task.
 	Tasks []string `json:"tasks,omitempty"`
@@ -310,37 +315,37 @@
 	workers := o.usedWorkers()
 	// forAny reports whether runs of any task may exist on a worker.
 	forAny := func(id worker.ID) bool { w, ok := workers[id]; return ok && w.Tasks == nil }
-	added, named := false, 0
+	added, ended, named := false, false, 0
 	for id, w := range workers {
 		if !forAny(id) {
 			continue
 		}
 		named++
-		if address, ok := o.recordedWorkers[id]; !ok || address != w.Address {
-			added = true
-		}
+		recorded, ok := o.recordedWorkers[id]
+		added = added || !ok || recorded.needsUpdate(w)
+		ended = ended || recorded.LongLease && !w.LongLease
 	}
 	switch {
 	case added:
-		for _, former := range []map[worker.ID]string{o.recordedWorkers, o.leaving} {
-			for id, address := range former {
+		for _, former := range []map[worker.ID]recordedWorker{o.recordedWorkers, o.leaving} {
+			for id, w := range former {
 				if !forAny(id) {
-					workers[id] = recordedWorker{Address: address}
+					workers[id] = w
 				}
 			}
 		}
-	case named == len(o.recordedWorkers)+len(o.leaving):
+	case named == len(o.recordedWorkers)+len(o.leaving) && !ended:
 		return nil
 	case len(b.changes) == 0 && !o.closed:
 		// Departed workers are dropped only together with other writes.
 		return nil
 	default:
 		b.dropsWorkers = true
-		for id, address := range o.recordedWorkers {
+		for id, w := range o.recordedWorkers {
 			// A worker that returns gets no runs before it is recorded again.
 			if !forAny(id) {
 				delete(o.recordedWorkers, id)
-				o.leaving[id] = address
+				o.leaving[id] = w
 			}
 		}
 	}
@@ -361,8 +366,9 @@
 // usedWorkers returns the workers on which runs may exist.
 func (o *Owner) usedWorkers() map[worker.ID]recordedWorker {
 	workers := map[worker.ID]recordedWorker{}
+	now := monotonic.Now()
 	for id, s := range o.sessions {
-		switch w := (recordedWorker{Address: s.addressToRecord()}); {
+		switch w := (recordedWorker{Address: s.addressToRecord(), BornMS: s.incarnationStartMS, LongLease: s.mayHoldLongLease(now)}); {
 		case !o.closed:
 			workers[id] = w
 		case len(s.runs) > 0 || s.hasLateStarts():
@@ -452,6 +458,6 @@
 			continue
 		}
 		delete(o.leaving, id)
-		o.recordedWorkers[id] = w.Address
+		o.recordedWorkers[id] = w
 	}
 }
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -224,7 +224,7 @@
 		s.markAllLost("lease ended without contact")
 	}
 	s.stopLateStarts()
-	if !s.listed && len(s.runs) == 0 && !s.hasLateStarts() && now.Sub(o.acquired) > o.lease()+leaseSlack+retryDelay {
+	if !s.listed && len(s.runs) == 0 && !s.hasLateStarts() && now.Sub(o.acquired) > o.formerLease(s.ID, o.uncontacted[s.ID])+retryDelay {
 		o.closeSession(s)
 	}
 	if s.emptied && len(s.runs) == 0 && len(s.lateStarts) == 0 {
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -118,11 +118,11 @@
 	// completing are the active jobs whose tasks are all done and whose final state is not set yet.
 	completing map[job.ID]*jobEntry
 	sessions   map[worker.ID]*session
-	// recordedWorkers are the workers on which this owner may start runs, with their addresses.
-	recordedWorkers map[worker.ID]string
+	// recordedWorkers are the workers on which this owner may start runs, as the stored record names them.
+	recordedWorkers map[worker.ID]recordedWorker
 	// leaving are workers that the stored record may still name: the write that drops them has not
 	// been confirmed.
-	leaving map[worker.ID]string
+	leaving map[worker.ID]recordedWorker
 	// uncontacted holds recorded workers that have not responded to this owner yet. workersUnknown is
 	// set if the record could not be decoded.
 	uncontacted    map[worker.ID]recordedWorker
@@ -245,7 +245,7 @@
 	o := &Owner{
 		Config: c, acquired: monotonic.Now(), wake: make(chan struct{}, 1), commits: make(chan struct{}, 1),
 		jobs: map[job.ID]*jobEntry{}, active: map[job.ID]*jobEntry{}, completing: map[job.ID]*jobEntry{}, sessions: map[worker.ID]*session{},
-		recordedWorkers: map[worker.ID]string{}, leaving: map[worker.ID]string{}, uncontacted: map[worker.ID]recordedWorker{}, goneWorkers: map[worker.ID]goneWorker{},
+		recordedWorkers: map[worker.ID]recordedWorker{}, leaving: map[worker.ID]recordedWorker{}, uncontacted: map[worker.ID]recordedWorker{}, goneWorkers: map[worker.ID]goneWorker{},
 		closedLateStarts: map[worker.ID]map[runKey]*lateStart{}, usage: map[string]worker.Resources{}, limited: map[string]*limitWait{},
 		durationModels: map[string]*durationModel{}, countedArrivals: map[job.ID]monotonic.Time{}, ready: make(chan struct{}),
 		adviceWake: make(chan struct{}, 1), partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
@@ -375,7 +375,7 @@
 	}
 	for id, w := range workers {
 		if w.Tasks == nil {
-			o.recordedWorkers[id] = w.Address
+			o.recordedWorkers[id] = w
 		}
 		o.uncontacted[id] = w
 	}
@@ -481,12 +481,15 @@
 
 // uncontactedRuns returns what may be running on workers that have not responded to this owner.
 func (o *Owner) uncontactedRuns(now monotonic.Time) uncontactedRuns {
-	longestLease := time.Duration((1+maxClockDrift)*float64(o.lease())) + leaseSlack
-	if (len(o.uncontacted) == 0 && !o.workersUnknown) || now.Sub(o.acquired) > longestLease {
+	if len(o.uncontacted) == 0 && !o.workersUnknown {
 		return uncontactedRuns{}
 	}
-	u := uncontactedRuns{any: o.workersUnknown, tasks: map[string]bool{}}
-	for _, w := range o.uncontacted {
+	passed := now.Sub(o.acquired)
+	u := uncontactedRuns{any: o.workersUnknown && passed <= atMost(o.Bounds.MaxLease), tasks: map[string]bool{}}
+	for id, w := range o.uncontacted {
+		if passed > o.formerLease(id, w) {
+			continue
+		}
 		u.any = u.any || w.Tasks == nil
 		for _, t := range w.Tasks {
 			u.tasks[t] = true
--- a/internal/shard/schedule_bench_test.go
+++ b/internal/shard/schedule_bench_test.go
@@ -30,7 +30,7 @@
 			Worker: worker.Worker{ID: id, Capacity: worker.Resources{CPU: 32000, MemMB: 128000}, Labels: []string{"a", fmt.Sprint("r", i/20)}},
 			owner:  o, used: used, fenced: true, listed: true, reachable: true, runs: map[runKey]*run{}, lateStarts: map[runKey]*lateStart{},
 		}
-		o.recordedWorkers[id] = ""
+		o.recordedWorkers[id] = recordedWorker{}
 	}
 	for i := range jobs {
 		id := job.ID(fmt.Sprintf("%016x", i))
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -54,8 +54,11 @@
 	lostOwnership bool
 	// leaseEnd is the latest time until which runs may continue on the worker.
 	leaseEnd monotonic.Time
-	// leaseUnanswered is when a command that granted a lease at the current address last stayed without an answer, or 0.
+	// leaseUnanswered is when a command that granted a lease at the current address last stayed without an answer, also one
+	// of a former owner, or 0.
 	leaseUnanswered monotonic.Time
+	// restartKnown is when the last restart of the worker became known, also one since the record of a former owner, or 0.
+	restartKnown monotonic.Time
 	// processed and durable are the sequence numbers of the last completion processed and of the
 	// last one recorded; acknowledged is the last one whose acknowledgement the worker confirmed.
 	processed, durable, acknowledged int64
@@ -225,7 +228,7 @@
 // addressToRecord returns the address at which a successor finds the worker.
 func (s *session) addressToRecord() string {
 	if former, ok := s.owner.recordedWorkers[s.ID]; ok && !s.answeredAtAddress() {
-		return former
+		return former.Address
 	}
 	return s.Address
 }
@@ -233,8 +236,8 @@
 // recorded reports whether the stored record names the worker with its address. At a former address a
 // successor could find another worker, and take the runs of this one as ended.
 func (s *session) recorded() bool {
-	address, ok := s.owner.recordedWorkers[s.ID]
-	return ok && address == s.Address
+	w, ok := s.owner.recordedWorkers[s.ID]
+	return ok && w.Address == s.Address
 }
 
 // closeSession removes a worker. The caller holds mu and has ended its runs.
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -38,10 +38,14 @@
 	if status.IncarnationStartMS != 0 {
 		s.incarnationStartMS = status.IncarnationStartMS
 	}
+	if s.incarnationStartMS != o.recordedWorkers[s.ID].BornMS {
+		o.requestCommit()
+	}
 	s.recordClock(status.ClockMS, sent, received)
 	s.confirmLease(command.LeaseEndMS, status.ClockMS, received)
 	if !s.fenced {
 		s.fenced = true
+		s.inheritLease(status.IncarnationStartMS, received)
 		delete(o.uncontacted, s.ID)
 		o.recordReturn(s)
 		s.leaseEnd = max(s.leaseEnd, o.acquired.Add(o.lease()))
@@ -98,7 +102,7 @@
 	}).Warn("worker was born again")
 	s.resetCompletions()
 	// The new incarnation may have accepted a lease already, so its believed end stays.
-	s.extendByLongestLease()
+	s.restarts(now)
 	s.clockKnown, s.clockAt, s.pace = false, 0, fullPace
 	// The intervals between stop commands have grown while the worker did not answer.
 	s.stops.restart(now)
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -53,7 +53,7 @@
 			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": passed.Milliseconds(),
 			"runs": len(s.runs), "incarnation": s.incarnation,
 		}).Warn("clock of a worker began anew")
-		s.extendByLongestLease()
+		s.restarts(received)
 	}
 	s.clockKnown, s.clockMS, s.clockAt, s.clockSent = true, clockMS, received, sent
 }
@@ -105,7 +105,67 @@
 	if s.leaseUnanswered == 0 {
 		return 0
 	}
-	return s.leaseUnanswered.Add(time.Duration((1+maxClockDrift)*float64(s.owner.Bounds.MaxLease)) + leaseSlack)
+	return s.leaseUnanswered.Add(atMost(s.owner.Bounds.MaxLease))
+}
+
+// atMost returns the longest time for which a lease may hold on a worker's clock.
+func atMost(lease time.Duration) time.Duration {
+	return time.Duration((1+maxClockDrift)*float64(lease)) + leaseSlack
+}
+
+// A lease is an end on the worker's clock, and a new incarnation has another clock, so a command that was sent by the clock of
+// a former one may grant it the longest lease. The owner knows which of its commands that can be. A successor does not, so the
+// record of the workers names the incarnation whose clock the owner goes by, and whether such a lease may hold.
+
+// restarts records that the worker has restarted. The caller holds mu.
+func (s *session) restarts(now monotonic.Time) {
+	s.restartKnown = now
+	s.extendByLongestLease()
+	s.owner.urgent = true
+	s.owner.requestCommit()
+}
+
+// mayHoldLongLease reports whether a command with a lease by the clock of a former incarnation may take effect on the worker,
+// or hold. The caller holds mu.
+func (s *session) mayHoldLongLease(now monotonic.Time) bool {
+	return s.restartKnown != 0 && now.Sub(s.restartKnown) <= lateStartWindow+atMost(s.owner.Bounds.MaxLease)
+}
+
+// needsUpdate reports whether the record of a worker does not show what a successor has to know. That a long lease has ended
+// can be recorded later.
+func (w recordedWorker) needsUpdate(current recordedWorker) bool {
+	return w.Address != current.Address || current.BornMS != 0 && w.BornMS != current.BornMS || current.LongLease && !w.LongLease
+}
+
+// mayHoldLongLease reports whether a former owner's record leaves open that the worker holds the longest lease, given the start
+// of its incarnation. Without one in the record, the former owner is an earlier version or had no answer yet.
+func (w recordedWorker) mayHoldLongLease(bornMS int64) bool {
+	return w.LongLease || w.BornMS == 0 || w.BornMS != bornMS
+}
+
+// inheritLease raises the believed end of the lease of a recorded worker that answers this owner for the first time, if a
+// former owner may have granted it the longest one. The caller holds mu.
+func (s *session) inheritLease(bornMS int64, now monotonic.Time) {
+	former, ok := s.owner.uncontacted[s.ID]
+	if !ok || !former.mayHoldLongLease(bornMS) {
+		return
+	}
+	s.leaseUnanswered = now
+	s.owner.Log.WithFields(logrus.Fields{
+		"worker": s.ID, "shard": s.owner.Shard, "token": s.owner.Token, "born_ms": bornMS, "recorded_born_ms": former.BornMS, "long_lease": former.LongLease,
+	}).Info("worker may hold a longer lease of a former owner")
+	s.restarts(now)
+}
+
+// formerLease returns how long after the change of the owner runs of a former one may go on, on a recorded worker that has not
+// answered. Its entry shows a restart since the record. The caller holds mu.
+func (o *Owner) formerLease(id worker.ID, w recordedWorker) time.Duration {
+	s := o.sessions[id]
+	restarted := s != nil && s.StartMS != 0 && w.BornMS != 0 && s.StartMS != w.BornMS
+	if w.LongLease || restarted {
+		return atMost(o.Bounds.MaxLease)
+	}
+	return atMost(o.lease())
 }
 
 // isNewIncarnation reports whether an entry of the worker names another incarnation than the last status. The caller
