shard: name the runs that are being stopped in the record of a planned handover

Cause: a stop may take up to the stop grace, and that a run was told to stop was known to its owner only. Its successor found no run of the task and started it 2 ms after it had read the worker.

The record of the workers that a closed owner leaves names the tasks of such runs, the successor does not start these before the stop grace has passed, and no stop is sent for the first time after the record was encoded.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -292,6 +292,8 @@
 	// Tasks are the only tasks that may run there. A planned handover lists them for workers that
 	// do not respond; nil means any task.
 	Tasks []string `json:"tasks,omitempty"`
+	// Stopping are the tasks whose runs there may go on for the stop grace after a planned handover without being listed.
+	Stopping []string `json:"stopping,omitempty"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler. It also accepts the format of earlier versions, which
@@ -312,10 +314,11 @@
 // and drops none; a record that only drops workers is written after the completions that they
 // listed.
 func (o *Owner) collectWorkers(b *batch) error {
+	o.handedOver = o.closed
 	workers := o.usedWorkers()
 	// forAny reports whether runs of any task may exist on a worker.
 	forAny := func(id worker.ID) bool { w, ok := workers[id]; return ok && w.Tasks == nil }
-	added, ended, named := false, false, 0
+	added, outdated, named := false, false, 0
 	for id, w := range workers {
 		if !forAny(id) {
 			continue
@@ -323,7 +326,7 @@
 		named++
 		recorded, ok := o.recordedWorkers[id]
 		added = added || !ok || recorded.needsUpdate(w)
-		ended = ended || recorded.LongLease && !w.LongLease
+		outdated = outdated || recorded.LongLease && !w.LongLease || len(w.Stopping) > 0
 	}
 	switch {
 	case added:
@@ -334,7 +337,7 @@
 				}
 			}
 		}
-	case named == len(o.recordedWorkers)+len(o.leaving) && !ended:
+	case named == len(o.recordedWorkers)+len(o.leaving) && !outdated:
 		return nil
 	case len(b.changes) == 0 && !o.closed:
 		// Departed workers are dropped only together with other writes.
@@ -376,6 +379,7 @@
 			if !s.reachable {
 				w.Tasks = s.tasks()
 			}
+			w.Stopping = s.stoppingTasks()
 			workers[id] = w
 		}
 	}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -113,8 +113,11 @@
 	mu     sync.Mutex
 	open   bool
 	closed bool
-	jobs   map[job.ID]*jobEntry
-	active map[job.ID]*jobEntry
+	// handedOver is set once the record of the workers for the successor of a planned handover is encoded. No stops are sent
+	// from then on for runs that it does not name as stopping.
+	handedOver bool
+	jobs       map[job.ID]*jobEntry
+	active     map[job.ID]*jobEntry
 	// completing are the active jobs whose tasks are all done and whose final state is not set yet.
 	completing map[job.ID]*jobEntry
 	sessions   map[worker.ID]*session
@@ -127,6 +130,8 @@
 	// set if the record could not be decoded.
 	uncontacted    map[worker.ID]recordedWorker
 	workersUnknown bool
+	// stopping are the tasks whose runs the former owner had told to stop before a planned handover.
+	stopping map[string]bool
 	// goneWorkers are listed workers at whose address another worker has answered.
 	goneWorkers map[worker.ID]goneWorker
 	// closedLateStarts are the late starts of closed sessions.
@@ -245,7 +250,7 @@
 	o := &Owner{
 		Config: c, acquired: monotonic.Now(), wake: make(chan struct{}, 1), commits: make(chan struct{}, 1),
 		jobs: map[job.ID]*jobEntry{}, active: map[job.ID]*jobEntry{}, completing: map[job.ID]*jobEntry{}, sessions: map[worker.ID]*session{},
-		recordedWorkers: map[worker.ID]recordedWorker{}, leaving: map[worker.ID]recordedWorker{}, uncontacted: map[worker.ID]recordedWorker{}, goneWorkers: map[worker.ID]goneWorker{},
+		recordedWorkers: map[worker.ID]recordedWorker{}, leaving: map[worker.ID]recordedWorker{}, uncontacted: map[worker.ID]recordedWorker{}, stopping: map[string]bool{}, goneWorkers: map[worker.ID]goneWorker{},
 		closedLateStarts: map[worker.ID]map[runKey]*lateStart{}, usage: map[string]worker.Resources{}, limited: map[string]*limitWait{},
 		durationModels: map[string]*durationModel{}, countedArrivals: map[job.ID]monotonic.Time{}, ready: make(chan struct{}),
 		adviceWake: make(chan struct{}, 1), partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
@@ -378,6 +383,9 @@
 			o.recordedWorkers[id] = w
 		}
 		o.uncontacted[id] = w
+		for _, t := range w.Stopping {
+			o.stopping[t] = true
+		}
 	}
 	return nil
 }
@@ -498,6 +506,12 @@
 	return u
 }
 
+// mayBeStopping reports whether a run of a task that the former owner had told to stop may go on, although its worker does
+// not list it.
+func (o *Owner) mayBeStopping(t job.TaskID, now monotonic.Time) bool {
+	return len(o.stopping) > 0 && now.Sub(o.acquired) <= o.stopTime() && o.stopping[t.String()]
+}
+
 // inheritedUsage returns what runs of earlier owners on workers that have not responded may use, by
 // account. The caller holds mu.
 func (o *Owner) inheritedUsage(now monotonic.Time) map[string]worker.Resources {
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -59,7 +59,7 @@
 			uncontacted = o.uncontactedRuns(now)
 		}
 		for t, s := range o.idleTasks(e, now) {
-			if (s.Copyable() || !uncontacted.mayInclude(t)) && !yield(t, s) {
+			if (s.Copyable() || !uncontacted.mayInclude(t) && !o.mayBeStopping(t, now)) && !yield(t, s) {
 				return
 			}
 		}
--- a/internal/shard/stop.go
+++ b/internal/shard/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -65,7 +67,7 @@
 	if r := s.runs[a.key]; r != nil && s.stops.isPending(a) && s.needsStop(a.key) && !s.stopStillAllowed(r, monotonic.Now()) {
 		s.withdrawStop(r, monotonic.Now())
 	}
-	if !s.stops.isPending(a) || !s.needsStop(a.key) {
+	if !s.stops.isPending(a) || !s.needsStop(a.key) || o.handedOver && !s.stopSent(a.key) {
 		s.stops.ended(a)
 		s.wakeStops()
 		o.mu.Unlock()
@@ -130,3 +132,29 @@
 	}
 	o.completePendingJobs()
 }
+
+// stopSent reports whether a stop command was sent for a run. The caller holds mu.
+func (s *session) stopSent(key runKey) bool {
+	if r := s.runs[key]; r != nil {
+		return r.stopAttempts > 0
+	}
+	l := s.lateStarts[key]
+	return l != nil && l.stopSent
+}
+
+// stoppingTasks returns the tasks of runs that were told to stop and may go on without being listed. The caller holds mu.
+func (s *session) stoppingTasks() []string {
+	now := monotonic.Now()
+	seen := map[string]bool{}
+	for key := range s.runs {
+		if s.stopSent(key) {
+			seen[key.task.String()] = true
+		}
+	}
+	for key, l := range s.lateStarts {
+		if !l.ended && (l.stopSent && !l.stopAccepted.made() || s.holds(l.stopAccepted) && now.Sub(l.stopAccepted.at) <= s.owner.stopTime()) {
+			seen[key.task.String()] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
