emulator, shard: clocks of emulated workers that begin anywhere

The clock of each incarnation of an emulated worker began at 1 ms, so that a new one was always below the former one. The protocol promises a steady clock only, and the users' workers begin anywhere.

--- a/internal/emulator/cluster/worker.go
+++ b/internal/emulator/cluster/worker.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"sync"
 	"time"
@@ -137,6 +139,8 @@
 	worker.Worker
 	history   *History
 	behaviour func(cmd worker.StartCommand) Behaviour
+	// clockStart returns the beginning of the incarnation's clock.
+	clockStart func() time.Duration
 	// admits checks the approval of a start.
 	admits func(cmd worker.StartCommand, incarnation int) bool
 
@@ -178,6 +182,9 @@
 	// NeedsApproval reports whether a task needs an approval of Advisor; nil means never.
 	NeedsApproval func(task string) bool
 	Advisor       *Advisor
+	// ClockStart returns the beginning of the clock of an incarnation, at least a millisecond, which is the default. It must
+	// not change while calls are made.
+	ClockStart func(id worker.ID, incarnation int) time.Duration
 	// ListsStarts adds the starts of the incarnations to the list.
 	ListsStarts bool
 
@@ -203,6 +210,12 @@
 		Worker: description, history: &w.History, behaviour: w.behaviour,
 		runs: map[emulatedKey]*emulatedRun{}, highest: map[string]int{}, started: start, incarnation: incarnation, changed: make(chan struct{}),
 	}
+	n.clockStart = func() time.Duration {
+		if w.ClockStart == nil {
+			return time.Millisecond
+		}
+		return w.ClockStart(n.ID, n.incarnation)
+	}
 	n.admits = func(cmd worker.StartCommand, incarnation int) bool {
 		return w.NeedsApproval == nil || !w.NeedsApproval(cmd.Task) || w.Advisor.approves(cmd.Approval, cmd.Task, n.ID, incarnation)
 	}
@@ -348,8 +361,20 @@
 	return n.incarnation
 }
 
-// clock returns the milliseconds since the start of the incarnation, at least 1.
-func (n *Worker) clock() int64 { return time.Since(n.started).Milliseconds() + 1 }
+// clock returns the incarnation's clock in milliseconds, which runs from its own beginning.
+func (n *Worker) clock() int64 {
+	return time.Since(n.started).Milliseconds() + n.clockStart().Milliseconds()
+}
+
+// maxClockStart bounds AnyClockStart.
+const maxClockStart = 8000 * time.Second
+
+// AnyClockStart returns a beginning of the clock of an incarnation that may be above or below the clock of the former one.
+func AnyClockStart(id worker.ID, incarnation int) time.Duration {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s %d", id, incarnation) // a hash returns no error
+	return time.Duration(h.Sum64()%uint64(maxClockStart)).Truncate(time.Millisecond) + time.Millisecond
+}
 
 // rejectsToken reports whether a fencing token is stale, and records it otherwise. The
 // caller holds mu.
@@ -402,7 +427,7 @@
 	e := Event{Kind: Finished, Worker: n.ID, Task: key.task, Number: key.number, Incarnation: n.incarnation}
 	switch cause {
 	case worker.FinishDone:
-		e.Kind, e.LeaseEnd = Completed, n.started.Add(time.Duration(n.leaseEnd)*time.Millisecond)
+		e.Kind, e.LeaseEnd = Completed, n.started.Add(time.Duration(n.leaseEnd)*time.Millisecond-n.clockStart())
 	case worker.FinishFailed:
 		e.Kind = Failed
 	}
--- a/internal/shard/reordered_test.go
+++ b/internal/shard/reordered_test.go
@@ -558,10 +558,18 @@
 		simulatedIt(fmt.Sprintf("%s, seed %d", m.title, i), func(f *fixture) {
 			Expect(runReorderedSchedule(f, uint64(i), m.mix)).To(BeEmpty())
 		})
+		simulatedIt(fmt.Sprintf("%s, clocks that begin anywhere, seed %d", m.title, i), func(f *fixture) {
+			f.workers.ClockStart = cluster.AnyClockStart
+			Expect(runReorderedSchedule(f, uint64(i), m.mix)).To(BeEmpty())
+		})
 		for n := range uint64(max(0, extraSeeds)) {
 			simulatedIt(fmt.Sprintf("%s, additional seed %d", m.title, firstSeed+n), func(f *fixture) {
 				Expect(runReorderedSchedule(f, firstSeed+n, m.mix)).To(BeEmpty())
 			})
+			simulatedIt(fmt.Sprintf("%s, clocks that begin anywhere, additional seed %d", m.title, firstSeed+n), func(f *fixture) {
+				f.workers.ClockStart = cluster.AnyClockStart
+				Expect(runReorderedSchedule(f, firstSeed+n, m.mix)).To(BeEmpty())
+			})
 		}
 	}
 })
