shard: start occurrences by the daemon's time of day, not by the workers' clocks

Cause: the Unix time was taken as the start of a worker plus its clock. A worker's clock may begin anywhere, as the users' do, and may be 2% slow.

The Unix time is now the median of the daemon's time of day over its monotonic clock in the last 120 s, which a step that is taken back within 60 s does not change.

--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -73,6 +73,7 @@
 	roster         *roster.Roster
 	claims         *claim.Table
 	quotaRequests  *quota.Requests
+	timeOfDay      *monotonic.TimeOfDay
 	clients        *jobapi.Clients
 	advisor        worker.Advisor // nil if no queue has one
 	hostAPI        *platform.Hosts
@@ -107,7 +108,7 @@
 		settings: s, log: log, direct: platform.NewStore(s.StoreAddress, registry.Traffic("store"), registry.Traffic("store_watch")),
 		clients: jobapi.NewClients(registry.Traffic("daemon")), hostAPI: platform.NewHosts(s.HostsAddress, registry.Traffic("hosts")),
 		workers: platform.Workers{Traffic: registry.Traffic("worker")}, operators: operators,
-		metrics: registry, shards: map[string]*ownedShard{},
+		metrics: registry, shards: map[string]*ownedShard{}, timeOfDay: monotonic.NewTimeOfDay(),
 		self: lease.Member{Name: s.Node, Address: s.PeerAddress, Incarnation: hex.EncodeToString(incarnation), CPUCores: s.CPUCores},
 	}
 	d.store = store.Hedged{Transactional: &store.Relay{
@@ -299,6 +300,7 @@
 		Quota:  quota.Peers{Requests: d.quotaRequests, Lease: id, HasOwner: d.hasOwner, OwnerKey: lease.OwnerKey},
 		Dialer: d.workers, Advisor: d.advisor, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
 		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention},
+		UnixMS:               d.timeOfDay.UnixMS,
 		LatestWorkerLeaseEnd: func() monotonic.Time { return d.renewer.ValidUntil(id).Add(workerLease) },
 		Workers:              func() map[worker.ID]worker.Worker { return d.workersOf(name, service) },
 		Claim: func(id worker.ID) (string, uint64) {
@@ -401,7 +403,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run, d.quotaRequests.Run, d.endBindings} {
+	for _, run := range []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run, d.quotaRequests.Run, d.timeOfDay.Run, d.endBindings} {
 		group.Go(func() { run(background) })
 	}
 	d.log.WithFields(logrus.Fields{
--- a/internal/shard/estimate.go
+++ b/internal/shard/estimate.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"samphirestile.example/samphirestile/internal/job"
@@ -100,8 +99,3 @@
 }
 
 func halfLifeDecay(halfLives float64) float64 { return math.Exp2(-halfLives) }
-
-func median(values []int64) int64 {
-	slices.Sort(values)
-	return values[len(values)/2]
-}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -79,6 +79,8 @@
 	Dialer  worker.Dialer
 	Advisor worker.Advisor
 	Bounds  Bounds
+	// UnixMS returns the Unix time in milliseconds by which occurrences of jobs are due; nil means the time of day.
+	UnixMS func(monotonic.Time) int64
 	// LatestWorkerLeaseEnd returns the latest end of a lease that may be granted to a worker.
 	LatestWorkerLeaseEnd func() monotonic.Time
 	// Workers returns the listed workers of the service.
@@ -570,18 +572,13 @@
 
 func (o *Owner) lease() time.Duration { return min(MaxWorkerLease, o.Bounds.MaxLease/2) }
 
-// unixMS returns the Unix time derived from the monotonic clocks of the workers, which do not jump.
+// unixMS returns the Unix time in milliseconds. The clocks of the workers do not tell it: they begin anywhere, and the error
+// of a slow one grows with the time since its start.
 func (o *Owner) unixMS(now monotonic.Time) int64 {
-	var readings []int64
-	for _, s := range o.sessions {
-		if s.incarnationStartMS > 0 && s.clockKnown {
-			readings = append(readings, s.incarnationStartMS+s.clockEstimate(now))
-		}
-	}
-	if len(readings) == 0 {
+	if o.UnixMS == nil {
 		return time.Now().UnixMilli()
 	}
-	return median(readings)
+	return o.UnixMS(now)
 }
 
 // Limits implements quota.Source.
--- a/internal/shard/scheduled_test.go
+++ b/internal/shard/scheduled_test.go
@@ -12,7 +12,7 @@
 	"samphirestile.example/samphirestile/internal/job"
 )
 
-var _ = Describe("a scheduled job that is cancelled", func() {
+var _ = Describe("a scheduled job", func() {
 	const interval = 2 * time.Second
 	scheduled := func() job.Job {
 		j := testJob(1, job.Step{})
@@ -26,8 +26,23 @@
 		return n
 	}
 
+	// Guards against occurrences that start early or late by the beginning and the error of the workers' clocks.
+	simulatedIt("starts its occurrences when they are due, whatever the clocks of the workers say", func(f *fixture) {
+		f.workers.ClockStart = cluster.AnyClockStart
+		o, j := f.startOwner(), scheduled()
+		j.FirstDueMS += interval.Milliseconds()
+		o.submit(j)
+		for k := range j.MaxRuns {
+			due := time.UnixMilli(j.DueMS(k))
+			time.Sleep(time.Until(due.Add(-50 * time.Millisecond)))
+			Expect(starts(f, j)).To(Equal(k))
+			time.Sleep(time.Until(due.Add(200 * time.Millisecond)))
+			Expect(starts(f, j)).To(Equal(k + 1))
+		}
+	})
+
 	// Guards against an occurrence that starts later than the cancel, also under a new owner.
-	simulatedIt("starts no further occurrence", func(f *fixture) {
+	simulatedIt("starts no further occurrence once it is cancelled", func(f *fixture) {
 		o, j := f.startOwner(), scheduled()
 		o.submit(j)
 		time.Sleep(interval * 3 / 2)
@@ -42,7 +57,7 @@
 	})
 
 	// Guards against the first start of an occurrence that takes effect later than the cancel.
-	simulatedIt("does not run an occurrence whose start had no answer", func(f *fixture) {
+	simulatedIt("does not run an occurrence whose start had no answer once it is cancelled", func(f *fixture) {
 		o, j := f.startOwner(), scheduled()
 		f.setBehaviour(string(j.ID)+".1.0.0", cluster.Behaviour{Duration: time.Hour})
 		o.submit(j)
