--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -81,7 +81,7 @@
 
 func (c change) entries() int { return len(c.writes) + len(c.removals) }
 
-func write(key string, value []byte) change {
+func putChange(key string, value []byte) change {
 	return change{writes: []store.Write{{Key: key, Value: value}}}
 }
 
@@ -135,7 +135,7 @@
 		o.mu.Lock()
 		next, conditions := o.nextTransaction(changes)
 		o.mu.Unlock()
-		writes, removals := join(next)
+		writes, removals := operations(next)
 		began := monotonic.Now()
 		if err := o.chain.Commit(ctx, writes, removals, conditions...); err != nil {
 			o.mu.Lock()
@@ -189,8 +189,8 @@
 	}
 }
 
-// join returns the writes and removals of changes.
-func join(changes []change) (writes []store.Write, removals []string) {
+// operations returns the writes and removals of changes.
+func operations(changes []change) (writes []store.Write, removals []string) {
 	for _, c := range changes {
 		writes = append(writes, c.writes...)
 		removals = append(removals, c.removals...)
@@ -222,7 +222,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("encode job %s: %w", id, err)
 			}
-			c := write(jobstore.JobPrefix(o.Shard)+string(id), value)
+			c := putChange(jobstore.JobPrefix(o.Shard)+string(id), value)
 			c.first = first
 			b.changes = append(b.changes, c)
 			b.jobs = append(b.jobs, e)
@@ -233,7 +233,7 @@
 				return nil, err
 			}
 			e.dirty = false
-			c := write(jobstore.ProgressPrefix(o.Shard)+string(id), value)
+			c := putChange(jobstore.ProgressPrefix(o.Shard)+string(id), value)
 			c.first = first
 			if e.job.FinalState.IsFinal() {
 				b.finals = append(b.finals, e)
@@ -244,7 +244,7 @@
 			b.progress = append(b.progress, e)
 		}
 		var removals []string
-		if e.finalStored && e.unremoved {
+		if e.finalStored && e.recordLeft {
 			b.repaired = append(b.repaired, e)
 			removals = append(removals, jobstore.JobPrefix(o.Shard)+string(id))
 		}
@@ -269,7 +269,7 @@
 		// Written after all jobs that were accepted before the split: the new partition's owner
 		// reads them.
 		b.depth = o.partition.Depth
-		b.changes = append(b.changes, write(o.PartitionKey, partition.EncodeDepth(b.depth)))
+		b.changes = append(b.changes, putChange(o.PartitionKey, partition.EncodeDepth(b.depth)))
 	}
 	for _, s := range o.sessions {
 		b.processed[s] = completionNumber{s.incarnation, s.processed}
@@ -357,7 +357,7 @@
 		return fmt.Errorf("encode record of %d workers: %w", len(workers), err)
 	}
 	b.workers = workers
-	c := write(jobstore.WorkersKey(o.Shard), value)
+	c := putChange(jobstore.WorkersKey(o.Shard), value)
 	if b.dropsWorkers {
 		b.changes = append(b.changes, c)
 	} else {
@@ -427,7 +427,7 @@
 		}
 	}
 	for _, e := range b.repaired {
-		e.unremoved = false
+		e.recordLeft = false
 	}
 	for _, id := range b.expired {
 		delete(o.jobs, id)
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -199,10 +199,10 @@
 	// finalStoredChan is closed once the final state is in the store.
 	finalStoredChan chan struct{}
 	finalStored     bool
-	// unremoved is set while the job's own record is in the store although its final state is.
-	unremoved bool
-	accepted  monotonic.Time
-	objective time.Duration
+	// recordLeft is set while the store holds the job's own record beside the final state.
+	recordLeft bool
+	accepted   monotonic.Time
+	objective  time.Duration
 	// copyable is set if a step allows speculative copies of its running tasks.
 	copyable bool
 	// recovered is set for jobs that were accepted by an earlier owner.
@@ -445,10 +445,10 @@
 		e.finalStored = true
 		close(e.finalStoredChan)
 		if o.active[id] != nil {
-			// Versions that removed the job's own record in a transaction after that of the final state left it.
+			// Earlier versions removed the job's own record in a later transaction than that of the final state.
 			o.Log.WithFields(logrus.Fields{"job": id, "shard": o.Shard, "token": o.Token, "state": e.job.FinalState, "ended_ms": e.job.EndedMS}).
 				Info("record of an ended job found; it will be removed")
-			e.unremoved = true
+			e.recordLeft = true
 			o.requestCommit()
 		}
 		delete(o.active, id)
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -102,7 +102,7 @@
 	}).Warn("worker was born again")
 	s.resetCompletions()
 	// The new incarnation may have accepted a lease already, so its believed end stays.
-	s.restarts(now)
+	s.recordRestart(now)
 	s.clockKnown, s.clockAt, s.pace = false, 0, fullPace
 	// The intervals between stop commands have grown while the worker did not answer.
 	s.stops.restart(now)
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -53,7 +53,7 @@
 			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": passed.Milliseconds(),
 			"runs": len(s.runs), "incarnation": s.incarnation,
 		}).Warn("clock of a worker began anew")
-		s.restarts(received)
+		s.recordRestart(received)
 	}
 	s.clockKnown, s.clockMS, s.clockAt, s.clockSent = true, clockMS, received, sent
 }
@@ -117,8 +117,8 @@
 // a former one may grant it the longest lease. The owner knows which of its commands that can be. A successor does not, so the
 // record of the workers names the incarnation whose clock the owner goes by, and whether such a lease may hold.
 
-// restarts records that the worker has restarted. The caller holds mu.
-func (s *session) restarts(now monotonic.Time) {
+// recordRestart records that the worker has restarted. The caller holds mu.
+func (s *session) recordRestart(now monotonic.Time) {
 	s.restartKnown = now
 	s.extendByLongestLease()
 	s.owner.urgent = true
@@ -154,7 +154,7 @@
 	s.owner.Log.WithFields(logrus.Fields{
 		"worker": s.ID, "shard": s.owner.Shard, "token": s.owner.Token, "born_ms": bornMS, "recorded_born_ms": former.BornMS, "long_lease": former.LongLease,
 	}).Info("worker may hold a longer lease of a former owner")
-	s.restarts(now)
+	s.recordRestart(now)
 }
 
 // formerLease returns how long after the change of the owner runs of a former one may go on, on a recorded worker that has not
