--- a/cmd/samphirestile-emulator/worker.go
+++ b/cmd/samphirestile-emulator/worker.go
@@ -34,7 +34,7 @@
 	}
 	defer f.Close()
 	random, lines := rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation))), json.NewEncoder(f)
-	w := &cluster.Workers{SpecBehaviour: func(spec string) cluster.Behaviour {
+	w := &cluster.Workers{ClockStart: cluster.AnyClockStart, SpecBehaviour: func(spec string) cluster.Behaviour {
 		var p cluster.Profile
 		if err := json.Unmarshal([]byte(spec), &p); err != nil {
 			logrus.WithError(err).Warn("spec is not a profile; the run fails")
