quota, shard: request only for tasks of an eighth of their account's limit or more

Jobs of an account at its limit wait often, and get what other shards return as tasks end; only large tasks need what idle shards keep. Without a request for each small task, a shard with a large one must not hold what does not suffice for it while it is not reserved: "does not keep small tasks from starting for more than a while" failed without that, passes.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -318,7 +318,7 @@
 	for account, limit := range limits {
 		own := l.grants[l.shard][account]
 		missing, reserved := l.requestedByOthers(account, limit)
-		planned := Plan(limit, own, l.others(account), shards, demands[account], Requested{missing, reserved})
+		planned := Plan(limit, own, l.others(account), shards, l.usableDemand(account, limit, demands[account]), Requested{missing, reserved})
 		if hold {
 			// The limit may have been lowered since, or the record may be invalid.
 			planned = largest(planned, Capped(own.Min(l.inherited[account]), limit))
@@ -333,6 +333,17 @@
 	return next, change, unmet
 }
 
+// usableDemand returns the demand without the task of the shard's request if the free resources do not suffice for it and are
+// not reserved: tasks of other shards can use them meanwhile. The caller holds mu.
+func (l *Ledger) usableDemand(account string, limit worker.Resources, d AccountDemand) AccountDemand {
+	q, ok := l.requests.accounts[account]
+	if !ok || q.Reserved || Within(limit, limit.Minus(l.others(account)), q.Need) {
+		return d
+	}
+	d.Waiting = largest(worker.Resources{}, d.Waiting.Minus(q.Need.Minus(d.Running)))
+	return d
+}
+
 // write writes the shard's next grants, removes those of abandoned shards, and reports whether the grants may have
 // grown.
 func (l *Ledger) write(ctx context.Context, next map[string]worker.Resources, abandoned []string) (bool, error) {
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -19,8 +19,9 @@
 
 const (
 	requestPrefix = "samphirestile/quota-request/"
-	// relistInterval bounds how long a stalled watch can hide a request.
-	relistInterval = 5 * time.Second
+	// relistInterval bounds how long a stalled watch can hide a request. It is long because requests are rare and each
+	// daemon reads them.
+	relistInterval = 10 * time.Second
 	// reservationTime is how long a request reserves resources that other shards release, and reservationPeriod is
 	// the time from the start of one reservation to that of the next. In between other shards start tasks again: the
 	// resources that a request lacks may be in use for as long as a long-running task lasts.
--- a/internal/shard/limit.go
+++ b/internal/shard/limit.go
@@ -13,6 +13,10 @@
 // they do not need. Jobs of an account at its limit usually wait less, for a run of the account to end.
 const limitRequestDelay = time.Second
 
+// largeNeedDivisor is n in the 1/n of a limit from which on a task or gang counts as large. Smaller ones get what other shards
+// return while tasks end; a request for each would make all shards of a large pool read and write on each wait.
+const largeNeedDivisor = 8
+
 // limitWait is what a job waits for because of the limit of its account.
 type limitWait struct {
 	job      job.ID
@@ -25,9 +29,15 @@
 	refused bool
 }
 
+// isLarge reports whether a need is a large part of the limit in some dimension that has one.
+func isLarge(need, limit worker.Resources) bool {
+	large := func(need, limit int64) bool { return limit > 0 && need*largeNeedDivisor >= limit }
+	return large(need.CPU, limit.CPU) || large(need.MemMB, limit.MemMB) || large(need.GPU, limit.GPU)
+}
+
 // refuse records that the limit of the account refused a task or gang of the job.
 func (w *limitWait) refuse(need, limit worker.Resources, now monotonic.Time) {
-	if w.refused || !quota.Within(limit, limit, need) {
+	if w.refused || !isLarge(need, limit) || !quota.Within(limit, limit, need) {
 		// One that exceeds the limit never starts, whatever other shards return.
 		return
 	}
