--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -204,6 +204,7 @@
 		}()
 		return
 	}
+	d.quotaRequests.Wake()
 	changes := d.roster.Subscribe()
 	s.owner = shard.New(d.shardConfig(name, token, id, changes))
 	s.served = &jobapi.Fenced{Shard: s.owner, Name: name, Certain: func() bool { return monotonic.Now() < d.renewer.ValidUntil(id) }}
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -110,6 +110,9 @@
 // Run follows the requests until ctx is done.
 func (r *Requests) Run(ctx context.Context) { r.follower.Run(ctx) }
 
+// Wake makes requests that were not needed be read at once if they are now.
+func (r *Requests) Wake() { r.follower.Wake() }
+
 // Replace implements follow.Target.
 func (r *Requests) Replace(records []store.Entry, revision uint64) {
 	r.mu.Lock()
