--- a/internal/shard/limit.go
+++ b/internal/shard/limit.go
@@ -21,7 +21,7 @@
 type limitWait struct {
 	job      job.ID
 	priority int
-	// need is what the first refused task or gang requires. It is within the limit.
+	// need is what the first large task or gang that was refused requires. It is within the limit.
 	need worker.Resources
 	// since is when it was first refused; 0 if the job is not refused, or has started tasks since.
 	since monotonic.Time
@@ -35,10 +35,10 @@
 	return large(need.CPU, limit.CPU) || large(need.MemMB, limit.MemMB) || large(need.GPU, limit.GPU)
 }
 
-// refuse records that the limit of the account refused a task or gang of the job.
+// refuse records that the limit of the account refused a task or gang of the job. One that exceeds the limit never starts,
+// whatever other shards return.
 func (w *limitWait) refuse(need, limit worker.Resources, now monotonic.Time) {
 	if w.refused || !isLarge(need, limit) || !quota.Within(limit, limit, need) {
-		// One that exceeds the limit never starts, whatever other shards return.
 		return
 	}
 	w.refused, w.need = true, need
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -495,7 +495,7 @@
 		return uncontactedRuns{}
 	}
 	passed := now.Sub(o.acquired)
-	u := uncontactedRuns{any: o.workersUnknown && passed <= atMost(o.Bounds.MaxLease), tasks: map[string]bool{}}
+	u := uncontactedRuns{any: o.workersUnknown && passed <= atMost(o.lease()), tasks: map[string]bool{}}
 	for id, w := range o.uncontacted {
 		if passed > o.formerLease(id, w) {
 			continue
