advice, shard: one queue of calls to the advisor for all shards of a daemon

Cause: the advisor handles the calls of one host one at a time, and each shard used it as if it were alone there. The shards of one daemon waited for each other, each call named up to 30 workers where one would do, and the validity of approvals counted from when the request was sent, so all of them counted as ended on arrival. Only the shard's own jobs counted as backlog.

Ruled out: refusals by the workers (no start) and by the advisor (all workers are approved).

Change: internal/advice sends one request at a time for all shards, the most urgent first, none passed over for ever. A request names as many workers as the ready tasks need, and what a gang needs at once. Approvals count from the answer; refusals of workers show if they end earlier, and fewer workers are named then. Jobs are refused by the backlog of all shards of the daemon, and at once above a wait of 10 s. Calls that nothing needs any more are not sent.

"rejects at once a job that would wait too long for the advisor" sets both parts of a call's time, as the gateway does now; what it expects is unchanged.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -40,6 +40,9 @@
 	maxObjectiveFactor = 3.0
 	// overShareObjectiveFactor is the lower factor for an account that uses more than its share.
 	overShareObjectiveFactor = 2.4
+	// maxAdvisorWait is the longest expected wait for the advisor at which a job is accepted, whatever its objective: the
+	// workers are idle meanwhile. The users' bound on idle jobs is 17 s (finish_s and 3 s).
+	maxAdvisorWait = 10 * time.Second
 	// minRetryAfter is the resolution of the Retry-After header.
 	minRetryAfter = time.Second
 	// maxRetryAfter is about the length of a demand peak. A longer prediction means that
@@ -58,6 +61,9 @@
 	wait := max(time.Duration(float64(l.Backlog)/packingEfficiency), l.AdvisorBacklog)
 	predicted := wait + max(l.CriticalPath, time.Duration(float64(l.JobTime)/packingEfficiency))
 	limit := time.Duration(maxObjectiveFactor * float64(l.Objective))
+	if l.AdvisorBacklog > maxAdvisorWait {
+		return Decision{Predicted: predicted, Limit: limit, RetryAfter: min(maxRetryAfter, max(minRetryAfter, l.AdvisorBacklog-maxAdvisorWait))}
+	}
 	if l.UsageShare > 1 {
 		limit = time.Duration(overShareObjectiveFactor * float64(l.Objective))
 	}
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"samphirestile.example/samphirestile/internal/advice"
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/shard"
@@ -229,7 +230,7 @@
 	j.Priority, j.MaxAttempts, j.Stretch = c.queue.Priority, c.queue.MaxAttempts, c.queue.Stretch
 	j.Objective = c.queue.Objective
 	if a := c.queue.Advice; a != nil {
-		j.Advised, j.AdviceTime = true, a.CallDuration(shard.AdviceBatchSize)
+		j.Advised, j.AdviceTime, j.AdviceDecision = true, a.CallDuration(advice.BatchSize), a.Decision
 	}
 	if err := j.Validate(); err != nil {
 		return err
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -114,8 +114,10 @@
 	AcceptedMS int64 `json:"accepted_ms"`
 	// Advised jobs need an approval of the advisor for each start.
 	Advised bool `json:"advised,omitempty"`
-	// AdviceTime is the duration of one call to the advisor.
+	// AdviceTime is the duration of one call to the advisor that names a whole batch of workers.
 	AdviceTime time.Duration `json:"advice_time,omitempty"`
+	// AdviceDecision is the part of AdviceTime that does not depend on how many workers the call names.
+	AdviceDecision time.Duration `json:"advice_decision,omitempty"`
 }
 
 // InvalidError reports an invalid submission.
@@ -193,6 +195,7 @@
 	}
 	decoded.Stretch = min(max(decoded.Stretch, 0), MaxStretch)
 	decoded.Interval, decoded.Objective, decoded.AdviceTime = limit(decoded.Interval), limit(decoded.Objective), limit(decoded.AdviceTime)
+	decoded.AdviceDecision = min(limit(decoded.AdviceDecision), decoded.AdviceTime)
 	decoded.FirstDueMS, decoded.AcceptedMS = min(max(decoded.FirstDueMS, -maxDueMS), maxDueMS), min(max(decoded.AcceptedMS, 0), maxDueMS)
 	*j = decoded
 	return nil
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"samphirestile.example/samphirestile/internal/advice"
 	"samphirestile.example/samphirestile/internal/claim"
 	"samphirestile.example/samphirestile/internal/entry"
 	"samphirestile.example/samphirestile/internal/fleet"
@@ -75,7 +76,7 @@
 	quotaRequests  *quota.Requests
 	timeOfDay      *monotonic.TimeOfDay
 	clients        *jobapi.Clients
-	advisor        worker.Advisor // nil if no queue has one
+	advice         *advice.Queue // nil without an advisor
 	hostAPI        *platform.Hosts
 	workers        platform.Workers
 	operators      operatorapi.Tokens
@@ -115,7 +116,7 @@
 		Transactional: d.direct, Peers: func() []string { return d.owners.PeerAddresses() }, CallPeer: d.clients.StoreCall, Log: log,
 	}}
 	if s.AdvisorAddress != "" {
-		d.advisor = platform.NewAdvisor(s.AdvisorAddress, registry.Traffic("advisor"))
+		d.advice = advice.New(platform.NewAdvisor(s.AdvisorAddress, registry.Traffic("advisor")), log, registry.Scope())
 	}
 	d.renewer = lease.NewRenewer(d.store, d.self, log)
 	d.owners = lease.NewOwners(d.store, d.renewer, d.self, d, d.shardNames, log)
@@ -299,7 +300,7 @@
 	return shard.Config{
 		Shard: name, Service: service, Token: token, OwnerKey: lease.OwnerKey(name), PartitionKey: lease.PartitionKey(name), Store: d.store, Bindings: d.owners,
 		Quota:  quota.Peers{Requests: d.quotaRequests, Lease: id, HasOwner: d.hasOwner, OwnerKey: lease.OwnerKey},
-		Dialer: d.workers, Advisor: d.advisor, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
+		Dialer: d.workers, Advice: d.advice, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
 		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention},
 		UnixMS:               d.timeOfDay.UnixMS,
 		LatestWorkerLeaseEnd: func() monotonic.Time { return d.renewer.ValidUntil(id).Add(workerLease) },
@@ -404,7 +405,11 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run, d.quotaRequests.Run, d.timeOfDay.Run, d.endBindings} {
+	loops := []func(context.Context){d.renewer.Run, d.owners.Run, d.configurations.Run, d.roster.Run, d.claims.Run, d.quotaRequests.Run, d.timeOfDay.Run, d.endBindings}
+	if d.advice != nil {
+		loops = append(loops, d.advice.Run)
+	}
+	for _, run := range loops {
 		group.Go(func() { run(background) })
 	}
 	d.log.WithFields(logrus.Fields{
--- a/internal/shard/admission.go
+++ b/internal/shard/admission.go
@@ -28,7 +28,7 @@
 	if len(o.sessions) == 0 {
 		return admission.Decision{}, &RejectedError{Reason: "no worker is known", RetryAfter: outageRetryAfter}
 	}
-	if j.Advised && o.Advisor == nil {
+	if j.Advised && o.Advice == nil {
 		return admission.Decision{}, &RejectedError{Reason: "no advisor is known", RetryAfter: outageRetryAfter}
 	}
 	if !o.hasSuitableWorkers(j) {
@@ -62,7 +62,7 @@
 		Objective: time.Duration(stretch*float64(criticalPath)) + j.Objective,
 	}
 	if j.Advised {
-		l.AdvisorBacklog = o.adviceBacklog()
+		l.AdvisorBacklog = o.adviceBacklog(now) + o.Advice.Backlog(o)
 	}
 	if c := o.Configuration(); c != nil && j.Account != "" {
 		total := 0.0
--- a/internal/shard/advice_test.go
+++ b/internal/shard/advice_test.go
@@ -103,7 +103,7 @@
 		refused := 0
 		for n := range 30 {
 			j := advised(n+1, job.Step{})
-			j.AdviceTime, j.Objective = 200*time.Millisecond, 500*time.Millisecond
+			j.AdviceTime, j.AdviceDecision, j.Objective = 200*time.Millisecond, 200*time.Millisecond, 500*time.Millisecond
 			var rejected *shard.RejectedError
 			if errors.As(o.Submit(context.Background(), j), &rejected) {
 				refused++
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -114,6 +114,7 @@
 	if err == nil {
 		s.logStart(r, attempt, command.Token, clock, incarnation, now.Sub(sent))
 		r.entry.staleBackoff = 0
+		r.entry.approvalUsed(r.task)
 		r.shown = shown
 		if r.state != runConfirmed {
 			r.state, r.started = runConfirmed, now
@@ -177,7 +178,7 @@
 			}
 			s.notify()
 		case worker.RefusedApproval:
-			r.entry.dropApproval(r.task, s.ID)
+			r.entry.approvalRefused(r.task, s.ID, now)
 		case worker.RefusedExpired:
 			// The lease end had passed on the worker's clock, so the estimate of that clock is
 			// discarded.
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -10,11 +10,13 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"samphirestile.example/samphirestile/internal/advice"
 	"samphirestile.example/samphirestile/internal/capacity"
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/job"
@@ -75,10 +77,11 @@
 	// Bindings are the bindings of queues to services; nil means that jobs are accepted from any queue.
 	Bindings Bindings
 	// Quota is what the shard knows of the others that share the limits of accounts.
-	Quota   quota.Peers
-	Dialer  worker.Dialer
-	Advisor worker.Advisor
-	Bounds  Bounds
+	Quota  quota.Peers
+	Dialer worker.Dialer
+	// Advice queues the requests of all shards of the daemon to the advisor; nil if there is none.
+	Advice *advice.Queue
+	Bounds Bounds
 	// UnixMS returns the Unix time in milliseconds by which occurrences of jobs are due; nil means the time of day.
 	UnixMS func(monotonic.Time) int64
 	// LatestWorkerLeaseEnd returns the latest end of a lease that may be granted to a worker.
@@ -176,9 +179,14 @@
 	// adviceRequests are the requests to the advisor from the last scheduling pass, most urgent
 	// first.
 	adviceRequests []adviceRequest
-	adviceWake     chan struct{}
-	group          sync.WaitGroup
-	ready          chan struct{}
+	// queueAdvice is what the advisor's answers have shown about queues.
+	queueAdvice map[string]*queueAdvice
+	// publishedAdviceBacklog is the last adviceBacklog, in nanoseconds.
+	publishedAdviceBacklog atomic.Int64
+	// adviceMissing is set once the lack of an advisor is logged.
+	adviceMissing bool
+	group         sync.WaitGroup
+	ready         chan struct{}
 }
 
 // jobEntry is the state of one job of the shard.
@@ -235,8 +243,8 @@
 	pathDoneRuns int
 	doneRuns     int
 	runs         map[*run]bool
-	// approvals are the advisor's decisions about workers, by step.
-	approvals map[stepKey]map[worker.ID]approval
+	// advice holds the advisor's decisions, by step.
+	advice map[stepKey]*stepAdvice
 }
 
 func newJobEntry(tracked *job.TrackedJob) *jobEntry {
@@ -255,7 +263,7 @@
 		recordedWorkers: map[worker.ID]recordedWorker{}, leaving: map[worker.ID]recordedWorker{}, uncontacted: map[worker.ID]recordedWorker{}, stopping: map[string]bool{}, goneWorkers: map[worker.ID]goneWorker{},
 		closedLateStarts: map[worker.ID]map[runKey]*lateStart{}, usage: map[string]worker.Resources{}, limited: map[string]*limitWait{},
 		durationModels: map[string]*durationModel{}, countedArrivals: map[job.ID]monotonic.Time{}, ready: make(chan struct{}),
-		adviceWake: make(chan struct{}, 1), partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
+		queueAdvice: map[string]*queueAdvice{}, partition: partition.Parse(c.Shard), ancestorJobs: map[job.ID]string{},
 	}
 	o.ledger = quota.NewLedger(c.Store, c.Shard, c.OwnerKey, c.Token, o, o.schedule, c.Quota, c.Log)
 	return o
@@ -278,7 +286,9 @@
 	o.group.Go(func() { o.commitLoop(ctx) })
 	o.group.Go(func() { o.ledger.Run(ctx) })
 	o.group.Go(func() { o.scheduleLoop(ctx) })
-	o.group.Go(func() { o.adviceLoop(ctx) })
+	if o.Advice != nil {
+		defer o.Advice.Join(o)()
+	}
 	o.syncSessions(ctx)
 	o.mu.Lock()
 	o.open = true
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -79,6 +79,10 @@
 		if !j.LongRunning() {
 			o.acceptedBacklog.workMS = o.acceptedBacklog.workMS.Plus(o.remainingWork(e, monotonic.Now()))
 		}
+		if j.Advised {
+			// The other shards of the daemon decide on jobs that arrive at the same time.
+			o.adviceBacklog(monotonic.Now())
+		}
 		o.urgent = true
 		o.mu.Unlock()
 		o.logAdmission(&j, decision, workers, nil)
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -119,6 +119,8 @@
 	if !o.ownershipCertain(now) {
 		return
 	}
+	o.adviceRequests = o.adviceRequests[:0]
+	o.adviceBacklog(now)
 	var entries []*jobEntry
 	var waiting []share.WaitingJob
 	for _, e := range o.active {
@@ -143,7 +145,6 @@
 	for _, s := range o.sessions {
 		p.add(s)
 	}
-	o.adviceRequests = o.adviceRequests[:0]
 	skipped := 0
 	for _, i := range share.Order(waiting, now) {
 		e := entries[i]
@@ -159,7 +160,7 @@
 	if !p.exhausted(false) {
 		p.placeCopies(slow)
 	}
-	o.wakeAdviceLoop()
+	o.wakeAdvice()
 }
 
 // logSkippedJobs logs when scheduling passes begin and cease to skip jobs. The caller holds mu.
@@ -339,7 +340,7 @@
 		}
 		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
 		if i < 0 {
-			p.recordShortage(e, t, len(tasks)-n)
+			p.recordShortage(e, t, rack, len(tasks)-n)
 			return
 		}
 		p.startRun(e, t, i, 0)
@@ -350,9 +351,9 @@
 // recordShortage records that no worker qualifies for the remaining tasks of a step: it queues a request
 // to the advisor if that can help, and otherwise reserves a worker and requests hosts for long-running
 // tasks.
-func (p *placer) recordShortage(e *jobEntry, t readyTask, remaining int) {
+func (p *placer) recordShortage(e *jobEntry, t readyTask, rack string, remaining int) {
 	*p.scans(e.job.LongRunning()) += len(p.candidates)
-	if p.queueAdviceRequest(e, t) {
+	if p.queueAdviceRequest(e, t, rack, remaining) {
 		return
 	}
 	shortage := placement.FindShortage(p.candidates, t.step)
@@ -387,7 +388,7 @@
 		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
 		if i < 0 {
 			p.candidates = saved
-			p.recordGangShortage(e, t, len(chosen))
+			p.recordGangShortage(e, t, rack, len(tasks), len(chosen))
 			return
 		}
 		p.assign(i, t.step)
@@ -405,14 +406,14 @@
 }
 
 // recordGangShortage records that a gang found workers only for some of its members.
-func (p *placer) recordGangShortage(e *jobEntry, t readyTask, found int) {
+func (p *placer) recordGangShortage(e *jobEntry, t readyTask, rack string, members, found int) {
 	*p.scans(e.job.LongRunning()) += len(p.candidates) * found
 	if found == 0 {
-		p.recordShortage(e, t, 0)
+		p.recordShortage(e, t, rack, members)
 		return
 	}
 	*p.scans(e.job.LongRunning()) += len(p.candidates)
-	if !p.queueAdviceRequest(e, t) {
+	if !p.queueAdviceRequest(e, t, rack, members) {
 		placement.FindShortage(p.candidates, t.step)
 	}
 }
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"samphirestile.example/samphirestile/internal/advice"
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/job"
@@ -64,6 +65,7 @@
 				for _, o := range f.owners {
 					o.stop()
 				}
+				f.advisor.Wait()
 			}()
 			defer GinkgoRecover()
 			body(f)
@@ -77,6 +79,8 @@
 	workers *cluster.Workers
 	config  *jobconfig.Configuration
 	advisor *cluster.Advisor
+	// advice queues the calls to the advisor of owners that are started from then on; nil if each is on a host of its own.
+	advice *advice.Queue
 
 	mu sync.Mutex
 	// behaviours by task; other tasks take defaultDuration.
@@ -250,8 +254,14 @@
 	own := f.service
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{cancel: cancel, done: make(chan struct{})}
+	var group sync.WaitGroup
+	requests := f.advice
+	if requests == nil {
+		requests = advice.New(f.advisor, log, tally.NoopScope)
+		group.Go(func() { requests.Run(ctx) })
+	}
 	o.Owner = shard.New(shard.Config{
-		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, Quota: f.quota, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advisor: f.advisor,
+		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, Quota: f.quota, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advice: requests,
 		Bounds: shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute},
 		LatestWorkerLeaseEnd: func() monotonic.Time {
 			o.mu.Lock()
@@ -279,6 +289,7 @@
 	go func() {
 		defer close(o.done)
 		o.Run(ctx)
+		group.Wait()
 	}()
 	if f.simulated {
 		f.owners = append(f.owners, o)
