soak: workers that restart at once and are cut off soon after, while their owner is killed

Twice in a run a third to two thirds of them restart at once, their owner is killed or restarted in most cases, and the same workers are cut off for 3 to 9 s. A relay can keep new connections for the next incarnation.

--- a/cmd/samphirestile-emulator/worker.go
+++ b/cmd/samphirestile-emulator/worker.go
@@ -24,6 +24,7 @@
 	Seed        uint64        `help:"Seed of the durations and results of runs."`
 	SlowStops   time.Duration `help:"How long a run goes on after it was told to stop."`
 	HiddenStops bool          `help:"Whether a run that was told to stop is listed no longer."`
+	ClockStart  time.Duration `help:"Beginning of the clock; 0 chooses it by the ID and the incarnation."`
 }
 
 // Run serves until the process ends.
@@ -34,7 +35,11 @@
 	}
 	defer f.Close()
 	random, lines := rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation))), json.NewEncoder(f)
-	w := &cluster.Workers{ClockStart: cluster.AnyClockStart, SpecBehaviour: func(spec string) cluster.Behaviour {
+	clockStart := cluster.AnyClockStart
+	if c.ClockStart != 0 {
+		clockStart = func(worker.ID, int) time.Duration { return c.ClockStart }
+	}
+	w := &cluster.Workers{ClockStart: clockStart, SpecBehaviour: func(spec string) cluster.Behaviour {
 		var p cluster.Profile
 		if err := json.Unmarshal([]byte(spec), &p); err != nil {
 			logrus.WithError(err).Warn("spec is not a profile; the run fails")
--- a/internal/emulator/relay/relay.go
+++ b/internal/emulator/relay/relay.go
@@ -25,8 +25,11 @@
 	// accepted, because the kernel completes them before the relay sees them.
 	BlackholeUp   bool `json:"blackhole_up,omitempty"`
 	BlackholeDown bool `json:"blackhole_down,omitempty"`
-	DelayUpMS     int  `json:"delay_up_ms,omitempty"`
-	DelayDownMS   int  `json:"delay_down_ms,omitempty"`
+	// HoldNew accepts new connections and dials the target only when it is cleared, so that what was sent on them meanwhile
+	// reaches whoever listens there by then.
+	HoldNew     bool `json:"hold_new,omitempty"`
+	DelayUpMS   int  `json:"delay_up_ms,omitempty"`
+	DelayDownMS int  `json:"delay_down_ms,omitempty"`
 	// JitterUpMS and JitterDownMS bound a random delay of each chunk that is added. Most chunks are delayed by
 	// a small part of it.
 	JitterUpMS   int `json:"jitter_up_ms,omitempty"`
@@ -214,7 +217,11 @@
 	}
 }
 
-const dialTimeout = 5 * time.Second
+const (
+	dialTimeout = 5 * time.Second
+	// holdCheckInterval is how often a connection that is held checks whether the relay is closed.
+	holdCheckInterval = 50 * time.Millisecond
+)
 
 func (r *Relay) serve(client *net.TCPConn) {
 	source := r.classify(client.RemoteAddr(), client.LocalAddr())
@@ -224,6 +231,10 @@
 		_ = client.Close()
 		return
 	}
+	if !r.waitToDial(source) {
+		_ = client.Close()
+		return
+	}
 	target, err := net.DialTimeout("tcp", r.target, dialTimeout)
 	if err != nil {
 		_ = client.SetLinger(0)
@@ -239,6 +250,23 @@
 	c.run()
 }
 
+// waitToDial waits until HoldNew is cleared. It returns false if the relay is closed first.
+func (r *Relay) waitToDial(source string) bool {
+	for {
+		s, changed := r.switchesFor(source)
+		r.mu.Lock()
+		closed := r.closed
+		r.mu.Unlock()
+		if closed || !s.HoldNew {
+			return !closed
+		}
+		select {
+		case <-changed:
+		case <-time.After(holdCheckInterval):
+		}
+	}
+}
+
 func (r *Relay) register(c *conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/emulator/relay/relay_test.go
+++ b/internal/emulator/relay/relay_test.go
@@ -89,6 +89,16 @@
 			t.Errorf("withheld byte after clearing the switch: %v", err)
 		}
 	}
+	_ = r.Set(Switches{HoldNew: true})
+	held := dial(t, r)
+	if err := exchange(held, 60*time.Millisecond); err == nil {
+		t.Error("a byte was forwarded on a connection that is held")
+	}
+	_ = r.Set(Switches{})
+	_ = held.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := io.ReadFull(held, make([]byte, 1)); err != nil {
+		t.Errorf("byte on a held connection after clearing the switch: %v", err)
+	}
 	_ = r.Set(Switches{Refuse: true})
 	if _, err := net.Dial("tcp", r.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("dial a refusing relay: %v, want %v", err, syscall.ECONNREFUSED)
--- a/test/soak/cell_test.go
+++ b/test/soak/cell_test.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +17,7 @@
 	"samphirestile.example/samphirestile/internal/emulator/process"
 	"samphirestile.example/samphirestile/internal/emulator/relay"
 	"samphirestile.example/samphirestile/internal/fleet"
+	"samphirestile.example/samphirestile/internal/lease"
 	"samphirestile.example/samphirestile/internal/worker"
 	"samphirestile.example/samphirestile/platform"
 	"samphirestile.example/samphirestile/platform/standin"
@@ -61,6 +65,8 @@
 	switch {
 	case isLongRunning(task):
 		return cluster.Profile{MinMS: int(time.Hour.Milliseconds())}
+	case isLong(task):
+		return cluster.Profile{MinMS: 5000, MaxMS: 9500}
 	case isSpeculative(task):
 		// The slow runs are slow enough to be copied.
 		return cluster.Profile{MinMS: 50, MaxMS: 450, FailsOneIn: 50, SlowMS: 1500, SlowOneIn: 4}
@@ -261,3 +267,21 @@
 	}
 	return ids
 }
+
+// owner returns the index of the daemon that owns a shard, or 0 if the store names none.
+func (c *cell) owner(shard string) int {
+	e, err := c.platform.Store.Get(context.Background(), lease.OwnerKey(shard))
+	if err != nil {
+		return 0
+	}
+	var m lease.Member
+	if err := json.Unmarshal(e.Value, &m); err != nil {
+		return 0
+	}
+	for i, n := range c.nodes {
+		if strings.TrimSuffix(filepath.Base(n.settings), ".toml") == m.Name {
+			return i
+		}
+	}
+	return 0
+}
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -83,6 +83,14 @@
 
 func isSpeculative(task string) bool { return task[8] == speculativeMark }
 
+const (
+	// longMark begins the last part of the ID of a job whose tasks take as long as a worker may be cut off.
+	longMark     = 'c'
+	longInterval = 6
+)
+
+func isLong(task string) bool { return task[8] == longMark }
+
 // tasks returns the names of all tasks of the job.
 func (r *result) tasks() []string {
 	var names []string
@@ -100,6 +108,8 @@
 	seed uint64
 	// maxPause bounds the pause of a client between two jobs.
 	maxPause time.Duration
+	// manyLong makes every longInterval-th job a long one, and all of them wide and of small tasks. None is cancelled.
+	manyLong bool
 
 	mu         sync.Mutex
 	results    []*result
@@ -123,7 +133,14 @@
 			for i := 0; ctx.Err() == nil; i++ {
 				when := cancellations[random.IntN(len(cancellations))]
 				r := &result{id: job.ID(fmt.Sprintf("%04x%04x%08x", l.seed&0xffff, n, i)), steps: steps(random, when), shown: map[job.State]time.Time{}}
-				if when == cancelledLongRunning {
+				if l.manyLong {
+					when = neverCancelled
+					r.steps = []job.Step{{Count: 4 + random.IntN(8), Need: worker.Resources{CPU: 400, MemMB: 200}, Estimate: 250 * time.Millisecond}}
+					if i%longInterval == 0 {
+						r.id = r.id[:8] + job.ID(longMark) + r.id[9:]
+						r.steps[0].Estimate = 7 * time.Second
+					}
+				} else if when == cancelledLongRunning {
 					r.id = r.id[:8] + job.ID(longRunningMark) + r.id[9:]
 				} else if i%speculativeInterval == 0 {
 					r.id = r.id[:8] + job.ID(speculativeMark) + r.id[9:]
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,8 +1,8 @@
 // Package soak runs real daemons as separate processes under random faults that are
 // injected from outside, and checks the guarantees as clients and workers observe them.
 //
-// To run more seeds: go test ./test/soak -timeout 60m -args -soak.first 100 -soak.seeds 50 -soak.processseeds 50
-// To run a daemon that was built before, with workers as separate processes only: go test ./test/soak -timeout 60m
+// To run more seeds: go test ./test/soak -timeout 120m -args -soak.first 100 -soak.seeds 50 -soak.processseeds 50 -soak.recutseeds 50
+// To run a daemon that was built before, with workers as separate processes only (or "restart at once" with -soak.recutseeds): go test ./test/soak -timeout 60m
 // -ginkgo.focus "separate processes" -args -soak.processseeds 20 -soak.program PATH
 package soak
 
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -34,6 +34,8 @@
 type processPool struct {
 	cell    *cell
 	workers []*processWorker
+	// arguments are added to those of the processes.
+	arguments []string
 }
 
 // processWorker is one of them. Its process records its runs in a file for each incarnation.
@@ -59,12 +61,18 @@
 
 // startProcessWorkers returns a function that starts n workers, half of them of each service.
 func startProcessWorkers(n int) func(*cell, uint64) (workerPool, error) {
+	return startProcessWorkersOf(n, []fleet.ServiceID{service, otherService})
+}
+
+// startProcessWorkersOf returns a function that starts n workers of services by turns. The arguments are added to those of
+// their processes.
+func startProcessWorkersOf(n int, services []fleet.ServiceID, arguments ...string) func(*cell, uint64) (workerPool, error) {
 	return func(c *cell, seed uint64) (workerPool, error) {
-		p, random := &processPool{cell: c}, rand.New(rand.NewPCG(seed, 5))
+		p, random := &processPool{cell: c, arguments: arguments}, rand.New(rand.NewPCG(seed, 5))
 		for i := range n {
 			ip := loopbackIP(daemonCount + 1 + i)
 			w := &processWorker{pool: p, target: ip + ":7001", seed: random.Uint64(), switches: randomLatency(random)}
-			w.listed = standin.NewWorker(i, []fleet.ServiceID{service, otherService}[i%2], capacity)
+			w.listed = standin.NewWorker(i, services[i%len(services)], capacity)
 			w.listed.Address = ip + ":7000"
 			var err error
 			if w.relay, err = relay.Listen(w.listed.Address, w.target, nil); err != nil {
@@ -109,6 +117,7 @@
 			arguments = append(arguments, "--hidden-stops")
 		}
 	}
+	arguments = append(arguments, w.pool.arguments...)
 	var err error
 	if w.p, err = process.Launch(w.pool.cell.dir, "worker-"+string(w.listed.ID), nil, emulator, arguments...); err != nil {
 		return err
@@ -126,10 +135,13 @@
 }
 
 // kill kills the process. Its runs end at that moment.
-func (w *processWorker) kill() error {
+func (w *processWorker) kill() error { return w.killWith(relay.Switches{Refuse: true}) }
+
+// killWith kills the process. Until it starts again its relay has the given switches.
+func (w *processWorker) killWith(switches relay.Switches) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.relay.Set(relay.Switches{Refuse: true}); err != nil {
+	if err := w.relay.Set(switches); err != nil {
 		return err
 	}
 	at := time.Now()
