shard: outdate a start without an answer by a higher fencing token

Callers saw: a task runs twice after its worker has restarted under its ID (TWICE).

Cause: a start without an answer may arrive seconds later, also at the next incarnation of its worker, which has forgotten the end and the stop of its run. The owner repeated the stop only when it had noticed the restart, up to a second after the new incarnation had received its first call.

Change: the owner raises the worker's token above that of the start, to the revision of its last record, so the first call of any kind that a new incarnation receives keeps the start from taking effect. A successor's token is higher, as its key is created later. If nothing was written since the start, the chain is written once. A heartbeat that breaks off is repeated after 30 ms instead of 150 ms while such a start may be under way. A heartbeat that the higher token has overtaken does not count as one of a deposed owner.

Ruled out: other numbers for repeated starts, shorter leases in starts, 15 s of waiting before the end counts (docs/incidents/starts-for-former-lives.md).

Evidence: fence_test.go, "has no effect in an incarnation that has received a later call" and "is followed by calls with a higher token each time" fail 3 of 3 before and pass now; the spec of the overtaken heartbeat fails without that part.

Specs of stops without an answer (detached_test.go, and the two beside lost stops in unavailable_test.go) expected that the late start is refused as "old" or takes effect. It is refused by the token now. What they check is the stop alone, so raised tokens do not reach the workers there (keepsTokens); what they expect is unchanged.

--- a/internal/jobstore/chain.go
+++ b/internal/jobstore/chain.go
@@ -85,6 +85,7 @@
 		sync.Mutex
 		pendingSince monotonic.Time
 		failing      bool
+		committed    uint64
 	}
 }
 
@@ -107,6 +108,14 @@
 	return c, nil
 }
 
+// Revision returns the revision of the last batch of this owner that is known to be committed, or 0. The token of a later owner
+// is higher, because its key is created later.
+func (c *Chain) Revision() uint64 {
+	c.state.Lock()
+	defer c.state.Unlock()
+	return c.state.committed
+}
+
 // PendingBatch returns how long the current batch has been waiting for the response of the store,
 // and whether its last attempt failed.
 func (c *Chain) PendingBatch() (time.Duration, bool) {
@@ -200,4 +209,7 @@
 func (c *Chain) advance(revision uint64) {
 	c.revision = revision
 	clear(c.abandoned)
+	c.state.Lock()
+	defer c.state.Unlock()
+	c.state.committed = revision
 }
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -107,6 +107,8 @@
 	s.confirmLease(leaseEnd, clock, now)
 	if err != nil && !isDefinite(err) {
 		s.leaseNotAnswered(incarnation, sent, now)
+		s.unansweredToken = max(s.unansweredToken, command.Token)
+		s.fenceUnansweredStarts()
 	}
 	if !s.attached(r) {
 		s.settleLateStart(r, err, s.incarnation == incarnation, sent, now)
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -127,10 +127,19 @@
 func (o *Owner) commitChanges(ctx context.Context) error {
 	o.mu.Lock()
 	b, err := o.collect()
+	wantsRevision := o.wantsRevision
 	o.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	if len(b.changes) == 0 && wantsRevision {
+		if err := o.chain.Commit(ctx, nil, nil); err != nil {
+			if errors.As(err, new(*jobstore.OwnershipLostError)) {
+				<-ctx.Done()
+			}
+			return fmt.Errorf("write the chain of shard %s for a revision: %w", o.Shard, err)
+		}
+	}
 	for changes := b.changes; len(changes) > 0; {
 		o.mu.Lock()
 		next, conditions := o.nextTransaction(changes)
@@ -169,6 +178,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.applyCommitted(b)
+	o.wantsRevision = false
+	for _, s := range o.sessions {
+		s.fenceUnansweredStarts()
+	}
 	return nil
 }
 
--- a/internal/shard/detached_test.go
+++ b/internal/shard/detached_test.go
@@ -24,6 +24,7 @@
 	// start command before it is sent; an error is the answer to it.
 	startJob := func(f *fixture, held int, startTimeout time.Duration, start func(number int32) error) (*owner, *cluster.Worker, job.ID) {
 		GinkgoHelper()
+		f.keepsTokens = true
 		f.workers.Remove("w1")
 		f.workers.Behaviour = func(string, int) cluster.Behaviour { return cluster.Behaviour{Duration: time.Hour} }
 		faults = &commandFaults{startTimeout: startTimeout, heldStarts: held, paces: map[string]int{}}
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -26,6 +26,9 @@
 	ackWait = 250 * time.Millisecond
 	// unhealthyBackoff follows a command that a worker refused as unhealthy.
 	unhealthyBackoff = 700 * time.Millisecond
+	// lateStartRetryDelay is the delay before a heartbeat without an answer is repeated while a start may still take effect: the
+	// first call that a restarted worker receives keeps it from carrying out that start.
+	lateStartRetryDelay = 30 * time.Millisecond
 	// emptiedRetryDelay is the delay before a heartbeat to an emptied worker is repeated. Most of those that do
 	// not answer are gone for good.
 	emptiedRetryDelay = time.Second
@@ -82,7 +85,7 @@
 			if command.LeaseEndMS != 0 && !isDefinite(err) {
 				s.leaseNotAnswered(incarnation, sent, received)
 			}
-			pause = s.heartbeatFailed(err, sent, received)
+			pause = s.heartbeatFailed(err, command.Token, sent, received)
 		default:
 			s.handleStatus(status, command, incarnation, sent, received)
 			pause = heartbeatDelay
@@ -184,8 +187,8 @@
 	return false
 }
 
-// heartbeatFailed handles a heartbeat without a status and returns the delay before the next.
-func (s *session) heartbeatFailed(err error, sent, now monotonic.Time) time.Duration {
+// heartbeatFailed handles a heartbeat with a token that got no status, and returns the delay before the next.
+func (s *session) heartbeatFailed(err error, token uint64, sent, now monotonic.Time) time.Duration {
 	var refused *worker.RefusedError
 	o := s.owner
 	switch {
@@ -201,6 +204,9 @@
 		s.markAllLost("worker gone")
 		o.closeSession(s)
 		return 0
+	case errors.As(err, &refused) && refused.Reason == worker.RefusedFence && token < s.token:
+		// The token was raised on the way.
+		return heartbeatDelay
 	case errors.As(err, &refused):
 		if refused.Reason == worker.RefusedFence {
 			s.restartListed = 0
@@ -230,5 +236,18 @@
 	if s.emptied && len(s.runs) == 0 && len(s.lateStarts) == 0 {
 		return emptiedRetryDelay
 	}
+	return s.retryPause()
+}
+
+// retryPause returns the delay before a heartbeat without an answer is repeated. The caller holds mu.
+func (s *session) retryPause() time.Duration {
+	if len(s.lateStarts) > 0 {
+		return lateStartRetryDelay
+	}
+	for _, r := range s.runs {
+		if r.startUnanswered {
+			return lateStartRetryDelay
+		}
+	}
 	return retryDelay
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -148,6 +148,9 @@
 	urgent         bool
 	// lastEmpty is when a worker was last reported empty.
 	lastEmpty monotonic.Time
+	// wantsRevision is set while a worker needs a token above that of a start without an answer: the next commit writes, also
+	// if nothing has changed.
+	wantsRevision bool
 	// maintenanceDue holds workers whose hosts go down for maintenance soon.
 	maintenanceDue map[worker.ID]bool
 	// arrivals measures the work that clients submit; countedArrivals holds the jobs that are
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -38,8 +38,10 @@
 	dialedAt monotonic.Time
 	// token fences earlier owners at the worker. It increases when the worker is claimed again.
 	token uint64
-	runs  map[runKey]*run
-	used  worker.Resources
+	// unansweredToken is the highest token of a start without an answer.
+	unansweredToken uint64
+	runs            map[runKey]*run
+	used            worker.Resources
 
 	clockKnown bool
 	clockMS    int64
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -94,6 +94,9 @@
 	wrapStore func(store.Transactional) store.Transactional
 	// wrapDialer wraps the connections to the workers of owners that are started from then on.
 	wrapDialer func(worker.Dialer) worker.Dialer
+	// keepsTokens lets workers receive commands of owners that are started from then on only with the token of the ownership. Late
+	// starts then take effect as far as stops do not prevent it.
+	keepsTokens bool
 	// service and bindings are those of owners that are started from then on.
 	service  fleet.ServiceID
 	bindings shard.Bindings
@@ -251,6 +254,9 @@
 	if f.wrapDialer != nil {
 		dialer = f.wrapDialer(dialer)
 	}
+	if f.keepsTokens {
+		dialer = &keptTokenDialer{dialer, token}
+	}
 	own := f.service
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{cancel: cancel, done: make(chan struct{})}
@@ -303,6 +309,35 @@
 	return o
 }
 
+// keptTokenDialer sends commands with a token at most.
+type keptTokenDialer struct {
+	worker.Dialer
+	token uint64
+}
+
+func (d *keptTokenDialer) Dial(w worker.Worker) worker.Conn {
+	return &keptTokenConn{d.Dialer.Dial(w), d.token}
+}
+
+type keptTokenConn struct {
+	worker.Conn
+	token uint64
+}
+
+func (c *keptTokenConn) Heartbeat(ctx context.Context, command worker.HeartbeatCommand) (worker.Status, error) {
+	command.Token = min(command.Token, c.token)
+	return c.Conn.Heartbeat(ctx, command)
+}
+
+func (c *keptTokenConn) Start(ctx context.Context, command worker.StartCommand) (int64, error) {
+	command.Token = min(command.Token, c.token)
+	return c.Conn.Start(ctx, command)
+}
+
+func (c *keptTokenConn) Stop(ctx context.Context, token uint64, task string, number int) (int64, error) {
+	return c.Conn.Stop(ctx, min(token, c.token), task, number)
+}
+
 func testJob(n int, steps ...job.Step) job.Job {
 	for i := range steps {
 		if steps[i].Count == 0 {
--- a/internal/shard/unavailable_test.go
+++ b/internal/shard/unavailable_test.go
@@ -62,6 +62,7 @@
 
 	// startBesideLostStops lets the start of the second task take effect after stops of it were lost, and returns then.
 	startBesideLostStops := func(f *fixture, maxUnavailable int) (second *cluster.Worker) {
+		f.keepsTokens = true
 		second = startWith(f, maxUnavailable, cluster.WorkerFaults{
 			DelayedStarts: 2, StartDelay: 1210 * time.Millisecond, StartTimeout: startTimeout, DelayedStops: 1000, StopDelay: time.Hour,
 		})
