shard: take a clock that is ahead of the expected one for that of a new incarnation

Callers saw: a task whose run had ended done starts again (TWICE), after its worker restarted under its ID with a clock ahead of the former one.

Cause: only a clock below the expected one showed a restart. A start that the new incarnation answered before the next heartbeat left the owner with the completion numbers of the former one; the heartbeat acknowledged them, and the new incarnation forgot a completion of its own that no status had listed.

Change: a clock further ahead than the time that may have passed on it shows a restart as well. If the call overlaps the last status, the answer may be from either incarnation, and the next heartbeat acknowledges nothing.

Evidence: clock_ahead_test.go, both specs fail before (the second task is done twice) and pass now. internal/shard and jobstore pass.

--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -39,19 +39,22 @@
 			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "known_clock_ms": s.clockMS, "incarnation": s.incarnation,
 			"took_ms": received.Sub(sent).Milliseconds(), "known_ms": received.Sub(s.clockAt).Milliseconds(),
 		}).Info("clock of a former incarnation ignored")
+		// It may as well be ahead because it is that of a new one.
+		s.incarnationKnown = false
 		return
 	}
-	passed := sent.Sub(s.clockAt)
-	if passed > 0 {
-		passed = time.Duration((1 - maxClockDrift) * float64(passed))
+	earliest, latest := sent.Sub(s.clockAt), received.Sub(s.clockSent)
+	if earliest > 0 {
+		earliest = time.Duration((1 - maxClockDrift) * float64(earliest))
 	}
-	if s.clockKnown && clockMS < s.clockMS+passed.Milliseconds()-clockRounding {
+	latest = time.Duration((1 + maxClockDrift) * float64(latest))
+	if s.clockKnown && (clockMS < s.clockMS+earliest.Milliseconds()-clockRounding || clockMS > s.clockMS+latest.Milliseconds()+clockRounding) {
 		// The clock belongs to another incarnation. Its completions must not be acknowledged by
 		// sequence numbers of the previous one; the next status brings the rest.
 		s.resetCompletions()
 		s.owner.Log.WithFields(logrus.Fields{
-			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": passed.Milliseconds(),
-			"runs": len(s.runs), "incarnation": s.incarnation,
+			"worker": s.ID, "shard": s.owner.Shard, "clock_ms": clockMS, "former_clock_ms": s.clockMS, "passed_ms": earliest.Milliseconds(),
+			"passed_at_most_ms": latest.Milliseconds(), "runs": len(s.runs), "incarnation": s.incarnation,
 		}).Warn("clock of a worker began anew")
 		s.recordRestart(received)
 	}
