--- a/internal/shard/advice_host_test.go
+++ b/internal/shard/advice_host_test.go
@@ -219,6 +219,43 @@
 		Eventually(owners[0].state, 15*time.Second, "50ms").WithArguments(j.ID).Should(Equal("completed"))
 	})
 
+	// Guards against an approval for a worker that has left the list between the answer and the start.
+	simulatedIt("ask about other workers when the approved one has left the list", func(f *fixture) {
+		setUp(f)
+		f.advisor.Allows = func(_ string, id worker.ID) bool { return id != "s0w1" }
+		defer f.startAdviceQueue(f.advisor)()
+		owners := f.startAdvisedShards(1, 3)
+		j := f.advisedJob(1, job.Step{Count: 3, Need: worker.Resources{CPU: 8000}})
+		owners[0].submit(j)
+		time.Sleep(300 * time.Millisecond)
+		f.mu.Lock()
+		f.hidden["s0w0"] = true
+		f.mu.Unlock()
+		Eventually(owners[0].state, 20*time.Second, "50ms").WithArguments(j.ID).Should(Equal("completed"))
+	})
+
+	// Guards against a job that is not asked for again when its approvals have ended while it waited for its account's limit.
+	simulatedIt("ask again for a job that waited for its account's limit", func(f *fixture) {
+		setUp(f)
+		f.advisor.Validity = 600 * time.Millisecond
+		f.setLimit("acme", worker.Resources{CPU: 8000, MemMB: 8000})
+		defer f.startAdviceQueue(f.advisor)()
+		owners := f.startAdvisedShards(1, 4)
+		var jobs []job.Job
+		for n := range 3 {
+			j := f.advisedJob(n+1, job.Step{Count: 2, Need: worker.Resources{CPU: 4000, MemMB: 100}})
+			j.Account = "acme"
+			for i := range 2 {
+				f.setBehaviour(fmt.Sprintf("%s.0.0.%d", j.ID, i), cluster.Behaviour{Duration: 2 * time.Second})
+			}
+			owners[0].submit(j)
+			jobs = append(jobs, j)
+		}
+		for _, j := range jobs {
+			Eventually(owners[0].state, 20*time.Second, "50ms").WithArguments(j.ID).Should(Equal("completed"))
+		}
+	})
+
 	// Guards against jobs that are accepted although the calls of other shards of the daemon come first.
 	simulatedIt("reject at once what the advisor cannot decide in time beside the other queues", func(f *fixture) {
 		setUp(f)
