--- a/internal/advice/advice_suite_test.go
+++ b/internal/advice/advice_suite_test.go
@@ -7,7 +7,11 @@
 	. "github.com/onsi/gomega"
 )
 
+// suite runs specs on simulated time.
+var suite *testing.T
+
 func TestAdvice(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "advice")
 }
--- a/internal/advice/queue_test.go
+++ b/internal/advice/queue_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -156,3 +158,29 @@
 		Eventually(q.Backlog).WithArguments(s).Should(BeZero())
 	})
 })
+
+var _ = Describe("a call that takes much longer than expected", func() {
+	// Guards against calls that are given up after the same time again and again, while the advisor goes on with each of them.
+	It("is waited for longer each time", func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			began := time.Now()
+			monotonic.SetTestClock(func() monotonic.Time { return monotonic.Time(time.Hour + time.Since(began)) })
+			defer monotonic.SetTestClock(nil)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			a, s := &slowAdvisor{took: 20 * time.Second}, &steps{left: 1, expected: time.Second}
+			q := advice.New(a, log, tally.NoopScope)
+			ctx, cancel := context.WithCancel(context.Background())
+			var group sync.WaitGroup
+			group.Go(func() { q.Run(ctx) })
+			defer group.Wait()
+			defer cancel()
+			defer q.Join(s)()
+			q.Wake()
+			time.Sleep(time.Minute)
+			Expect(s.remaining()).To(BeZero())
+			Expect(s.failures()).To(Equal(2))
+		})
+	})
+})
--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -1,18 +1,14 @@
 package soak
 
 import (
-	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 
 	"samphirestile.example/samphirestile/internal/emulator/process"
 	"samphirestile.example/samphirestile/internal/emulator/relay"
@@ -41,37 +37,15 @@
 
 func runRecutSeed(seed uint64) {
 	GinkgoHelper()
-	// The directory with the logs is kept after a failure.
-	dir, err := os.MkdirTemp("", "samphirestile-soak-")
-	Expect(err).NotTo(HaveOccurred())
 	// The clocks of new incarnations begin below those of the former ones, as in the report.
-	c, err := startCell(dir, program, seed, startProcessWorkersOf(recutWorkers, []fleet.ServiceID{service}, "--clock-start", "1ms"))
-	if c != nil {
-		defer c.close()
-	}
-	Expect(err).NotTo(HaveOccurred())
-	l := &jobLoad{cell: c, seed: seed, maxPause: 3 * jobPause, manyLong: true}
-	s := &schedule{cell: c, seed: seed, start: time.Now()}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		l.run(ctx)
-	}()
-	r := rand.New(rand.NewPCG(seed, 6))
-	time.Sleep(randomDuration(r, 3*time.Second, 5*time.Second))
-	for range recutSeries {
-		s.recut(r)
-	}
-	Expect(c.clearFaults()).To(Succeed())
-	cleared := time.Now()
-	cancel()
-	<-done
-	l.awaitCompletion(cleared)
-	problems := l.problems(s.ended())
-	AddReportEntry(fmt.Sprintf("seed %d: %s", seed, l.summary()))
-	Expect(problems).To(BeEmpty(), "seed %d\n%s\nlogs of the daemons: %s", seed, strings.Join(s.log, "\n"), dir)
-	Expect(os.RemoveAll(dir)).To(Succeed())
+	workers := startProcessWorkersOf(recutWorkers, []fleet.ServiceID{service}, "--clock-start", "1ms")
+	runScene(&jobLoad{seed: seed, maxPause: 3 * jobPause, manyLong: true}, workers, func(s *schedule) {
+		r := rand.New(rand.NewPCG(seed, 6))
+		time.Sleep(randomDuration(r, 3*time.Second, 5*time.Second))
+		for range recutSeries {
+			s.recut(r)
+		}
+	})
 }
 
 // recut kills a part of the workers at once and starts them again under their IDs, ends a daemon in some cases, and cuts
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -109,10 +109,17 @@
 	return 8
 }
 
-// runSeed runs the load and the faults of one seed and checks the results. Variables are added to the environment of the
-// daemons.
+// runSeed runs the load and the random faults of one seed and checks the results. Variables are added to the environment of
+// the daemons.
 func runSeed(seed uint64, maxPause time.Duration, addWorkers func(*cell, uint64) (workerPool, error), variables ...string) {
 	GinkgoHelper()
+	runScene(&jobLoad{seed: seed, maxPause: maxPause}, addWorkers, func(s *schedule) { s.run(*length) }, variables...)
+}
+
+// runScene runs a load beside faults and checks the results. Variables are added to the environment of the daemons.
+func runScene(l *jobLoad, addWorkers func(*cell, uint64) (workerPool, error), injectFaults func(*schedule), variables ...string) {
+	GinkgoHelper()
+	seed := l.seed
 	// The directory with the logs is kept after a failure.
 	dir, err := os.MkdirTemp("", "samphirestile-soak-")
 	Expect(err).NotTo(HaveOccurred())
@@ -121,15 +128,15 @@
 		defer c.close()
 	}
 	Expect(err).NotTo(HaveOccurred())
-	l := &jobLoad{cell: c, seed: seed, maxPause: maxPause}
-	s := &schedule{cell: c, seed: seed}
+	l.cell = c
+	s := &schedule{cell: c, seed: seed, start: time.Now()}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		l.run(ctx)
 	}()
-	s.run(*length)
+	injectFaults(s)
 	Expect(c.clearFaults()).To(Succeed())
 	cleared := time.Now()
 	cancel()
