--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -110,9 +110,6 @@
 	maxPause time.Duration
 	// manyLong makes every longInterval-th job a long one, and all of them wide and of small tasks. None is cancelled.
 	manyLong bool
-	// outlivesLeases is set where workers are cut off for longer than their leases hold: by the users' rule an end that is not
-	// acknowledged before the lease of its run has ended does not count.
-	outlivesLeases bool
 
 	mu         sync.Mutex
 	results    []*result
--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -39,7 +39,7 @@
 	GinkgoHelper()
 	// The clocks of new incarnations begin below those of the former ones, as in the report.
 	workers := startProcessWorkersOf(recutWorkers, []fleet.ServiceID{service}, "--clock-start", "1ms")
-	runScene(&jobLoad{seed: seed, maxPause: 3 * jobPause, manyLong: true, outlivesLeases: true}, workers, func(s *schedule) {
+	runScene(&jobLoad{seed: seed, maxPause: 3 * jobPause, manyLong: true}, workers, func(s *schedule) {
 		r := rand.New(rand.NewPCG(seed, 6))
 		time.Sleep(randomDuration(r, 3*time.Second, 5*time.Second))
 		for range recutSeries {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -195,7 +195,7 @@
 	until, events := time.Now(), l.cell.pool.events()
 	cancelledAt := map[job.ID]time.Time{}
 	expectation := cluster.Expectation{After: map[string][]string{}, MaxAttempts: queue.MaxAttempts}
-	expectation.Speculative, expectation.LapsedUnrecorded = isSpeculative, l.outlivesLeases
+	expectation.Speculative = isSpeculative
 	expectation.Unreachable = func(w worker.ID, from, to time.Time) bool {
 		return quietEnd(faults, w, from, contactTime).After(to)
 	}
