--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -120,12 +120,19 @@
 	s.pending.Go(func() {
 		time.Sleep(d)
 		undo()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		f.to = time.Now()
+		s.end(f)
 	})
 }
 
+// end ends the records of faults.
+func (s *schedule) end(faults ...*fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range faults {
+		f.to = time.Now()
+	}
+}
+
 // run injects faults for the given time: those of workers one after the other, and beside them all others in series
 // of one kind. Faults overlap. Those of workers go on for workerTime, because the loss of an owner hides runs that it
 // has failed to stop.
--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -84,9 +84,14 @@
 	time.Sleep(cutAfter)
 	length := randomDuration(r, 3*time.Second, 9*time.Second)
 	s.record("the same workers cut off for %v: %s", length, nonZero(whileCut))
+	var cuts []*fault
+	for _, w := range part {
+		cuts = append(cuts, s.beginFor(w.listed.ID))
+	}
 	each(part, func(w *processWorker) error { return w.relay.Set(whileCut) }, s)
 	time.Sleep(length)
 	each(part, func(w *processWorker) error { return errors.Join(w.relay.Set(w.switches), w.list()) }, s)
+	s.end(cuts...)
 	s.pending.Wait()
 	time.Sleep(randomDuration(r, time.Second, 4*time.Second))
 }
