--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -56,7 +56,7 @@
 	leaseEnd := s.grantLease(now)
 	approvalValue, allowed := r.entry.approvalFor(r.task, s, now)
 	// The worker may have begun to drain, or its address may have changed, since the run was placed.
-	if leaseEnd == 0 || s.Draining || !s.recorded() || !o.ownershipCertain(now) || attempt == 1 && (!allowed || !s.reachable) {
+	if leaseEnd == 0 || s.Draining || !s.recorded() || !o.ownershipCertain(now) || attempt == 1 && !allowed {
 		s.abandonStart(r)
 		o.mu.Unlock()
 		return
@@ -205,42 +205,14 @@
 		r.state, r.startUnanswered = runUnknown, true
 		s.closedUntil = now.Add(capacityBackoff)
 		if attempt < startAttempts && !r.stopping {
-			r.repeatWaits = now
-			s.notify()
-			return
+			if enqueue(s.commands, func(ctx context.Context) { s.sendStart(ctx, r, attempt+1) }) {
+				return
+			}
 		}
 		s.stopUnanswered(r)
 	}
 }
 
-// repeatStarts repeats the starts without an answer whose runs a status does not list. Before that status the worker may have
-// restarted: a start by the clock of its former incarnation would get the longest lease there, and the owner would not know if
-// the worker fell silent right after it. The caller holds mu.
-func (s *session) repeatStarts(listed map[runKey]bool) {
-	for key, r := range s.runs {
-		if r.repeatWaits == 0 {
-			continue
-		}
-		r.repeatWaits = 0
-		if listed[key] || r.stopping || r.state != runUnknown {
-			continue
-		}
-		if !enqueue(s.commands, func(ctx context.Context) { s.sendStart(ctx, r, startAttempts) }) {
-			s.stopUnanswered(r)
-		}
-	}
-}
-
-// giveUpRepeatingStarts stops the runs whose starts have waited for too long for a status. The caller holds mu.
-func (s *session) giveUpRepeatingStarts(now monotonic.Time) {
-	for _, r := range s.runs {
-		if r.repeatWaits != 0 && now.Sub(r.repeatWaits) > maxRepeatWait {
-			r.repeatWaits = 0
-			s.stopUnanswered(r)
-		}
-	}
-}
-
 // delayAfterStale delays further starts of a job after one was refused as old. Refusals of starts that were sent together
 // count as one. The caller holds mu.
 func (e *jobEntry) delayAfterStale(now monotonic.Time) {
--- a/internal/shard/fence_test.go
+++ b/internal/shard/fence_test.go
@@ -32,7 +32,7 @@
 }
 
 // slowHeartbeat outlasts a call without an answer.
-const slowHeartbeat = callDuration + time.Second
+const slowHeartbeat = callDuration + 500*time.Millisecond
 
 func (n *withholdingNetwork) Dial(w worker.Worker) worker.Conn {
 	return &withholdingConn{n.Dialer.Dial(w), n}
@@ -208,8 +208,6 @@
 		<-answered
 		n.set(func() { n.toWithhold, n.slowHeartbeats = 1, 1 })
 		o.submit(testJob(2, job.Step{}))
-		time.Sleep(callDuration + 500*time.Millisecond)
-		o.submit(testJob(4, job.Step{}))
 		Eventually(n.refusedHeartbeats, 2*callTimeout, "1ms").Should(Equal(1))
 		third := testJob(3, job.Step{})
 		o.submit(third)
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -226,7 +226,6 @@
 	if len(s.runs) > 0 && s.isNewIncarnation(s.Worker) {
 		s.extendByLongestLease()
 	}
-	s.giveUpRepeatingStarts(now)
 	if len(s.runs) > 0 && now > s.leaseEnd {
 		s.markAllLost("lease ended without contact")
 	}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -34,8 +34,6 @@
 	// startUnanswered is set once a start command got no response: that command may take effect later,
 	// whatever became of its repetition.
 	startUnanswered bool
-	// repeatWaits is since when a start without an answer waits to be repeated until the worker has answered a heartbeat, or 0.
-	repeatWaits monotonic.Time
 	// startExpiry is when the lease in the last start command has ended on the worker's clock for certain;
 	// the worker refuses the command from then on.
 	startExpiry monotonic.Time
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -21,8 +21,6 @@
 	commandQueueSize = 512
 	// startAttempts is how often a start command is sent before the run is abandoned and stopped.
 	startAttempts = 2
-	// maxRepeatWait is how long a start without an answer waits for a status before its run is stopped instead.
-	maxRepeatWait = time.Second
 	// capacityBackoff keeps tasks off a worker that has refused one for insufficient capacity.
 	capacityBackoff = 400 * time.Millisecond
 	// maxMissingContactAge is how recent a response must be to show that a worker missing from the
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -82,7 +82,6 @@
 	if len(status.Finished) < worker.MaxFinishedPerStatus {
 		s.detachUnlisted(listed, sent, received)
 		s.stopUnlisted(listed, sent)
-		s.repeatStarts(listed)
 	}
 	s.stopLateStarts()
 	o.completePendingJobs()
--- a/internal/shard/unavailable_test.go
+++ b/internal/shard/unavailable_test.go
@@ -101,22 +101,8 @@
 		})
 	}
 
-	// The worker lists the run before the start is repeated.
-	simulatedIt("goes on also when another one may be unavailable", func(f *fixture) {
+	simulatedIt("is stopped when another one may be unavailable", func(f *fixture) {
 		second := startBoth(f, 2)
-		for range 100 {
-			Expect(second.Running()).To(Equal(1))
-			time.Sleep(100 * time.Millisecond)
-		}
-		Expect(second.StartsReceived()).To(Equal(1))
-	})
-
-	simulatedIt("is stopped when another one may be unavailable and its worker lists it only after its start was given up", func(f *fixture) {
-		f.keepsTokens = true
-		second := startWith(f, 2, cluster.WorkerFaults{
-			DelayedStarts: 2, StartDelay: 2500 * time.Millisecond, StartTimeout: startTimeout, DelayedStops: 1000, StopDelay: time.Hour,
-		})
-		second.SetFaults(cluster.WorkerFaults{})
 		Eventually(second.Running, callTimeout).Should(BeZero())
 	})
 
