--- /dev/null
+++ b/internal/shard/repeat_test.go
@@ -0,0 +1,104 @@
+package shard_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/emulator/cluster"
+	"samphirestile.example/samphirestile/internal/job"
+	"samphirestile.example/samphirestile/internal/worker"
+)
+
+// breakingDialer restarts a worker when its first start arrives, which breaks the connections. Later starts are carried out
+// without an answer, and heartbeats get none until it is reachable again.
+type breakingDialer struct {
+	worker.Dialer
+	id     worker.ID
+	crash  func()
+	starts atomic.Int32
+	silent atomic.Bool
+}
+
+func (d *breakingDialer) Dial(w worker.Worker) worker.Conn {
+	if w.ID != d.id {
+		return d.Dialer.Dial(w)
+	}
+	return &breakingConn{d.Dialer.Dial(w), d}
+}
+
+type breakingConn struct {
+	worker.Conn
+	dialer *breakingDialer
+}
+
+func (c *breakingConn) Start(ctx context.Context, command worker.StartCommand) (int64, error) {
+	if c.dialer.starts.Add(1) == 1 {
+		c.dialer.silent.Store(true)
+		c.dialer.crash()
+		return 0, &worker.NoAnswerError{Cause: errDelayed}
+	}
+	clock, err := c.Conn.Start(ctx, command)
+	if !c.dialer.silent.Load() {
+		return clock, err
+	}
+	time.Sleep(callDuration)
+	return 0, &worker.NoAnswerError{Cause: errDelayed}
+}
+
+func (c *breakingConn) Heartbeat(ctx context.Context, command worker.HeartbeatCommand) (worker.Status, error) {
+	if c.dialer.silent.Load() {
+		time.Sleep(callDuration)
+		return worker.Status{}, &worker.NoAnswerError{Cause: errDelayed}
+	}
+	return c.Conn.Heartbeat(ctx, command)
+}
+
+func (c *breakingConn) Stop(ctx context.Context, token uint64, task string, number int) (int64, error) {
+	if c.dialer.silent.Load() {
+		time.Sleep(callDuration)
+		return 0, &worker.NoAnswerError{Cause: errDelayed}
+	}
+	return c.Conn.Stop(ctx, token, task, number)
+}
+
+var _ = Describe("a start whose connection broke when its worker restarted", func() {
+	// Guards against TWICE without a change of the owner: the start is repeated by the clock of the former incarnation, so the new
+	// one holds the longest lease. The worker is cut off before it answers, and the task starts elsewhere after the usual lease.
+	simulatedIt("is not repeated before the worker has answered a heartbeat", func(f *fixture) {
+		d := &breakingDialer{Dialer: f.workers, id: "w0"}
+		f.wrapDialer = func(worker.Dialer) worker.Dialer { return d }
+		f.workers.Remove("w1")
+		d.crash = func() { f.worker("w0").Crash() }
+		j := testJob(1, job.Step{})
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: 8 * time.Second})
+		o := f.startOwner()
+		// A lease by the former clock is the longest one on the restarted worker.
+		time.Sleep(20 * time.Second)
+		o.submit(j)
+		time.Sleep(time.Second)
+		f.addWorker("w1")
+		time.Sleep(8 * time.Second)
+		d.silent.Store(false)
+		Eventually(o.state, 30*time.Second, "10ms").WithArguments(j.ID).Should(Equal("completed"))
+		Expect(cluster.Check(f.workers.History.Events(), cluster.Expectation{})).To(BeEmpty())
+	})
+
+	// Guards against a start that is not repeated at all.
+	simulatedIt("is repeated once the worker answers", func(f *fixture) {
+		d := &breakingDialer{Dialer: f.workers, id: "w0"}
+		f.wrapDialer = func(worker.Dialer) worker.Dialer { return d }
+		f.workers.Remove("w1")
+		d.crash = func() {
+			f.worker("w0").Crash()
+			d.silent.Store(false)
+		}
+		o := f.startOwner()
+		j := testJob(1, job.Step{})
+		o.submit(j)
+		Eventually(o.state, 2*callTimeout, "10ms").WithArguments(j.ID).Should(Equal("completed"))
+	})
+})
