--- a/cmd/samphirestiled/main.go
+++ b/cmd/samphirestiled/main.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/daemon"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/settings"
 	"samphirestile.example/samphirestile/platform"
 )
@@ -53,15 +54,21 @@
 type checkCommand struct {
 	Settings string `xor:"file" required:"" help:"Settings file (JSON) of the command run." placeholder:"FILE"`
 	Platform string `xor:"file" required:"" help:"Settings file of the platform for the command serve." placeholder:"FILE"`
+	Policy   string `xor:"file" required:"" help:"Policy file (JSON) of the command serve." placeholder:"FILE"`
 }
 
-// Run checks a settings file without starting anything.
+// Run checks a settings or policy file without starting anything.
 func (c *checkCommand) Run() error {
-	if c.Platform != "" {
-		if _, err := platform.LoadSettings(c.Platform); err != nil {
-			return err
-		}
-	} else if _, err := settings.Load(c.Settings); err != nil {
+	var err error
+	switch {
+	case c.Platform != "":
+		_, err = platform.LoadSettings(c.Platform)
+	case c.Policy != "":
+		_, err = policy.Load(c.Policy)
+	default:
+		_, err = settings.Load(c.Settings)
+	}
+	if err != nil {
 		return err
 	}
 	fmt.Println("settings are valid")
@@ -82,7 +89,7 @@
 	}
 	fmt.Fprintln(os.Stderr, "samphirestiled:", err)
 	var settingsErr *settings.Error
-	if errors.As(err, &settingsErr) || errors.As(err, new(*platform.SettingsError)) {
+	if errors.As(err, &settingsErr) || errors.As(err, new(*platform.SettingsError)) || errors.As(err, new(*policy.Error)) {
 		os.Exit(exitSettings)
 	}
 	os.Exit(exitFailed)
--- a/cmd/samphirestiled/serve.go
+++ b/cmd/samphirestiled/serve.go
@@ -10,12 +10,14 @@
 
 	"samphirestile.example/samphirestile/internal/jobdaemon"
 	"samphirestile.example/samphirestile/internal/logging"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/platform"
 )
 
 type serveCommand struct {
 	LogLevel string `default:"info" help:"Least severe level of log lines." enum:"debug,info,warning,error"`
 	LogLines int    `default:"2000" help:"Log lines a second beyond which lines are dropped."`
+	Policy   string `help:"Policy file (JSON) that enables decisions under load; without one all are disabled." placeholder:"FILE"`
 	// OperatorTokens enable the operators' interface.
 	OperatorTokens []string `env:"SAMPHIRESTILE_OPERATOR_TOKENS" help:"Tokens of operators, separated by commas. Without one there is no interface for operators."`
 }
@@ -30,10 +32,14 @@
 	if err != nil {
 		return err
 	}
+	p, err := policy.Load(c.Policy)
+	if err != nil {
+		return err
+	}
 	out := logging.NewWriter(os.Stdout, c.LogLines)
 	defer out.Close()
 	log := logging.New(out, level)
-	d, err := jobdaemon.New(s, c.OperatorTokens, log)
+	d, err := jobdaemon.New(s, p, c.OperatorTokens, log)
 	if err != nil {
 		return err
 	}
--- a/internal/jobdaemon/bindings_test.go
+++ b/internal/jobdaemon/bindings_test.go
@@ -13,6 +13,7 @@
 	"samphirestile.example/samphirestile/internal/fleet"
 	"samphirestile.example/samphirestile/internal/jobapi"
 	"samphirestile.example/samphirestile/internal/jobconfig"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/shard"
 	"samphirestile.example/samphirestile/platform"
 )
@@ -54,7 +55,7 @@
 		discardLog := logrus.New()
 		discardLog.SetOutput(io.Discard)
 		var err error
-		d, err = New(platform.Settings{Node: "x"}, nil, discardLog)
+		d, err = New(platform.Settings{Node: "x"}, policy.Policy{}, nil, discardLog)
 		Expect(err).NotTo(HaveOccurred())
 		former = own("old")
 	})
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -29,6 +29,7 @@
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/operatorapi"
 	"samphirestile.example/samphirestile/internal/partition"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/quota"
 	"samphirestile.example/samphirestile/internal/roster"
 	"samphirestile.example/samphirestile/internal/shard"
@@ -62,6 +63,7 @@
 // Daemon is one process on the platform.
 type Daemon struct {
 	settings platform.Settings
+	policy   policy.Policy
 	log      *logrus.Logger
 	self     lease.Member
 
@@ -99,14 +101,14 @@
 
 // New returns a daemon that is not running yet. Without operator tokens it does not serve
 // the operator interface.
-func New(s platform.Settings, operators operatorapi.Tokens, log *logrus.Logger) (*Daemon, error) {
+func New(s platform.Settings, p policy.Policy, operators operatorapi.Tokens, log *logrus.Logger) (*Daemon, error) {
 	incarnation := make([]byte, 8)
 	if _, err := rand.Read(incarnation); err != nil {
 		return nil, fmt.Errorf("generate an incarnation: %w", err)
 	}
 	registry := metrics.New()
 	d := &Daemon{
-		settings: s, log: log, direct: platform.NewStore(s.StoreAddress, registry.Traffic("store"), registry.Traffic("store_watch")),
+		settings: s, policy: p, log: log, direct: platform.NewStore(s.StoreAddress, registry.Traffic("store"), registry.Traffic("store_watch")),
 		clients: jobapi.NewClients(registry.Traffic("daemon")), hostAPI: platform.NewHosts(s.HostsAddress, registry.Traffic("hosts")),
 		workers: platform.Workers{Traffic: registry.Traffic("worker")}, operators: operators,
 		metrics: registry, shards: map[string]*ownedShard{}, timeOfDay: monotonic.NewTimeOfDay(),
@@ -302,6 +304,7 @@
 		Quota:  quota.Peers{Requests: d.quotaRequests, Lease: id, HasOwner: d.hasOwner, OwnerKey: lease.OwnerKey},
 		Dialer: d.workers, Advice: d.advice, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
 		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention},
+		Policy:               d.policy,
 		UnixMS:               d.timeOfDay.UnixMS,
 		LatestWorkerLeaseEnd: func() monotonic.Time { return d.renewer.ValidUntil(id).Add(workerLease) },
 		Workers:              func() map[worker.ID]worker.Worker { return d.workersOf(name, service) },
--- a/internal/jobdaemon/lease_test.go
+++ b/internal/jobdaemon/lease_test.go
@@ -12,6 +12,7 @@
 	"samphirestile.example/samphirestile/internal/emulator/cluster"
 	"samphirestile.example/samphirestile/internal/lease"
 	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/platform"
 )
@@ -20,7 +21,7 @@
 	It("end with the lease of the ownership, also when the daemon has another lease", func() {
 		discardLog := logrus.New()
 		discardLog.SetOutput(io.Discard)
-		d, err := New(platform.Settings{Node: "x"}, nil, discardLog)
+		d, err := New(platform.Settings{Node: "x"}, policy.Policy{}, nil, discardLog)
 		Expect(err).NotTo(HaveOccurred())
 		s := cluster.NewStore()
 		d.renewer = lease.NewRenewer(s, d.self, discardLog)
--- a/internal/jobdaemon/malformed_test.go
+++ b/internal/jobdaemon/malformed_test.go
@@ -20,6 +20,7 @@
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobdaemon"
 	"samphirestile.example/samphirestile/internal/operatorapi"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
 	"samphirestile.example/samphirestile/platform"
@@ -79,7 +80,7 @@
 func (s *system) run() {
 	log := logrus.New()
 	log.SetOutput(s.log)
-	d, err := jobdaemon.New(s.settings, operatorapi.Tokens{operatorToken}, log)
+	d, err := jobdaemon.New(s.settings, policy.Policy{}, operatorapi.Tokens{operatorToken}, log)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,123 @@
+// Package policy reads the policy file of a daemon: which decisions under load are enabled, and their bounds.
+package policy
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+)
+
+// Policy switches the decisions under load. The zero value disables all of them.
+type Policy struct {
+	Admission Admission `json:"admission"`
+	Returns   Returns   `json:"returns"`
+	Fairness  Fairness  `json:"fairness"`
+	LookAhead LookAhead `json:"look_ahead"`
+	Forecast  Forecast  `json:"forecast"`
+	Ownership Ownership `json:"ownership"`
+}
+
+// Admission predicts when a job would be completed and refuses one that would be late.
+type Admission struct {
+	Enabled bool `json:"enabled"`
+}
+
+// Returns schedules the retries of refused jobs.
+type Returns struct {
+	Enabled bool `json:"enabled"`
+}
+
+// Fairness divides a contended pool among client accounts by weight.
+type Fairness struct {
+	Enabled bool `json:"enabled"`
+}
+
+// LookAhead reserves workers for tasks that no worker has room for yet.
+type LookAhead struct {
+	Enabled bool `json:"enabled"`
+}
+
+// Forecast requests hosts ahead of recurring demand peaks.
+type Forecast struct {
+	Enabled bool `json:"enabled"`
+}
+
+// Ownership distributes shards by the capacity of the daemons.
+type Ownership struct {
+	Enabled bool `json:"enabled"`
+}
+
+// Finding describes an invalid value in a policy file.
+type Finding struct {
+	Path    string
+	Value   string
+	Allowed string
+}
+
+// Error reports all findings in a policy file, or the cause if it cannot be read.
+type Error struct {
+	File     string
+	Findings []Finding
+	Cause    error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("policy %s: %v", e.File, e.Cause)
+	}
+	lines := make([]string, 0, len(e.Findings))
+	for _, f := range e.Findings {
+		lines = append(lines, fmt.Sprintf("%s: %s is %s; allowed: %s", e.File, f.Path, f.Value, f.Allowed))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+var errTrailingData = errors.New("data after the policy object")
+
+// Load reads and checks a policy file. An empty path is the policy that disables everything.
+func Load(path string) (Policy, error) {
+	if path == "" {
+		return Policy{}, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Policy{}, &Error{File: path, Cause: err}
+	}
+	return Parse(path, data)
+}
+
+// Parse decodes and checks a policy; file is only used in errors.
+func Parse(file string, data []byte) (Policy, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	p := defaults()
+	if err := dec.Decode(&p); err != nil {
+		return Policy{}, &Error{File: file, Cause: err}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return Policy{}, &Error{File: file, Cause: errTrailingData}
+	}
+	if findings := p.check(); len(findings) > 0 {
+		return Policy{}, &Error{File: file, Findings: findings}
+	}
+	return p, nil
+}
+
+// defaults returns the bounds of fields that a policy file leaves out.
+func defaults() Policy { return Policy{} }
+
+func (p *Policy) check() []Finding {
+	var findings []Finding
+	if p.Returns.Enabled && !p.Admission.Enabled {
+		findings = append(findings, Finding{"returns.enabled", "true", "false unless admission.enabled is true, because bookings need its predictions"})
+	}
+	return findings
+}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -24,6 +24,7 @@
 	"samphirestile.example/samphirestile/internal/jobstore"
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/partition"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/quota"
 	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
@@ -82,6 +83,8 @@
 	// Advice queues the requests of all shards of the daemon to the advisor; nil if there is none.
 	Advice *advice.Queue
 	Bounds Bounds
+	// Policy switches the decisions under load.
+	Policy policy.Policy
 	// UnixMS returns the Unix time in milliseconds by which occurrences of jobs are due; nil means the time of day.
 	UnixMS func(monotonic.Time) int64
 	// LatestWorkerLeaseEnd returns the latest end of a lease that may be granted to a worker.
