share, admission, placement: jobs that yield, admission by deadlines, packing of short tasks

Decisions without input or output for queues whose demand exceeds their pool. Short tasks fill used workers, so that large tasks and maintenance find empty ones. All are off by default.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,6 +29,8 @@
 	Limit time.Duration
 	// RetryAfter is the time after which the queue is expected to accept the job.
 	RetryAfter time.Duration
+	// Unpromised is set if the job is expected to miss its objective.
+	Unpromised bool
 }
 
 const (
@@ -62,7 +64,7 @@
 	predicted := wait + max(l.CriticalPath, time.Duration(float64(l.JobTime)/packingEfficiency))
 	limit := time.Duration(maxObjectiveFactor * float64(l.Objective))
 	if l.AdvisorBacklog > maxAdvisorWait {
-		return Decision{Predicted: predicted, Limit: limit, RetryAfter: min(maxRetryAfter, max(minRetryAfter, l.AdvisorBacklog-maxAdvisorWait))}
+		return Decision{Predicted: predicted, Limit: limit, RetryAfter: retryAfter(l.AdvisorBacklog - maxAdvisorWait)}
 	}
 	if l.UsageShare > 1 {
 		limit = time.Duration(overShareObjectiveFactor * float64(l.Objective))
@@ -70,5 +72,5 @@
 	if predicted <= limit || l.Backlog+l.AdvisorBacklog == 0 {
 		return Decision{Accept: true, Predicted: predicted, Limit: limit}
 	}
-	return Decision{Predicted: predicted, Limit: limit, RetryAfter: min(maxRetryAfter, max(minRetryAfter, predicted-limit))}
+	return Decision{Predicted: predicted, Limit: limit, RetryAfter: retryAfter(predicted - limit)}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,6 +41,8 @@
 	Step *job.Step
 	// Rack is the rack of the step's other tasks, if they must be in the same rack.
 	Rack string
+	// Pack is set if short tasks fill used workers before unused ones.
+	Pack bool
 }
 
 // Weights of the cost of a placement. The unit is the full capacity of a worker.
@@ -54,6 +56,9 @@
 	colocationGain = 1.5
 	// maintenanceCost keeps long-running tasks off workers that are due for maintenance.
 	maintenanceCost = 3.0
+	// shortMaintenanceCost keeps short tasks off workers that are due for maintenance while others have room, so that
+	// their hosts can go down without a wait.
+	shortMaintenanceCost = 1.0
 	// failureCost keeps tasks away from workers with recent failures.
 	failureCost = 1.0
 )
@@ -67,7 +72,8 @@
 //
 // Load pattern: pools of similar workers have their demand peaks in turn, beside long-running
 // tasks, and a few workers fail or are slow. The least used worker that qualifies is chosen, so
-// that wide steps are spread and memory and CPU are used up evenly.
+// that wide steps are spread and memory and CPU are used up evenly. With Pack it is the most used one for short tasks:
+// what is left free is left on few workers, where large tasks find room and from which hosts are released at once.
 func Choose(workers []Candidate, r Request) int {
 	best, bestCost := -1, 0.0
 	required := r.Step.RequiredResources()
@@ -88,7 +94,14 @@
 }
 
 func (c *Candidate) cost(r Request, required worker.Resources) float64 {
-	cost := c.Used.Plus(required).DominantShare(c.Capacity) + failureCost*c.FailureScore
+	cost := c.Used.Plus(required).DominantShare(c.Capacity)
+	if r.Pack && !r.Step.LongRunning && !r.Step.BestEffort {
+		cost = 1 - cost
+		if c.MaintenanceDue {
+			cost += shortMaintenanceCost
+		}
+	}
+	cost += failureCost * c.FailureScore
 	if r.Step.DataRack != "" && c.Rack() != r.Step.DataRack {
 		cost += remoteCost
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -42,6 +42,25 @@
 	It("spreads a wide step over the pool", func() {
 		Expect(fill(pool(4), step, 12)).To(Equal([]int{3, 3, 3, 3}))
 	})
+	// Guards against small tasks that leave a gap on each worker, so that a large task finds room on none of them.
+	It("packs short tasks if told to, so that a task that needs a whole worker finds one", func() {
+		large := &job.Step{Need: worker.Resources{CPU: 8000, MemMB: 1000}}
+		spread, packed := pool(4), pool(4)
+		fill(spread, step, 4)
+		for range 4 {
+			i := placement.Choose(packed, placement.Request{Step: step, Pack: true})
+			packed[i].Used = packed[i].Used.Plus(step.Need)
+		}
+		Expect(placement.Choose(spread, placement.Request{Step: large, Pack: true})).To(Equal(-1))
+		Expect(placement.Choose(packed, placement.Request{Step: large, Pack: true})).To(BeNumerically(">", 0))
+	})
+	It("keeps short tasks off workers that go down soon while others have room, if told to pack", func() {
+		workers := pool(2)
+		workers[0].MaintenanceDue, workers[0].Used = true, worker.Resources{CPU: 4000}
+		Expect(placement.Choose(workers, placement.Request{Step: step, Pack: true})).To(Equal(1))
+		workers[1].Used = workers[1].Capacity
+		Expect(placement.Choose(workers, placement.Request{Step: step, Pack: true})).To(Equal(0))
+	})
 	It("packs long-running tasks, so that other hosts can leave the pool", func() {
 		longRunning := &job.Step{Need: worker.Resources{CPU: 1000, MemMB: 1000}, LongRunning: true}
 		Expect(fill(pool(4), longRunning, 6)).To(Equal([]int{6, 0, 0, 0}))
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -19,6 +19,27 @@
 	LookAhead LookAhead `json:"look_ahead"`
 	Forecast  Forecast  `json:"forecast"`
 	Ownership Ownership `json:"ownership"`
+	// Heartbeats finds lost answers of workers before the calls time out.
+	Heartbeats Heartbeats `json:"heartbeats"`
+	// Packing orders the workers for short tasks.
+	Packing Packing `json:"packing"`
+	// Draining lets short tasks end on workers whose hosts are moved or maintained.
+	Draining Draining `json:"draining"`
+}
+
+// Draining lets tasks that will end soon end on workers that are emptied, instead of starting them again elsewhere.
+type Draining struct {
+	Enabled bool `json:"enabled"`
+}
+
+// Heartbeats queries the status of a worker whose answer to a heartbeat is overdue.
+type Heartbeats struct {
+	Enabled bool `json:"enabled"`
+}
+
+// Packing fills used workers before unused ones, so that large tasks find room and hosts can be released.
+type Packing struct {
+	Enabled bool `json:"enabled"`
 }
 
 // Admission predicts when a job would be completed and refuses one that would be late.
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -23,6 +23,8 @@
 	Remaining time.Duration
 	// Usage is the resource usage of the job's client account, divided by its weight.
 	Usage float64
+	// Yields is set if the job yields to jobs that can be in time; see Yielding.
+	Yields bool
 	// Accepted is when the job was accepted; it orders late jobs.
 	Accepted monotonic.Time
 }
@@ -33,7 +35,7 @@
 // jobs come first, because their tasks wait for particular workers and must not be starved
 // by a stream of short ones. Within each kind, jobs that scheduling passes have skipped come first,
 // so that jobs without a worker cannot hide the others. Jobs that can still meet their objective come before those that
-// cannot, in order of increasing slack. Late jobs follow in the order of their
+// cannot and those that yield, in order of increasing slack. The latter follow in the order of their
 // acceptance, so that none starves.
 func Order(jobs []WaitingJob, now monotonic.Time) []int {
 	order := make([]int, len(jobs))
@@ -52,7 +54,7 @@
 			return a.Priority < b.Priority
 		}
 		slackA, slackB := a.slack(now), b.slack(now)
-		lateA, lateB := slackA < 0, slackB < 0
+		lateA, lateB := slackA < 0 || a.Yields, slackB < 0 || b.Yields
 		if lateA != lateB {
 			return lateB
 		}
