shard: use the policy for admission, yielding jobs, packing and draining

The survey in docs/design/survey-hard-load.md shows the losses: checkpointing tasks that are stopped on emptied workers although no other worker has room, queues in which every job is a little late, and predictions that count the whole queue as served first and a step as short as one of its tasks. Without the policy nothing changes.

--- a/internal/shard/admission.go
+++ b/internal/shard/admission.go
@@ -9,6 +9,7 @@
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/monotonic"
 	"samphirestile.example/samphirestile/internal/placement"
+	"samphirestile.example/samphirestile/internal/share"
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
@@ -34,20 +35,39 @@
 	if !o.hasSuitableWorkers(j) {
 		return admission.Decision{}, &RejectedError{Reason: "no worker can run it", RetryAfter: outageRetryAfter}
 	}
-	d := admission.Decide(o.queueLoad(j))
+	d := o.decide(j)
 	if !d.Accept {
 		return d, &RejectedError{Reason: "queue is full", RetryAfter: d.RetryAfter, Overload: true}
 	}
 	return d, nil
 }
 
+// decide predicts when the job would be completed and decides on it by the policy.
+func (o *Owner) decide(j *job.Job) admission.Decision {
+	if !o.Policy.Admission.Enabled {
+		return admission.Decide(o.queueLoad(j))
+	}
+	now := monotonic.Now()
+	l := o.queueLoad(j)
+	first := o.firstAttempt(j.ID, now)
+	n := admission.Newcomer{
+		AcceptedJob: share.AcceptedJob{
+			Account: j.Account, Priority: j.Priority, Deadline: first.Add(l.Objective), Remaining: l.CriticalPath,
+			Work: time.Duration(float64(l.JobTime) / packingEfficiency),
+		},
+		FirstAttempt: first, Objective: l.Objective, AdvisorBacklog: l.AdvisorBacklog,
+	}
+	_, accepted := o.acceptedJobs(now)
+	all := append(accepted, n.AcceptedJob)
+	o.markOverShare(all)
+	n.OverShare = all[len(accepted)].OverShare
+	return admission.DecideByDeadline(accepted, n, now)
+}
+
 // queueLoad describes the queue for the admission decision on one job.
 func (o *Owner) queueLoad(j *job.Job) admission.Load {
 	now := monotonic.Now()
-	if o.acceptedBacklog.at == 0 || now.Sub(o.acceptedBacklog.at) > maxBacklogAge {
-		o.acceptedBacklog = o.currentBacklog(now)
-	}
-	pool := o.acceptedBacklog.capacity
+	pool := o.backlogAt(now).capacity
 	var jobWork worker.Resources
 	for i := range j.Steps {
 		jobWork = jobWork.Plus(resourceMilliseconds(j.Steps[i].RequiredResources(), j.Steps[i].Count, o.estimate(j.Queue, &j.Steps[i])))
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -76,7 +76,11 @@
 
 // stepTime is the minimum time of a step, including one request to the advisor.
 func (o *Owner) stepTime(j *job.Job, s *job.Step) time.Duration {
-	return o.estimate(j.Queue, s) + j.AdviceTime
+	d := o.estimate(j.Queue, s)
+	if o.Policy.Admission.Enabled {
+		d = longestOf(s.Count, d, o.logStdDev(j.Queue))
+	}
+	return d + j.AdviceTime
 }
 
 func (e *jobEntry) decision(key stepKey, id worker.ID) (approval, bool) {
--- a/internal/shard/drain.go
+++ b/internal/shard/drain.go
@@ -86,12 +86,24 @@
 			if s.stopAllowed(r) {
 				s.stopWithinLimit(r, "worker is emptied")
 			}
-		case r.step.Checkpointing:
+		case r.step.Checkpointing && s.stopPays(r):
 			s.stop(r, "worker is emptied")
 		}
 	}
 }
 
+// minStoppedTime is the remaining time of a short task on an emptied worker from which a stop and a restart elsewhere pay. The
+// restart waits for room, which a pool at its demand peak does not have, and the task works up its last interval again.
+const minStoppedTime = 3 * time.Second
+
+// stopPays reports whether a checkpointing task should be stopped on a worker that is emptied, instead of ending by itself.
+func (s *session) stopPays(r *run) bool {
+	if !s.owner.Policy.Draining.Enabled || s.Draining {
+		return true
+	}
+	return s.owner.estimate(r.entry.job.Queue, r.step)-monotonic.Now().Sub(r.started) > minStoppedTime
+}
+
 // stopMargin is added to the duration of a stop: for the transit of the command, and for responses
 // in flight when it was sent.
 const stopMargin = 600 * time.Millisecond
--- a/internal/shard/estimate.go
+++ b/internal/shard/estimate.go
@@ -98,4 +98,16 @@
 	return math.Sqrt(min(d.varDuration, d.varRatio))
 }
 
+// longestOf returns the expected duration of the longest of n tasks whose durations have a logarithmic normal distribution with
+// a median and a standard deviation of the logarithm. It is what a step takes whose tasks all run at once.
+func longestOf(n int, median time.Duration, logStdDev float64) time.Duration {
+	if n <= 1 {
+		return median
+	}
+	// Blom's approximation of the expected largest of n values of the normal distribution.
+	p := (float64(n) - 0.375) / (float64(n) + 0.25)
+	z := math.Sqrt2 * math.Erfinv(2*p-1)
+	return time.Duration(float64(median) * math.Exp(z*logStdDev))
+}
+
 func halfLifeDecay(halfLives float64) float64 { return math.Exp2(-halfLives) }
--- a/internal/shard/metrics.go
+++ b/internal/shard/metrics.go
@@ -29,6 +29,14 @@
 	o.Scope.Tagged(map[string]string{"shard": o.Shard, "reason": reason}).Counter("runs_lost").Inc(1)
 }
 
+// predictionBuckets are ratios of the real time to completion and the predicted one.
+var predictionBuckets = tally.MustMakeExponentialValueBuckets(0.25, 1.25, 18)
+
+// countPrediction records the error of the prediction on which a job was accepted.
+func (o *Owner) countPrediction(predicted, took time.Duration) {
+	o.Scope.Tagged(map[string]string{"shard": o.Shard}).Histogram("prediction_error", predictionBuckets).RecordValue(float64(took) / float64(predicted))
+}
+
 func (o *Owner) countJob(final job.State, took, waited time.Duration) {
 	tagged := o.Scope.Tagged(map[string]string{"shard": o.Shard, "state": string(final)})
 	tagged.Counter("jobs_ended").Inc(1)
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -217,6 +217,13 @@
 	recordLeft bool
 	accepted   monotonic.Time
 	objective  time.Duration
+	// firstAttempt is when the client first submitted the job, as far as this owner knows, or 0.
+	firstAttempt monotonic.Time
+	// predicted is the time to the job's completion that was expected when it was accepted, or 0.
+	predicted time.Duration
+	// unpromised is set if the job was accepted although it was expected to miss its objective. yields is set
+	// while the job yields to jobs that can be in time.
+	unpromised, yields bool
 	// copyable is set if a step allows speculative copies of its running tasks.
 	copyable bool
 	// recovered is set for jobs that were accepted by an earlier owner.
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -75,6 +75,7 @@
 		j.AcceptedMS = time.Now().UnixMilli()
 		e = newJobEntry(job.NewTrackedJob(j))
 		o.setTimes(e)
+		e.predicted, e.unpromised, e.firstAttempt = decision.Predicted, decision.Unpromised, o.firstAttempt(j.ID, e.accepted)
 		o.jobs[j.ID], o.active[j.ID] = e, e
 		if !j.LongRunning() {
 			o.acceptedBacklog.workMS = o.acceptedBacklog.workMS.Plus(o.remainingWork(e, monotonic.Now()))
@@ -147,13 +148,16 @@
 	fields := logrus.Fields{
 		"job": e.job.ID, "queue": e.job.Queue, "shard": o.Shard, "token": o.Token, "state": final,
 		"took_ms": now.Sub(e.accepted).Milliseconds(), "objective_ms": e.objective.Milliseconds(), "recovered": e.recovered,
-		"starts": e.starts, "failures": e.failures, "losses": e.losses,
+		"starts": e.starts, "failures": e.failures, "losses": e.losses, "predicted_ms": e.predicted.Milliseconds(), "unpromised": e.unpromised,
 	}
 	if e.firstStart != 0 {
 		fields["waited_ms"] = e.firstStart.Sub(e.accepted).Milliseconds()
 	}
 	o.Log.WithFields(fields).Info("job ended")
 	o.countJob(final, now.Sub(e.accepted), max(0, e.firstStart.Sub(e.accepted)))
+	if final == job.Completed && e.predicted > 0 {
+		o.countPrediction(e.predicted, now.Sub(e.accepted))
+	}
 	e.job.FinalState = final
 	e.job.EndedMS = time.Now().UnixMilli()
 	e.dirty = true
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -121,6 +121,7 @@
 	}
 	o.adviceRequests = o.adviceRequests[:0]
 	o.adviceBacklog(now)
+	o.findYielding(now)
 	var entries []*jobEntry
 	var waiting []share.WaitingJob
 	for _, e := range o.active {
@@ -176,8 +177,8 @@
 
 func (o *Owner) newWaitingJob(e *jobEntry, now monotonic.Time) share.WaitingJob {
 	return share.WaitingJob{
-		LongRunning: e.job.LongRunning(), Skips: e.skips, Priority: e.job.Priority, Deadline: e.accepted.Add(e.objective),
-		Remaining: o.remainingPath(e, now), Accepted: e.accepted, Usage: o.weightedUsage(e.job.Account),
+		LongRunning: e.job.LongRunning(), Skips: e.skips, Priority: e.job.Priority, Deadline: e.deadline(),
+		Remaining: o.remainingPath(e, now), Accepted: e.accepted, Yields: e.yields, Usage: o.weightedUsage(e.job.Account),
 	}
 }
 
@@ -338,7 +339,7 @@
 			p.refuseByLimit(e, t.step, 1)
 			return
 		}
-		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
+		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack, Pack: p.owner.Policy.Packing.Enabled})
 		if i < 0 {
 			p.recordShortage(e, t, rack, len(tasks)-n)
 			return
@@ -385,7 +386,7 @@
 	saved := append([]placement.Candidate(nil), p.candidates...)
 	chosen := make([]int, 0, len(tasks))
 	for _, t := range tasks {
-		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
+		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack, Pack: p.owner.Policy.Packing.Enabled})
 		if i < 0 {
 			p.candidates = saved
 			p.recordGangShortage(e, t, rack, len(tasks), len(chosen))
--- /dev/null
+++ b/internal/shard/yielding.go
@@ -0,0 +1,100 @@
+package shard
+
+import (
+	"time"
+
+	"samphirestile.example/samphirestile/internal/job"
+	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/share"
+	"samphirestile.example/samphirestile/internal/worker"
+)
+
+// packingEfficiency is the share of a pool's capacity that tasks of mixed sizes can use.
+const packingEfficiency = 0.8
+
+// deadline returns the end of the job's objective, counted from the client's first attempt.
+func (e *jobEntry) deadline() monotonic.Time {
+	if e.firstAttempt != 0 {
+		return e.firstAttempt.Add(e.objective)
+	}
+	return e.accepted.Add(e.objective)
+}
+
+// timed reports whether the job has an objective that the order of starts can meet: jobs without a schedule
+// that end by themselves.
+func (e *jobEntry) timed() bool { return !e.job.LongRunning() && !e.job.Scheduled() }
+
+// findYielding decides which jobs yield to jobs that can be in time. The caller holds mu.
+func (o *Owner) findYielding(now monotonic.Time) {
+	if !o.Policy.Admission.Enabled {
+		return
+	}
+	entries, jobs := o.acceptedJobs(now)
+	for i, yields := range share.Yielding(jobs, now) {
+		entries[i].yields = yields
+	}
+}
+
+// acceptedJobs describes the jobs that compete for the pool by their deadlines. The caller holds mu.
+func (o *Owner) acceptedJobs(now monotonic.Time) ([]*jobEntry, []share.AcceptedJob) {
+	pool := o.backlogAt(now).capacity
+	entries := make([]*jobEntry, 0, len(o.active))
+	jobs := make([]share.AcceptedJob, 0, len(o.active))
+	for _, e := range o.active {
+		if !e.timed() {
+			continue
+		}
+		entries = append(entries, e)
+		jobs = append(jobs, share.AcceptedJob{
+			Account: e.job.Account, Priority: e.job.Priority, Deadline: e.deadline(), Remaining: o.remainingPath(e, now),
+			Work: poolTime(o.remainingWork(e, now), pool), Unpromised: e.unpromised, Started: e.job.Started,
+		})
+	}
+	o.markOverShare(jobs)
+	return entries, jobs
+}
+
+// poolTime is the time that a pool needs for work in resource-milliseconds.
+func poolTime(work, pool worker.Resources) time.Duration {
+	return time.Duration(float64(drainTime(work, pool)) / packingEfficiency)
+}
+
+// backlogAt returns the backlog, recomputed if it is older than maxBacklogAge. The caller holds mu.
+func (o *Owner) backlogAt(now monotonic.Time) backlog {
+	if o.acceptedBacklog.at == 0 || now.Sub(o.acceptedBacklog.at) > maxBacklogAge {
+		o.acceptedBacklog = o.currentBacklog(now)
+	}
+	return o.acceptedBacklog
+}
+
+// overShareFactor times its share is the load beyond which an account counts as above its share. Loads of accounts
+// that keep to their shares differ by less.
+const overShareFactor = 1.5
+
+// markOverShare marks the jobs of accounts whose load exceeds their share, by weight, of the load of all jobs. The
+// caller holds mu.
+func (o *Owner) markOverShare(jobs []share.AcceptedJob) {
+	c := o.Configuration()
+	if c == nil || !o.Policy.Fairness.Enabled {
+		return
+	}
+	loads := map[string]share.AccountLoad{}
+	for i := range jobs {
+		l := loads[jobs[i].Account]
+		l.Weight = c.Accounts[jobs[i].Account].Weight
+		l.Load += jobs[i].Work.Seconds()
+		loads[jobs[i].Account] = l
+	}
+	over := share.OverShare(loads, overShareFactor)
+	for i := range jobs {
+		jobs[i].OverShare = over[jobs[i].Account]
+	}
+}
+
+// firstAttempt returns when the job was first submitted, as far as this owner knows. The caller holds mu.
+func (o *Owner) firstAttempt(id job.ID, now monotonic.Time) monotonic.Time {
+	if first := o.countedArrivals[id]; first != 0 {
+		return first
+	}
+	return now
+}
