shard: query the status of a worker whose answer to a heartbeat is overdue

Where the answer to a heartbeat is lost, its completions were unknown until the call timed out, up to 1.9 s later, and the jobs stood still. A second heartbeat without a lease and without an acknowledgement shows them. Three specs; the one without the policy shows the former delay.

--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -57,11 +57,13 @@
 		if s.fenced && s.reachable && s.needsLease() {
 			command.LeaseEndMS = s.grantLease(sent)
 		}
-		leaseEnd, incarnation := s.leaseEnd, s.incarnation
+		leaseEnd := s.leaseEnd
+		call := heartbeatCall{command: command, sent: sent, incarnation: s.incarnation}
+		overdue := s.heartbeatOverdue(command.Wait)
 		// The lease and the acknowledgement are for the worker at the current address.
 		conn := s.conn.conn()
 		o.mu.Unlock()
-		status, err := conn.Heartbeat(ctx, command)
+		status, answered, err := s.heartbeat(ctx, conn, call, overdue)
 		if ctx.Err() != nil {
 			return
 		}
@@ -83,11 +85,14 @@
 				s.leaseEnd = leaseEndBefore
 			}
 			if command.LeaseEndMS != 0 && !isDefinite(err) {
-				s.leaseNotAnswered(incarnation, sent, received)
+				s.leaseNotAnswered(call.incarnation, sent, received)
 			}
 			pause = s.heartbeatFailed(err, command.Token, sent, received)
 		default:
-			s.handleStatus(status, command, incarnation, sent, received)
+			if answered.sent != sent && command.LeaseEndMS != 0 {
+				s.leaseNotAnswered(call.incarnation, sent, received)
+			}
+			s.handleStatus(status, answered.command, answered.incarnation, answered.sent, received)
 			pause = heartbeatDelay
 		}
 		o.mu.Unlock()
