--- a/internal/hosts/manager.go
+++ b/internal/hosts/manager.go
@@ -1,6 +1,7 @@
 package hosts
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -66,6 +67,8 @@
 	EncodeStatus    func(completed bool) []byte
 	MaintenanceTime time.Duration
 	MoveTime        time.Duration
+	// DrainTime is the expected time to drain a host; 0 means drainTime.
+	DrainTime time.Duration
 	// TermGap is the minimum time between the terms of two holders; a new holder
 	// waits for it before it issues commands.
 	TermGap time.Duration
@@ -115,11 +118,11 @@
 
 // timeBudget returns how much of the wave's time is left. A jump of the wall clock,
 // forwards or to before the opening, makes the wave late, which is the safe side.
-func (w *waveState) timeBudget(maintenance time.Duration) timeBudget {
+func (w *waveState) timeBudget(maintenance, drain time.Duration) timeBudget {
 	elapsed := time.Duration(time.Now().UnixMilli()-w.openedMS) * time.Millisecond
 	return timeBudget{
 		late:      elapsed < 0 || elapsed > time.Duration(lateShare*float64(w.Within)),
-		remaining: w.Within - max(0, elapsed), perHost: maintenance + drainTime,
+		remaining: w.Within - max(0, elapsed), perHost: maintenance + drain,
 	}
 }
 
@@ -370,7 +373,7 @@
 		commands = append(commands, &command{host: h, up: ok && h.State == Up, repeated: true})
 	}
 	available := w.AtOnce - downHosts(w.progress)
-	for _, h := range nextHosts(w.Wave, w.progress, m.hosts, m.surpluses(now), w.timeBudget(m.MaintenanceTime)) {
+	for _, h := range nextHosts(w.Wave, w.progress, m.hosts, m.surpluses(now), w.timeBudget(m.MaintenanceTime, cmp.Or(m.DrainTime, drainTime))) {
 		if m.transfers[h.ID] != nil || now < m.blocked[h.ID] {
 			continue
 		}
--- a/internal/hosts/wave.go
+++ b/internal/hosts/wave.go
@@ -49,9 +49,11 @@
 	// lateShare is the share of a wave's time after which hosts of pools that lack
 	// hosts are maintained as well.
 	lateShare = 0.5
-	// drainTime is the expected time to drain a host: long-running tasks are stopped and
-	// started elsewhere, short ones complete.
+	// drainTime is the expected time to drain a host: tasks that can continue elsewhere are stopped, other short
+	// ones complete.
 	drainTime = time.Second
+	// PatientDrainTime is the expected time where all tasks complete that end soon.
+	PatientDrainTime = 3 * time.Second
 )
 
 // timeBudget determines how many hosts must be down at the same time for the wave to
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -320,6 +320,10 @@
 }
 
 func (d *Daemon) hostsManager(token uint64, id store.LeaseID) *hosts.Manager {
+	var drainTime time.Duration
+	if d.policy.Draining.Enabled {
+		drainTime = hosts.PatientDrainTime
+	}
 	return hosts.New(hosts.Config{
 		Platform: d.hostAPI, Store: d.store, Shards: shardCalls{d},
 		Holder: hosts.Holder{Name: d.settings.Node, Token: token}, OwnerKey: lease.OwnerKey(hostsShard),
@@ -328,7 +332,7 @@
 		},
 		Waves: d.configurations.Waves, Pools: d.pools, Spare: d.sparePools,
 		StatusKey: platform.WaveStatusKey, EncodeStatus: platform.EncodeWaveStatus,
-		MaintenanceTime: d.settings.Bounds.Maintenance, MoveTime: d.settings.Bounds.Migration, TermGap: d.settings.Bounds.HostTermGap, Log: d.log,
+		MaintenanceTime: d.settings.Bounds.Maintenance, MoveTime: d.settings.Bounds.Migration, TermGap: d.settings.Bounds.HostTermGap, DrainTime: drainTime, Log: d.log,
 	})
 }
 
