entry: follow the zones under evacuation

The follower of the operators' records ignored removals, and knew no key below op/evacuate/. Each key has the revision of its last change, so that an older answer restores nothing. A key that a failed confirmation does not return is settled by a listing, which has a revision, before the confirmation counts.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -46,6 +46,8 @@
 	Configuration    func([]byte) (*jobconfig.Configuration, error)
 	// Wave returns ok false for records that are not maintenance waves.
 	Wave func(store.Entry) (wave hosts.Wave, ok bool, err error)
+	// Evacuation is nil where availability zones are not evacuated.
+	Evacuation *EvacuationFormat
 }
 
 // ConfigurationFollower keeps the operators' configuration and maintenance waves up to date.
@@ -65,7 +67,8 @@
 	recorded uint64
 	retained retention
 	// wavesRead is when the wave records were last read.
-	wavesRead monotonic.Time
+	wavesRead   monotonic.Time
+	evacuations evacuations
 }
 
 // NewConfigurationFollower returns a follower that has no configuration yet.
@@ -124,7 +127,7 @@
 	group.Go(func() { c.watch(ctx) })
 	failing := false
 	for ctx.Err() == nil {
-		delay := confirmInterval
+		delay := c.interval()
 		if err := c.refresh(ctx); err != nil {
 			delay = retryDelay
 			if !failing && ctx.Err() == nil {
@@ -142,7 +145,7 @@
 }
 
 // refresh reads all records until there is a configuration. After that it confirms the
-// configuration, and reads the waves every waveRefreshInterval.
+// configuration, and reads the waves and the evacuated zones every waveRefreshInterval.
 func (c *ConfigurationFollower) refresh(ctx context.Context) error {
 	c.mu.Lock()
 	recorded, wavesDue := c.recorded, monotonic.Now().Sub(c.wavesRead) >= waveRefreshInterval
@@ -157,6 +160,9 @@
 	if !wavesDue {
 		return nil
 	}
+	if err := c.readEvacuations(ctx); err != nil {
+		return err
+	}
 	return c.read(ctx, c.format.WavePrefix)
 }
 
@@ -169,9 +175,10 @@
 func (c *ConfigurationFollower) confirm(ctx context.Context, recorded uint64) error {
 	sent := monotonic.Now()
 	c.mu.Lock()
-	probe := store.Transaction{Conditions: []store.Condition{
+	evacuations := c.evacuationConditions()
+	probe := store.Transaction{Conditions: append([]store.Condition{
 		{Key: c.format.ConfigurationKey, Version: recorded}, {Key: RetainedKey, Version: c.retained.revision},
-	}}
+	}, evacuations...)}
 	c.mu.Unlock()
 	var changed *store.ConditionError
 	// The transaction writes nothing, so it may be hedged.
@@ -181,6 +188,11 @@
 	if err != nil && !errors.As(err, &changed) {
 		return err
 	}
+	if changed != nil {
+		if err := c.applyChangedEvacuations(ctx, evacuations, changed); err != nil {
+			return err
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if changed != nil {
@@ -231,6 +243,10 @@
 // apply applies a record. It ignores a configuration record unless both its revision and its
 // version are higher than those of the last one. The caller holds mu.
 func (c *ConfigurationFollower) apply(e store.Entry) {
+	if c.isEvacuation(e.Key) {
+		c.applyEvacuation(e.Key, e.Version, true)
+		return
+	}
 	if e.Key == c.format.ConfigurationKey {
 		if e.Version <= c.recorded {
 			return
@@ -287,8 +303,11 @@
 		}
 		c.mu.Lock()
 		for _, e := range events {
-			if !e.Deleted {
+			switch {
+			case !e.Deleted:
 				c.apply(e.Entry)
+			case c.isEvacuation(e.Key):
+				c.applyEvacuation(e.Key, e.Version, false)
 			}
 		}
 		c.revision = max(c.revision, revision)
@@ -306,6 +325,9 @@
 		c.mu.Unlock()
 		err = c.confirm(ctx, recorded)
 	}
+	if err == nil {
+		err = c.readEvacuations(ctx)
+	}
 	if err != nil {
 		c.log.WithError(err).Info("operator records not read after the store compacted its history; will retry")
 		return
--- a/internal/entry/retain.go
+++ b/internal/entry/retain.go
@@ -47,6 +47,7 @@
 	for _, e := range entries {
 		c.apply(e)
 	}
+	c.removeUnlisted(entries, revision)
 	c.wavesRead = sent
 	c.revision = max(c.revision, revision)
 	c.confirmed = max(c.confirmed, sent)
