shard: no starts in an availability zone under evacuation

Workers of a zone that the operators evacuate went on to get tasks. Such workers are now closed: no start, no repetition of one without an answer and no copy is sent there, and starts that were queued are given back, as are the other members of a gang that would wait for one. Long-running tasks move within maxUnavailable, one of a step after the other and only where a worker elsewhere has room, which is held until they start. Capacity for admission and wanted hosts leaves these workers out. Without Config.Evacuations nothing is decided differently. The state of such a worker in reports is "zone evacuated".

--- a/internal/shard/admission.go
+++ b/internal/shard/admission.go
@@ -92,13 +92,16 @@
 	b := backlog{at: now}
 	for _, s := range o.sessions {
 		// Workers that have not responded to a new owner yet count: they respond soon.
-		if s.listed && !s.Missing && !s.Draining && s.reachable {
+		if s.listed && !s.Missing && !s.Draining && s.reachable && !s.evacuated() {
 			b.capacity = b.capacity.Plus(s.Capacity)
 		}
 	}
 	for _, e := range o.active {
 		if e.job.LongRunning() {
 			for r := range e.runs {
+				if r.session.evacuated() {
+					continue
+				}
 				b.capacity = b.capacity.Minus(r.step.RequiredResources())
 			}
 			continue
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -55,6 +55,13 @@
 	now := monotonic.Now()
 	leaseEnd := s.grantLease(now)
 	approvalValue, allowed := r.entry.approvalFor(r.task, s, now)
+	// The zone may have been evacuated since the run was placed.
+	if s.evacuated() || !o.evacuationsConfirmed() {
+		s.abandonStart(r)
+		s.abandonGang(r)
+		o.mu.Unlock()
+		return
+	}
 	// The worker may have begun to drain, or its address may have changed, since the run was placed.
 	if leaseEnd == 0 || s.Draining || !s.recorded() || !o.ownershipCertain(now) || attempt == 1 && !allowed {
 		s.abandonStart(r)
--- a/internal/shard/demand.go
+++ b/internal/shard/demand.go
@@ -63,7 +63,8 @@
 		c.Host = worker.Resources{CPU: max(c.Host.CPU, s.Capacity.CPU), MemMB: max(c.Host.MemMB, s.Capacity.MemMB), GPU: max(c.Host.GPU, s.Capacity.GPU)}
 	}
 	// Totals do not show whether any single host has sufficient capacity for a task.
-	o.workersWanted = max(o.partitionWorkersWanted(c, now), o.workersForUnplaced(now, c.Host, partitionRequestDelay, true))
+	// The other partitions count the workers of evacuated zones.
+	o.workersWanted = max(o.partitionWorkersWanted(c, now)+o.evacuatedWorkers(), o.workersForUnplaced(now, c.Host, partitionRequestDelay, true))
 	wanted := max(capacity.HostsWanted(c), o.workersForUnplaced(now, c.Host, poolRequestDelay, false))
 	if pending := o.unplaced.pendingFor(now, partitionRequestDelay); pending != o.unplacedLogged {
 		o.unplacedLogged = pending
@@ -86,14 +87,15 @@
 // work that has been unplaced for at least delay, or 0 if there is no such work.
 //
 // The other partitions count all listed workers of this one, so a request to them that leaves the missing ones
-// out has no effect until these are not listed any more. The hosts of a pool are counted without them.
+// out has no effect until these are not listed any more. The hosts of a pool are counted without them, and
+// without those of evacuated zones.
 func (o *Owner) workersForUnplaced(now monotonic.Time, host worker.Resources, delay time.Duration, withMissing bool) int {
 	n := o.unplaced.additionalHosts(now, host, delay)
 	if n == 0 {
 		return 0
 	}
 	for _, s := range o.sessions {
-		if s.listed && (withMissing || !s.Missing) {
+		if s.listed && (withMissing || !s.Missing && !s.evacuated()) {
 			n++
 		}
 	}
@@ -175,13 +177,24 @@
 	return capacity.HostsWanted(c)
 }
 
-// releasable returns the reachable workers that are listed and not draining, starting with those
+// evacuatedWorkers returns the number of listed workers in evacuated zones.
+func (o *Owner) evacuatedWorkers() int {
+	n := 0
+	for _, s := range o.sessions {
+		if s.listed && s.evacuated() {
+			n++
+		}
+	}
+	return n
+}
+
+// releasable returns the reachable workers that are listed, not draining and not in an evacuated zone, starting with those
 // from which the least work would have to be moved.
 func (o *Owner) releasable() []worker.ID {
 	longRunning, used := map[worker.ID]int{}, map[worker.ID]float64{}
 	var ids []worker.ID
 	for id, s := range o.sessions {
-		if s.listed && !s.Draining && s.reachable {
+		if s.listed && !s.Draining && s.reachable && !s.evacuated() {
 			ids, longRunning[id], used[id] = append(ids, id), s.countLongRunning(), s.used.DominantShare(s.Capacity)
 		}
 	}
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -60,6 +60,9 @@
 	StopGrace time.Duration
 	// StatusRetention is how long the state of a finished job is kept.
 	StatusRetention time.Duration
+	// Evacuation is the time from the evacuation of an availability zone until no task may start in it. It is used only
+	// with Config.Evacuations.
+	Evacuation time.Duration
 }
 
 // Config holds the settings and dependencies of an owner.
@@ -93,7 +96,10 @@
 	Workers       func() map[worker.ID]worker.Worker
 	Changes       <-chan struct{}
 	Configuration func() *jobconfig.Configuration
-	Log           *logrus.Logger
+	// Evacuations returns the availability zones under evacuation and the time since the store last confirmed them; nil
+	// means that zones are not evacuated.
+	Evacuations func() (map[fleet.AvailabilityZone]bool, time.Duration)
+	Log         *logrus.Logger
 	// Scope receives the metrics of the shard.
 	Scope tally.Scope
 }
@@ -179,6 +185,8 @@
 	unplacedLogged bool
 	// skippingJobs is set while scheduling passes skip jobs.
 	skippingJobs bool
+	// startsWithheld is set while no task is started for lack of a confirmation of the zones under evacuation.
+	startsWithheld bool
 	// workersWanted is how many of the pool's workers this partition needs, as last computed by
 	// Demand.
 	workersWanted int
@@ -249,6 +257,8 @@
 	pathDoneRuns int
 	doneRuns     int
 	runs         map[*run]bool
+	// moves are the long-running tasks that were told to stop in an evacuated zone and do not run elsewhere yet.
+	moves map[job.TaskID]bool
 	// advice holds the advisor's decisions, by step.
 	advice map[stepKey]*stepAdvice
 }
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -170,6 +170,8 @@
 		return "unlisted"
 	case s.Draining:
 		return "draining"
+	case s.evacuated():
+		return "zone evacuated"
 	case !s.reachable:
 		return "unreachable"
 	case now < s.closedUntil || now < s.cordonUntil:
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -119,6 +119,13 @@
 	if !o.ownershipCertain(now) {
 		return
 	}
+	if o.Evacuations != nil {
+		confirmed := o.evacuationsConfirmed()
+		o.logConfirmation(confirmed)
+		if !confirmed {
+			return
+		}
+	}
 	o.adviceRequests = o.adviceRequests[:0]
 	o.adviceBacklog(now)
 	var entries []*jobEntry
@@ -141,10 +148,8 @@
 		return
 	}
 	o.findLimited(now)
-	p := &placer{owner: o, now: now, inherited: o.inheritedUsage(now), index: make(map[*session]int, len(o.sessions))}
-	for _, s := range o.sessions {
-		p.add(s)
-	}
+	p := o.newPlacer(now)
+	p.placeMoves()
 	skipped := 0
 	for _, i := range share.Order(waiting, now) {
 		e := entries[i]
@@ -241,6 +246,15 @@
 	fruitlessScans struct{ longRunning, other int }
 }
 
+// newPlacer returns the state of the workers at the beginning of a scheduling pass. The caller holds mu.
+func (o *Owner) newPlacer(now monotonic.Time) *placer {
+	p := &placer{owner: o, now: now, inherited: o.inheritedUsage(now), index: make(map[*session]int, len(o.sessions))}
+	for _, s := range o.sessions {
+		p.add(s)
+	}
+	return p
+}
+
 // scans returns the count of fruitless scans for a kind of jobs.
 func (p *placer) scans(longRunning bool) *int {
 	if longRunning {
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -161,6 +161,7 @@
 			s.evacuate()
 		}
 	}
+	o.evacuateZones()
 }
 
 func (o *Owner) openSession(ctx context.Context, w worker.Worker, listed bool) {
@@ -288,5 +289,5 @@
 	if s.Missing && now.Sub(s.contact) > maxMissingContactAge {
 		return false
 	}
-	return s.listed && !s.Draining && s.reachable && s.fenced && !s.lostOwnership && s.recorded() && now >= s.closedUntil && now >= s.cordonUntil && !s.emptied
+	return s.listed && !s.Draining && s.reachable && s.fenced && !s.lostOwnership && s.recorded() && now >= s.closedUntil && now >= s.cordonUntil && !s.emptied && !s.evacuated()
 }
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -102,6 +102,8 @@
 	bindings shard.Bindings
 	// quota is what owners that are started from then on know of the shards that share limits with them.
 	quota quota.Peers
+	// evacuations are the zones under evacuation for owners that are started from then on; nil where the part is off.
+	evacuations func() (map[fleet.AvailabilityZone]bool, time.Duration)
 	// log receives the log lines of owners that are started from then on.
 	log io.Writer
 	// simulated is set for specs on simulated time. Their owners must be stopped before the clock is removed.
@@ -268,7 +270,8 @@
 	}
 	o.Owner = shard.New(shard.Config{
 		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, Quota: f.quota, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advice: requests,
-		Bounds: shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute},
+		Bounds:      shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute, Evacuation: evacuationBound},
+		Evacuations: f.evacuations,
 		LatestWorkerLeaseEnd: func() monotonic.Time {
 			o.mu.Lock()
 			defer o.mu.Unlock()
