hosts: hosts of an evacuated zone are no capacity of a pool

The worker of such a host gets no tasks. The host is not counted in its pool, does not move, and a move whose command was not sent is cancelled. Its maintenance goes on, and does not wait for a surplus of the pool.

The three new specs pass; each fails with its part of the change removed.

--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -162,6 +162,9 @@
 		platform *emulatedFleet
 		s        *cluster.Store
 		waves    []Wave
+		// evacuated are the zones under evacuation; evacuatedMu guards it while a holder runs.
+		evacuated   map[fleet.AvailabilityZone]bool
+		evacuatedMu sync.Mutex
 	)
 	start := func(name string) (*Manager, func()) {
 		discardLog := logrus.New()
@@ -173,7 +176,12 @@
 		m := New(Config{
 			Platform: platform, Store: s, Shards: platform, Holder: Holder{Name: name, Token: token}, OwnerKey: "own", Valid: func() bool { return true },
 			Waves: func() []Wave { return waves }, Pools: func() []fleet.ServiceID { return []fleet.ServiceID{"a", "b"} },
-			Spare:     func() map[fleet.ServiceID]bool { return map[fleet.ServiceID]bool{"rest": true} },
+			Spare: func() map[fleet.ServiceID]bool { return map[fleet.ServiceID]bool{"rest": true} },
+			Evacuated: func() map[fleet.AvailabilityZone]bool {
+				evacuatedMu.Lock()
+				defer evacuatedMu.Unlock()
+				return evacuated
+			},
 			StatusKey: func(n int64) string { return fmt.Sprintf("status/%d", n) },
 			EncodeStatus: func(done bool) []byte {
 				if done {
@@ -208,7 +216,7 @@
 		return ids
 	}
 	BeforeEach(func() {
-		s, waves = cluster.NewStore(), nil
+		s, waves, evacuated = cluster.NewStore(), nil, nil
 		platform = newEmulatedFleet(map[fleet.ServiceID]int{"a": 4, "b": 4, "rest": 2})
 		platform.demand["a"], platform.demand["b"] = Demand{Wanted: 4}, Demand{Wanted: 4}
 	})
@@ -249,6 +257,77 @@
 		Eventually(status, "5s").Should(Equal("completed"))
 	})
 
+	// evacuate replaces the zones under evacuation while a holder runs.
+	evacuate := func(zones map[fleet.AvailabilityZone]bool) {
+		evacuatedMu.Lock()
+		defer evacuatedMu.Unlock()
+		evacuated = zones
+	}
+	// inZone places hosts in a zone.
+	inZone := func(zone fleet.AvailabilityZone, ids ...fleet.HostID) {
+		for _, id := range ids {
+			platform.hosts[id].AvailabilityZone = zone
+		}
+	}
+
+	// Guards against a pool that keeps too few hosts because those of an evacuated zone count, and against moves of the latter.
+	It("replaces the hosts of an evacuated zone by others, and moves none of its hosts before it is open again", func() {
+		platform = newEmulatedFleet(map[fleet.ServiceID]int{"a": 4, "b": 4, "rest": 4})
+		platform.demand["a"], platform.demand["b"] = Demand{Wanted: 4}, Demand{Wanted: 4}
+		inZone("z", "a-0", "a-1", "rest-0", "rest-1")
+		evacuate(map[fleet.AvailabilityZone]bool{"z": true})
+		start("x")
+		Eventually(func() int { return platform.size("a") }, "5s").Should(Equal(6))
+		platform.mu.Lock()
+		platform.demand["b"] = Demand{Wanted: 6}
+		platform.mu.Unlock()
+		Consistently(func() int { return platform.size("rest") }, "1500ms").Should(Equal(2))
+		platform.mu.Lock()
+		for _, id := range []fleet.HostID{"rest-0", "rest-1"} {
+			Expect(platform.hosts[id].Pool).To(Equal(fleet.ServiceID("rest")))
+		}
+		for _, id := range []fleet.HostID{"a-0", "a-1"} {
+			Expect(platform.hosts[id].Pool).To(Equal(fleet.ServiceID("a")))
+		}
+		platform.mu.Unlock()
+		evacuate(nil)
+		Eventually(func() int { return platform.size("b") }, "5s").Should(Equal(6))
+	})
+
+	// Guards against a host that arrives in a pool although its zone was evacuated while it was emptied for the move.
+	It("cancels a move whose command was not sent when the zone is evacuated", func() {
+		platform = newEmulatedFleet(map[fleet.ServiceID]int{"a": 4, "b": 4})
+		platform.demand["a"], platform.demand["b"] = Demand{Wanted: 5}, Demand{Wanted: 2}
+		busy := func(b bool) {
+			platform.mu.Lock()
+			defer platform.mu.Unlock()
+			for i := range 4 {
+				platform.busy[worker.ID(fmt.Sprintf("w-b-%d", i))] = b
+			}
+		}
+		inZone("z", "b-0", "b-1", "b-2", "b-3")
+		busy(true)
+		start("x")
+		Consistently(func() int { return platform.size("a") }, "1500ms").Should(Equal(4))
+		evacuate(map[fleet.AvailabilityZone]bool{"z": true})
+		time.Sleep(time.Second)
+		busy(false)
+		Consistently(func() int { return platform.size("a") }, "1500ms").Should(Equal(4))
+		evacuate(nil)
+		Eventually(func() int { return platform.size("a") }, "5s").Should(Equal(5))
+	})
+
+	// Guards against maintenance that waits for capacity that the hosts of an evacuated zone do not provide.
+	It("maintains the hosts of an evacuated zone although their pools lack hosts", func() {
+		platform.demand["a"], platform.demand["b"] = Demand{Wanted: 20}, Demand{Wanted: 20}
+		inZone("z", "a-0", "a-1", "b-0", "b-1")
+		evacuate(map[fleet.AvailabilityZone]bool{"z": true})
+		waves = []Wave{{Number: 1, Hosts: []fleet.HostID{"a-0", "a-1", "b-0", "b-1"}, Within: time.Minute, AtOnce: 4}}
+		start("x")
+		Eventually(status, "8s").Should(Equal("completed"))
+		Expect(platform.maintained()).To(Equal(4))
+	})
+
 	It("maintains other hosts while one that comes before them is busy", func() {
 		platform.busy["w-a-0"] = true
 		platform.demand["a"] = Demand{Wanted: 1}
--- a/internal/hosts/manager.go
+++ b/internal/hosts/manager.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -61,6 +62,8 @@
 	Pools func() []fleet.ServiceID
 	// Spare returns the pools whose hosts are switched off.
 	Spare func() map[fleet.ServiceID]bool
+	// Evacuated returns the availability zones under evacuation; nil means that zones are not evacuated.
+	Evacuated func() map[fleet.AvailabilityZone]bool
 	// StatusKey and EncodeStatus define the key and the encoding of a wave's status report.
 	StatusKey       func(number int64) string
 	EncodeStatus    func(completed bool) []byte
@@ -370,7 +373,8 @@
 		commands = append(commands, &command{host: h, up: ok && h.State == Up, repeated: true})
 	}
 	available := w.AtOnce - downHosts(w.progress)
-	for _, h := range nextHosts(w.Wave, w.progress, m.hosts, m.surpluses(now), w.timeBudget(m.MaintenanceTime)) {
+	for _, h := range nextHosts(w.Wave, w.progress, m.hostsForWave(), m.surpluses(now), w.timeBudget(m.MaintenanceTime)) {
+		h = m.hosts[h.ID]
 		if m.transfers[h.ID] != nil || now < m.blocked[h.ID] {
 			continue
 		}
@@ -380,6 +384,22 @@
 	return commands
 }
 
+// hostsForWave returns the listed hosts, without a pool where their zone is evacuated: their maintenance takes no capacity
+// from the pool.
+func (m *Manager) hostsForWave() map[fleet.HostID]Host {
+	if m.Evacuated == nil || len(m.Evacuated()) == 0 {
+		return m.hosts
+	}
+	listed := maps.Clone(m.hosts)
+	for id, h := range listed {
+		if m.evacuated(h) {
+			h.Pool = ""
+			listed[id] = h
+		}
+	}
+	return listed
+}
+
 // readyCommands returns the commands to send now. Hosts that were drained in advance
 // take the places of those that are not empty yet. A host whose command is repeated
 // counts as down, so it does not free a place.
--- a/internal/hosts/pools.go
+++ b/internal/hosts/pools.go
@@ -83,7 +83,13 @@
 // poolStates returns the state of the pools for planning, sorted by name.
 func (m *Manager) poolStates(now monotonic.Time) []*pool {
 	byName := map[fleet.ServiceID]*pool{}
-	floor := capacity.MinHostsPerPool(len(m.hosts), len(m.Pools()))
+	available := 0
+	for _, h := range m.hosts {
+		if !m.evacuated(h) {
+			available++
+		}
+	}
+	floor := capacity.MinHostsPerPool(available, len(m.Pools()))
 	add := func(name fleet.ServiceID) *pool {
 		p := byName[name]
 		if p == nil {
@@ -121,6 +127,9 @@
 	}
 	for _, h := range m.hosts {
 		p := add(h.Pool)
+		if m.evacuated(h) {
+			continue
+		}
 		t := m.transfers[h.ID]
 		switch {
 		case t != nil && h.Pool != t.To:
@@ -132,7 +141,7 @@
 		}
 	}
 	for _, t := range m.transfers {
-		if p := byName[t.To]; p != nil && m.hosts[t.Host].Pool != t.To {
+		if p := byName[t.To]; p != nil && m.hosts[t.Host].Pool != t.To && !m.evacuated(m.hosts[t.Host]) {
 			p.incoming++
 		}
 	}
@@ -149,9 +158,15 @@
 	return pools
 }
 
+// evacuated reports whether a host is in an availability zone under evacuation. Its worker gets no tasks, so it is no
+// capacity of its pool.
+func (m *Manager) evacuated(h Host) bool {
+	return m.Evacuated != nil && m.Evacuated()[h.AvailabilityZone]
+}
+
 // movable reports whether a host may leave its pool now.
 func (m *Manager) movable(h Host) bool {
-	if h.State != Up || m.transfers[h.ID] != nil {
+	if h.State != Up || m.transfers[h.ID] != nil || m.evacuated(h) {
 		return false
 	}
 	if monotonic.Now() < m.blocked[h.ID] {
@@ -267,6 +282,9 @@
 		return now.Sub(t.decidedAt) > drainTimeout
 	case h.Pool == t.To:
 		return h.State == Up
+	case t.commandedAt == 0 && m.evacuated(h):
+		m.Log.WithFields(logrus.Fields{"host": t.Host, "from": t.from, "to": t.To, "zone": h.AvailabilityZone}).Info("move cancelled: zone is evacuated")
+		return true
 	case t.accepted:
 		return now.Sub(t.commandedAt) > m.MoveTime+arrivalSlack
 	case t.commandedAt == 0 && now.Sub(t.decidedAt) > drainTimeout:
