jobdaemon: evacuate zones where the settings have the bound

Without evacuationMs neither the follower nor the owners and the manager of hosts get anything of it.

go build ./... and go vet of the touched packages pass.

--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -124,7 +124,7 @@
 	d.owners = lease.NewOwners(d.store, d.renewer, d.self, d, d.shardNames, log)
 	d.configurations = entry.NewConfigurationFollower(d.store, entry.RecordFormat{
 		Prefix: platform.OperatorPrefix, ConfigurationKey: platform.ConfigurationKey, WavePrefix: platform.WavePrefix,
-		Configuration: platform.DecodeConfiguration, Wave: decodeWave,
+		Configuration: platform.DecodeConfiguration, Wave: decodeWave, Evacuation: evacuationFormat(s),
 	}, log)
 	d.roster = roster.New(d.store, platform.WorkerPrefix, platform.DecodeWorker, d.ownsShards, log)
 	d.quotaRequests = quota.NewRequests(d.store, d.ownsShards, log)
@@ -132,6 +132,16 @@
 	return d, nil
 }
 
+// evacuationFormat returns nil where the settings have no bound for the evacuation of availability zones.
+func evacuationFormat(s platform.Settings) *entry.EvacuationFormat {
+	if s.Bounds.Evacuation <= 0 {
+		return nil
+	}
+	return &entry.EvacuationFormat{
+		Prefix: platform.EvacuationPrefix, Zone: platform.DecodeEvacuation, Zones: s.Zones, Bound: s.Bounds.Evacuation,
+	}
+}
+
 func decodeWave(e store.Entry) (hosts.Wave, bool, error) {
 	w, ok, err := platform.DecodeWave(e)
 	out := hosts.Wave{Number: w.Number, Within: w.Within, AtOnce: w.AtOnce}
@@ -299,11 +309,11 @@
 	b := d.settings.Bounds
 	service := partition.Parse(name).Pool
 	workerLease := min(shard.MaxWorkerLease, b.MaxLease/2)
-	return shard.Config{
+	c := shard.Config{
 		Shard: name, Service: service, Token: token, OwnerKey: lease.OwnerKey(name), PartitionKey: lease.PartitionKey(name), Store: d.store, Bindings: d.owners,
 		Quota:  quota.Peers{Requests: d.quotaRequests, Lease: id, HasOwner: d.hasOwner, OwnerKey: lease.OwnerKey},
 		Dialer: d.workers, Advice: d.advice, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
-		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention},
+		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention, Evacuation: b.Evacuation},
 		Policy:               d.policy,
 		UnixMS:               d.timeOfDay.UnixMS,
 		LatestWorkerLeaseEnd: func() monotonic.Time { return d.renewer.ValidUntil(id).Add(workerLease) },
@@ -317,10 +327,14 @@
 			return c
 		},
 	}
+	if b.Evacuation > 0 {
+		c.Evacuations = d.configurations.Evacuations
+	}
+	return c
 }
 
 func (d *Daemon) hostsManager(token uint64, id store.LeaseID) *hosts.Manager {
-	return hosts.New(hosts.Config{
+	c := hosts.Config{
 		Platform: d.hostAPI, Store: d.store, Shards: shardCalls{d},
 		Holder: hosts.Holder{Name: d.settings.Node, Token: token}, OwnerKey: lease.OwnerKey(hostsShard),
 		Valid: func() bool {
@@ -329,7 +343,14 @@
 		Waves: d.configurations.Waves, Pools: d.pools, Spare: d.sparePools,
 		StatusKey: platform.WaveStatusKey, EncodeStatus: platform.EncodeWaveStatus,
 		MaintenanceTime: d.settings.Bounds.Maintenance, MoveTime: d.settings.Bounds.Migration, TermGap: d.settings.Bounds.HostTermGap, Log: d.log,
-	})
+	}
+	if d.settings.Bounds.Evacuation > 0 {
+		c.Evacuated = func() map[fleet.AvailabilityZone]bool {
+			zones, _ := d.configurations.Evacuations()
+			return zones
+		}
+	}
+	return hosts.New(c)
 }
 
 // pools lists the pools that serve queues or may hold jobs.
