cli: list availability zones

Operators could not see whether a zone is evacuated and what still runs there. GET /v1/zones and samphirestile zone list show the zones of the settings, of the workers and of the evacuations with workers, usable workers and runs. It fails while a pool has no owner, because a zone might look empty. Generated code by go generate.

go test ./cmd/samphirestile passes.

--- a/cmd/samphirestile/fleet_test.go
+++ b/cmd/samphirestile/fleet_test.go
@@ -47,7 +47,10 @@
 	return map[fleet.ServiceID]bool{"spares": true}
 }
 func (f *fakeFleet) Shard(fleet.ServiceID) (jobapi.Shard, bool) { return f.shard, f.shard != nil }
-func (f *fakeFleet) OwnerOf(fleet.ServiceID) string             { return "front-1" }
+func (f *fakeFleet) Zones() map[fleet.AvailabilityZone]bool {
+	return map[fleet.AvailabilityZone]bool{"z1": false, "z2": true}
+}
+func (f *fakeFleet) OwnerOf(fleet.ServiceID) string { return "front-1" }
 func (f *fakeFleet) Hosts(context.Context) ([]hosts.Host, error) {
 	return []hosts.Host{
 		{ID: "m-1", Pool: fleetPool, State: hosts.Up, AvailabilityZone: "z1", Worker: "w0", Labels: []string{"a", "r1"}},
@@ -113,7 +116,7 @@
 		Eventually(func() int { return workers.Find("w0").Running() + workers.Find("w1").Running() }, "2s").Should(Equal(1))
 	})
 
-	It("lists pools, hosts, workers, jobs and maintenance", func() {
+	It("lists pools, hosts, workers, zones, jobs and maintenance", func() {
 		Expect(runLine("pool", "list")).To(Equal(cli.ExitOK), errOut.String())
 		Expect(out.String()).To(MatchRegexp(`quotes +false +front-1 +\d+ +2 +2 +1 +0 +1\n`))
 		Expect(out.String()).To(MatchRegexp(`spares +true +- `))
@@ -121,6 +124,9 @@
 		Expect(out.String()).To(And(ContainSubstring("m-2"), Not(ContainSubstring("m-1"))))
 		Expect(runLine("worker", "list")).To(Equal(cli.ExitOK), errOut.String())
 		Expect(out.String()).To(MatchRegexp(`w\d +quotes +usable +z1 +r1 +1000/4000 +10/4000 +0/0 +1 `))
+		Expect(runLine("zone", "list")).To(Equal(cli.ExitOK), errOut.String())
+		Expect(out.String()).To(MatchRegexp(`z1 +false +2 +2 +1\n`))
+		Expect(out.String()).To(MatchRegexp(`z2 +true +0 +0 +0\n`))
 		Expect(runLine("job", "list")).To(Equal(cli.ExitOK), errOut.String())
 		Expect(out.String()).To(MatchRegexp(`00000000000000aa +quotes +q +acme +running`))
 		Expect(runLine("maintenance", "list")).To(Equal(cli.ExitOK), errOut.String())
--- a/cmd/samphirestile/main.go
+++ b/cmd/samphirestile/main.go
@@ -55,6 +55,9 @@
 		Empty  command.WorkerEmpty  `cmd:"" help:"Close a worker to new tasks and move what it runs."`
 		Reopen command.WorkerReopen `cmd:"" help:"Open a worker to new tasks again."`
 	} `cmd:"" help:"Workers."`
+	Zone struct {
+		List query.ZoneList `cmd:"" help:"List availability zones, whether they are evacuated, and what still runs there."`
+	} `cmd:"" help:"Availability zones."`
 	Maintenance struct {
 		List query.MaintenanceList `cmd:"" help:"List the waves of upkeep with their progress."`
 	} `cmd:"" help:"Maintenance of hosts."`
--- a/internal/fleetapi/oas/oas_client_gen.go
+++ b/internal/fleetapi/oas/oas_client_gen.go
@@ -66,6 +66,10 @@
 	//
 	// GET /v1/workers
 	ListWorkers(ctx context.Context, params ListWorkersParams) ([]Worker, error)
+	// ListZones invokes listZones operation.
+	//
+	// GET /v1/zones
+	ListZones(ctx context.Context) ([]Zone, error)
 	// ReopenWorker invokes reopenWorker operation.
 	//
 	// Opens a worker to new tasks again.
@@ -1162,6 +1166,117 @@
 	return result, nil
 }
 
+// ListZones invokes listZones operation.
+//
+// GET /v1/zones
+func (c *Client) ListZones(ctx context.Context) ([]Zone, error) {
+	res, err := c.sendListZones(ctx)
+	return res, err
+}
+
+func (c *Client) sendListZones(ctx context.Context) (res []Zone, err error) {
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("listZones"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.URLTemplateKey.String("/v1/zones"),
+	}
+	otelAttrs = append(otelAttrs, c.cfg.Attributes...)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		elapsedDuration := time.Since(startTime)
+		c.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), metric.WithAttributes(otelAttrs...))
+	}()
+
+	// Increment request counter.
+	c.requests.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+
+	// Start a span for this request.
+	ctx, span := c.cfg.Tracer.Start(ctx, ListZonesOperation,
+		trace.WithAttributes(otelAttrs...),
+		clientSpanKind,
+	)
+	// Track stage for error reporting.
+	var stage string
+	defer func() {
+		if err != nil {
+			span.RecordError(err)
+			span.SetStatus(codes.Error, stage)
+			c.errors.Add(ctx, 1, metric.WithAttributes(otelAttrs...))
+		}
+		span.End()
+	}()
+
+	stage = "BuildURL"
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/zones"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	stage = "EncodeRequest"
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			stage = "Security:OperatorToken"
+			switch err := c.securityOperatorToken(ctx, ListZonesOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"OperatorToken\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	stage = "SendRequest"
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	stage = "DecodeResponse"
+	result, err := decodeListZonesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ReopenWorker invokes reopenWorker operation.
 //
 // Opens a worker to new tasks again.
--- a/internal/fleetapi/oas/oas_handlers_gen.go
+++ b/internal/fleetapi/oas/oas_handlers_gen.go
@@ -1600,6 +1600,189 @@
 	}
 }
 
+// handleListZonesRequest handles listZones operation.
+//
+// GET /v1/zones
+func (s *Server) handleListZonesRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	otelAttrs := []attribute.KeyValue{
+		otelogen.OperationID("listZones"),
+		semconv.HTTPRequestMethodKey.String("GET"),
+		semconv.HTTPRouteKey.String("/v1/zones"),
+	}
+	// Add attributes from config.
+	otelAttrs = append(otelAttrs, s.cfg.Attributes...)
+
+	// Start a span for this request.
+	ctx, span := s.cfg.Tracer.Start(r.Context(), ListZonesOperation,
+		trace.WithAttributes(otelAttrs...),
+		serverSpanKind,
+	)
+	defer span.End()
+
+	// Add Labeler to context.
+	labeler := &Labeler{attrs: otelAttrs}
+	ctx = contextWithLabeler(ctx, labeler)
+
+	// Run stopwatch.
+	startTime := time.Now()
+	defer func() {
+		elapsedDuration := time.Since(startTime)
+
+		attrSet := labeler.AttributeSet()
+		attrs := attrSet.ToSlice()
+		code := statusWriter.status
+		if code != 0 {
+			codeAttr := semconv.HTTPResponseStatusCode(code)
+			attrs = append(attrs, codeAttr)
+			span.SetAttributes(attrs...)
+		}
+		attrOpt := metric.WithAttributes(attrs...)
+
+		// Increment request counter.
+		s.requests.Add(ctx, 1, attrOpt)
+
+		// Use floating point division here for higher precision (instead of Millisecond method).
+		s.duration.Record(ctx, float64(elapsedDuration)/float64(time.Millisecond), attrOpt)
+	}()
+
+	var (
+		recordError = func(stage string, err error) {
+			span.RecordError(err)
+
+			// https://opentelemetry.io/docs/specs/semconv/http/http-spans/#status
+			// Span Status MUST be left unset if HTTP status code was in the 1xx, 2xx or 3xx ranges,
+			// unless there was another error (e.g., network error receiving the response body; or 3xx codes with
+			// max redirects exceeded), in which case status MUST be set to Error.
+			code := statusWriter.status
+			if code < 100 || code >= 500 {
+				span.SetStatus(codes.Error, stage)
+			}
+
+			attrSet := labeler.AttributeSet()
+			attrs := attrSet.ToSlice()
+			if code != 0 {
+				attrs = append(attrs, semconv.HTTPResponseStatusCode(code))
+			}
+
+			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
+		}
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListZonesOperation,
+			ID:   "listZones",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityOperatorToken(ctx, ListZonesOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "OperatorToken",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:OperatorToken", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+
+	var rawBody []byte
+
+	var response []Zone
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListZonesOperation,
+			OperationSummary: "",
+			OperationID:      "listZones",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = []Zone
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListZones(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListZones(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FailureStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListZonesResponse(response, w, span); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleReopenWorkerRequest handles reopenWorker operation.
 //
 // Opens a worker to new tasks again.
--- a/internal/fleetapi/oas/oas_json_gen.go
+++ b/internal/fleetapi/oas/oas_json_gen.go
@@ -1987,3 +1987,167 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *Zone) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Zone) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("id")
+		e.Str(s.ID)
+	}
+	{
+		e.FieldStart("evacuated")
+		e.Bool(s.Evacuated)
+	}
+	{
+		e.FieldStart("workers")
+		e.Int(s.Workers)
+	}
+	{
+		e.FieldStart("usable_workers")
+		e.Int(s.UsableWorkers)
+	}
+	{
+		e.FieldStart("runs")
+		e.Int(s.Runs)
+	}
+}
+
+var jsonFieldsNameOfZone = [5]string{
+	0: "id",
+	1: "evacuated",
+	2: "workers",
+	3: "usable_workers",
+	4: "runs",
+}
+
+// Decode decodes Zone from json.
+func (s *Zone) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Zone to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "id":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.ID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"id\"")
+			}
+		case "evacuated":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.Evacuated = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"evacuated\"")
+			}
+		case "workers":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Workers = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"workers\"")
+			}
+		case "usable_workers":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Int()
+				s.UsableWorkers = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"usable_workers\"")
+			}
+		case "runs":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Runs = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"runs\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Zone")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfZone) {
+					name = jsonFieldsNameOfZone[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Zone) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Zone) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/internal/fleetapi/oas/oas_operations_gen.go
+++ b/internal/fleetapi/oas/oas_operations_gen.go
@@ -14,5 +14,6 @@
 	ListMaintenanceOperation OperationName = "ListMaintenance"
 	ListPoolsOperation       OperationName = "ListPools"
 	ListWorkersOperation     OperationName = "ListWorkers"
+	ListZonesOperation       OperationName = "ListZones"
 	ReopenWorkerOperation    OperationName = "ReopenWorker"
 )
--- a/internal/fleetapi/oas/oas_response_decoders_gen.go
+++ b/internal/fleetapi/oas/oas_response_decoders_gen.go
@@ -748,6 +748,106 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListZonesResponse(resp *http.Response) (res []Zone, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response []Zone
+			if err := func() error {
+				response = make([]Zone, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Zone
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					response = append(response, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if response == nil {
+					return errors.New("nil is invalid value")
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FailureStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Failure
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &FailureStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeReopenWorkerResponse(resp *http.Response) (res *ReopenWorkerNoContent, _ error) {
 	switch resp.StatusCode {
 	case 204:
--- a/internal/fleetapi/oas/oas_response_encoders_gen.go
+++ b/internal/fleetapi/oas/oas_response_encoders_gen.go
@@ -129,6 +129,23 @@
 	return nil
 }
 
+func encodeListZonesResponse(response []Zone, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	e.ArrStart()
+	for _, elem := range response {
+		elem.Encode(e)
+	}
+	e.ArrEnd()
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeReopenWorkerResponse(response *ReopenWorkerNoContent, w http.ResponseWriter, span trace.Span) error {
 	w.WriteHeader(204)
 
--- a/internal/fleetapi/oas/oas_router_gen.go
+++ b/internal/fleetapi/oas/oas_router_gen.go
@@ -35,9 +35,12 @@
 	rn7AllowedHeaders = map[string]string{
 		"POST": "Authorization",
 	}
-	rn14AllowedHeaders = map[string]string{
+	rn15AllowedHeaders = map[string]string{
 		"POST": "Authorization",
 	}
+	rn13AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 )
 
 func (s *Server) cutPrefix(path string) (string, bool) {
@@ -358,7 +361,7 @@
 								default:
 									s.notAllowed(w, r, notAllowedParams{
 										allowedMethods: "POST",
-										allowedHeaders: rn14AllowedHeaders,
+										allowedHeaders: rn15AllowedHeaders,
 										acceptPost:     "",
 										acceptPatch:    "",
 									})
@@ -373,6 +376,31 @@
 
 				}
 
+			case 'z': // Prefix: "zones"
+
+				if l := len("zones"); len(elem) >= l && elem[0:l] == "zones" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleListZonesRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn13AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			}
 
 		}
@@ -747,6 +775,31 @@
 
 				}
 
+			case 'z': // Prefix: "zones"
+
+				if l := len("zones"); len(elem) >= l && elem[0:l] == "zones" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ListZonesOperation
+						r.summary = ""
+						r.operationID = "listZones"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/zones"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			}
 
 		}
--- a/internal/fleetapi/oas/oas_schemas_gen.go
+++ b/internal/fleetapi/oas/oas_schemas_gen.go
@@ -827,7 +827,7 @@
 type Worker struct {
 	ID   string `json:"id"`
 	Pool string `json:"pool"`
-	// Usable, unlisted, draining, unreachable, closed or unknown.
+	// Usable, unlisted, draining, zone evacuated, unreachable, closed or unknown.
 	State            string `json:"state"`
 	AvailabilityZone string `json:"availability_zone"`
 	Rack             string `json:"rack"`
@@ -983,3 +983,65 @@
 func (s *Worker) SetContactAgeMs(val int64) {
 	s.ContactAgeMs = val
 }
+
+// Ref: #/components/schemas/Zone
+type Zone struct {
+	ID string `json:"id"`
+	// Its workers get no tasks.
+	Evacuated bool `json:"evacuated"`
+	Workers   int  `json:"workers"`
+	// Number of workers that accept new tasks.
+	UsableWorkers int `json:"usable_workers"`
+	// Number of running tasks.
+	Runs int `json:"runs"`
+}
+
+// GetID returns the value of ID.
+func (s *Zone) GetID() string {
+	return s.ID
+}
+
+// GetEvacuated returns the value of Evacuated.
+func (s *Zone) GetEvacuated() bool {
+	return s.Evacuated
+}
+
+// GetWorkers returns the value of Workers.
+func (s *Zone) GetWorkers() int {
+	return s.Workers
+}
+
+// GetUsableWorkers returns the value of UsableWorkers.
+func (s *Zone) GetUsableWorkers() int {
+	return s.UsableWorkers
+}
+
+// GetRuns returns the value of Runs.
+func (s *Zone) GetRuns() int {
+	return s.Runs
+}
+
+// SetID sets the value of ID.
+func (s *Zone) SetID(val string) {
+	s.ID = val
+}
+
+// SetEvacuated sets the value of Evacuated.
+func (s *Zone) SetEvacuated(val bool) {
+	s.Evacuated = val
+}
+
+// SetWorkers sets the value of Workers.
+func (s *Zone) SetWorkers(val int) {
+	s.Workers = val
+}
+
+// SetUsableWorkers sets the value of UsableWorkers.
+func (s *Zone) SetUsableWorkers(val int) {
+	s.UsableWorkers = val
+}
+
+// SetRuns sets the value of Runs.
+func (s *Zone) SetRuns(val int) {
+	s.Runs = val
+}
--- a/internal/fleetapi/oas/oas_security_gen.go
+++ b/internal/fleetapi/oas/oas_security_gen.go
@@ -42,6 +42,7 @@
 	ListMaintenanceOperation: []string{},
 	ListPoolsOperation:       []string{},
 	ListWorkersOperation:     []string{},
+	ListZonesOperation:       []string{},
 	ReopenWorkerOperation:    []string{},
 }
 
--- a/internal/fleetapi/oas/oas_server_gen.go
+++ b/internal/fleetapi/oas/oas_server_gen.go
@@ -45,6 +45,10 @@
 	//
 	// GET /v1/workers
 	ListWorkers(ctx context.Context, params ListWorkersParams) ([]Worker, error)
+	// ListZones implements listZones operation.
+	//
+	// GET /v1/zones
+	ListZones(ctx context.Context) ([]Zone, error)
 	// ReopenWorker implements reopenWorker operation.
 	//
 	// Opens a worker to new tasks again.
--- a/internal/fleetapi/oas/oas_unimplemented_gen.go
+++ b/internal/fleetapi/oas/oas_unimplemented_gen.go
@@ -74,6 +74,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ListZones implements listZones operation.
+//
+// GET /v1/zones
+func (UnimplementedHandler) ListZones(ctx context.Context) (r []Zone, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // ReopenWorker implements reopenWorker operation.
 //
 // Opens a worker to new tasks again.
--- a/internal/fleetapi/queries.go
+++ b/internal/fleetapi/queries.go
@@ -24,6 +24,8 @@
 	Shard(pool fleet.ServiceID) (jobapi.Shard, bool)
 	// OwnerOf returns the names of the daemons that own the pool's partitions, separated by commas, or "".
 	OwnerOf(pool fleet.ServiceID) string
+	// Zones returns the availability zones that this daemon knows, and whether each is under evacuation.
+	Zones() map[fleet.AvailabilityZone]bool
 	Hosts(ctx context.Context) ([]hosts.Host, error)
 	Waves(ctx context.Context) ([]hosts.Progress, error)
 }
@@ -152,6 +154,40 @@
 	return out, nil
 }
 
+// ListZones implements oas.Handler. It fails if the owner of a pool does not respond: the zone might look empty.
+func (q *Queries) ListZones(ctx context.Context) ([]oas.Zone, error) {
+	zones := map[fleet.AvailabilityZone]*oas.Zone{}
+	zone := func(name fleet.AvailabilityZone) *oas.Zone {
+		if zones[name] == nil {
+			zones[name] = &oas.Zone{ID: string(name)}
+		}
+		return zones[name]
+	}
+	for name, evacuated := range q.Fleet.Zones() {
+		zone(name).Evacuated = evacuated
+	}
+	for _, pool := range q.Fleet.Pools() {
+		r, err := report(ctx, q.Fleet, pool, shard.ReportRequest{})
+		if err != nil {
+			return nil, err
+		}
+		for _, w := range r.Workers {
+			z := zone(w.AvailabilityZone)
+			z.Workers++
+			z.Runs += w.Runs
+			if w.State == shard.WorkerUsable {
+				z.UsableWorkers++
+			}
+		}
+	}
+	out := []oas.Zone{}
+	for _, z := range zones {
+		out = append(out, *z)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out, nil
+}
+
 // ListJobs implements oas.Handler.
 func (q *Queries) ListJobs(ctx context.Context, params oas.ListJobsParams) ([]oas.Job, error) {
 	pools, err := selectPools(q.Fleet, params.Pool)
--- a/internal/jobdaemon/operators.go
+++ b/internal/jobdaemon/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 
@@ -36,6 +37,17 @@
 	return strings.Join(names, ", ")
 }
 
+// Zones implements fleetapi.Fleet.
+func (v operatorView) Zones() map[fleet.AvailabilityZone]bool {
+	zones := map[fleet.AvailabilityZone]bool{}
+	for _, name := range v.d.settings.Zones {
+		zones[name] = false
+	}
+	evacuated, _ := v.d.configurations.Evacuations()
+	maps.Copy(zones, evacuated)
+	return zones
+}
+
 // Hosts implements fleetapi.Fleet.
 func (v operatorView) Hosts(ctx context.Context) ([]hosts.Host, error) { return v.d.hostAPI.List(ctx) }
 
