shard: one request to the advisor for a task that leaves an evacuated zone

Such a task was placed before the others and again with its job, so its step could queue two requests to the advisor in a pass. Tasks of advised jobs are now placed with their jobs only; the room is held until their run has ended.

--- a/internal/shard/evacuation.go
+++ b/internal/shard/evacuation.go
@@ -156,11 +156,12 @@
 	return true
 }
 
-// holdMoves holds resources for the moving tasks that have no run elsewhere.
+// holdMoves holds resources for the moving tasks that have no run elsewhere. A task that waits for the advisor is placed
+// with its job, which must find the resources.
 func (p *placer) holdMoves() {
 	for _, e := range p.owner.active {
 		for t := range e.moves {
-			if !e.runsElsewhere(t) {
+			if !e.runsElsewhere(t) && !(e.job.Advised && e.job.Task(t).Active == 0) {
 				p.hold(e, readyTask{t, &e.job.Steps[t.Step]})
 			}
 		}
@@ -181,7 +182,8 @@
 // would take the room that was found for them.
 func (p *placer) placeMoves() {
 	for _, e := range p.owner.active {
-		if len(e.moves) == 0 {
+		// An advised job must queue only one request to the advisor for a step in a pass.
+		if len(e.moves) == 0 || e.job.Advised {
 			continue
 		}
 		var ready []readyTask
