--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -105,6 +105,8 @@
 	quota quota.Peers
 	// policy is that of owners that are started from then on.
 	policy policy.Policy
+	// evacuations are the zones under evacuation for owners that are started from then on; nil where the part is off.
+	evacuations func() (map[fleet.AvailabilityZone]bool, time.Duration)
 	// log receives the log lines of owners that are started from then on.
 	log io.Writer
 	// simulated is set for specs on simulated time. Their owners must be stopped before the clock is removed.
@@ -271,7 +273,9 @@
 	}
 	o.Owner = shard.New(shard.Config{
 		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, Quota: f.quota, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advice: requests,
-		Bounds: shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute}, Policy: f.policy,
+		Bounds:      shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute, Evacuation: evacuationBound},
+		Policy:      f.policy,
+		Evacuations: f.evacuations,
 		LatestWorkerLeaseEnd: func() monotonic.Time {
 			o.mu.Lock()
 			defer o.mu.Unlock()
