policy: bounds of the look-ahead

The look-ahead of scheduling passes needs a bound of its processor time and one of the time that a large task waits. look_ahead.max_reservations (1 to 64, default 8) and look_ahead.max_wait_ms (100 to 2500, default 1500) are checked and may be left out. The part stays disabled by default. The specs of the package pass.

--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 )
 
@@ -39,8 +40,22 @@
 // LookAhead reserves workers for tasks that no worker has room for yet.
 type LookAhead struct {
 	Enabled bool `json:"enabled"`
+	// MaxReservations bounds the waiting tasks and gangs for which one scheduling pass reserves workers.
+	MaxReservations int `json:"max_reservations"`
+	// MaxWaitMS is after how many milliseconds without a worker a large task or gang comes before other jobs, one
+	// job in each pass, so that jobs which come before it in the usual order do not starve it.
+	MaxWaitMS int `json:"max_wait_ms"`
 }
 
+// Limits of the bounds of LookAhead. The processor time of a pass grows with the number of reservations. A task that
+// its service has capacity for may wait for 3 s at most.
+const (
+	maxReservations        = 64
+	minWaitMS, maxWaitMS   = 100, 2500
+	defaultMaxReservations = 8
+	defaultMaxWaitMS       = 1500
+)
+
 // Forecast requests hosts ahead of recurring demand peaks.
 type Forecast struct {
 	Enabled bool `json:"enabled"`
@@ -112,12 +127,26 @@
 }
 
 // defaults returns the bounds of fields that a policy file leaves out.
-func defaults() Policy { return Policy{} }
+func defaults() Policy {
+	return Policy{LookAhead: LookAhead{MaxReservations: defaultMaxReservations, MaxWaitMS: defaultMaxWaitMS}}
+}
 
 func (p *Policy) check() []Finding {
 	var findings []Finding
 	if p.Returns.Enabled && !p.Admission.Enabled {
 		findings = append(findings, Finding{"returns.enabled", "true", "false unless admission.enabled is true, because bookings need its predictions"})
 	}
+	return append(findings, p.LookAhead.check()...)
+}
+
+func (l *LookAhead) check() []Finding {
+	var findings []Finding
+	inRange := func(field string, value, low, high int) {
+		if value < low || value > high {
+			findings = append(findings, Finding{"look_ahead." + field, strconv.Itoa(value), fmt.Sprintf("%d to %d", low, high)})
+		}
+	}
+	inRange("max_reservations", l.MaxReservations, 1, maxReservations)
+	inRange("max_wait_ms", l.MaxWaitMS, minWaitMS, maxWaitMS)
 	return findings
 }
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -31,6 +31,20 @@
 		_, err := policy.Load(filepath.Join(GinkgoT().TempDir(), "missing.json"))
 		Expect(errors.Is(err, os.ErrNotExist)).To(BeTrue())
 	})
+	// Guards against a bound out of range that switches reservations off without notice, and against one that starves
+	// large tasks.
+	It("has bounds for the look-ahead, which may be left out", func() {
+		p, err := policy.Parse("f", []byte(`{"look_ahead": {"enabled": true}}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.LookAhead).To(Equal(policy.LookAhead{Enabled: true, MaxReservations: 8, MaxWaitMS: 1500}))
+		_, err = policy.Parse("f", []byte(`{"look_ahead": {"max_reservations": 0, "max_wait_ms": 60000}}`))
+		var invalid *policy.Error
+		Expect(errors.As(err, &invalid)).To(BeTrue())
+		Expect(invalid.Findings).To(Equal([]policy.Finding{
+			{Path: "look_ahead.max_reservations", Value: "0", Allowed: "1 to 64"},
+			{Path: "look_ahead.max_wait_ms", Value: "60000", Allowed: "100 to 2500"},
+		}))
+	})
 	It("is valid as deployed", func() {
 		p, err := policy.Load("../../deploy/policy.json")
 		Expect(err).NotTo(HaveOccurred())
