placement: reservations for tasks and gangs that find no worker, and backfill beside them

Small tasks fill each gap, so room for a task that needs most of a worker, or for all members of a gang, never accumulates. The two existing calls in the test of Unplaceable pass the new duration as 0, which is the former comparison.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,6 +2,8 @@
 package placement
 
 import (
+	"time"
+
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/worker"
 )
@@ -25,6 +27,9 @@
 	Closed bool
 	// Reserved workers get only the task for which they are reserved.
 	Reserved bool
+	// Reservation keeps the worker for tasks that start later; other tasks are placed beside it if they do not
+	// delay them.
+	Reservation Reservation
 	// Contended is set if a task waits for free resources on the worker.
 	Contended bool
 	// MaintenanceDue is set if the worker's host goes down for maintenance soon.
@@ -41,6 +46,8 @@
 	Step *job.Step
 	// Rack is the rack of the step's other tasks, if they must be in the same rack.
 	Rack string
+	// Expected is the expected duration of the task, or 0 if it is unknown.
+	Expected time.Duration
 }
 
 // Weights of the cost of a placement. The unit is the full capacity of a worker.
@@ -76,7 +83,7 @@
 		if c.Closed || c.Reserved || !c.Allowed || !CanRun(&c.Worker, r.Step) || !required.Fits(c.Free()) {
 			continue
 		}
-		if c.full(r.Step) {
+		if c.full(r.Step) || !c.backfills(r, required) {
 			continue
 		}
 		cost := c.cost(r, required)
@@ -134,7 +141,7 @@
 			continue
 		}
 		open++
-		if c.Reserved {
+		if c.Reserved || c.Reservation.Held {
 			reserved++
 			continue
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -121,19 +121,19 @@
 	})
 	It("does not look again for a task that needs at least as much as one without a worker", func() {
 		var u placement.Unplaceable
-		u.Add(&job.Step{Need: worker.Resources{CPU: 2000, MemMB: 1000}})
-		u.Add(&job.Step{Need: worker.Resources{CPU: 100}, RequiredLabel: "b"})
+		u.Add(&job.Step{Need: worker.Resources{CPU: 2000, MemMB: 1000}}, 0)
+		u.Add(&job.Step{Need: worker.Resources{CPU: 100}, RequiredLabel: "b"}, 0)
 		for _, s := range []job.Step{
 			{Need: worker.Resources{CPU: 2000, MemMB: 1000}}, {Need: worker.Resources{CPU: 3000, MemMB: 1000}, RequiredLabel: "a"},
 			{Need: worker.Resources{CPU: 200}, RequiredLabel: "b"},
 		} {
-			Expect(u.Covers(&s)).To(BeTrue(), "%+v", s)
+			Expect(u.Covers(&s, 0)).To(BeTrue(), "%+v", s)
 		}
 		for _, s := range []job.Step{
 			{Need: worker.Resources{CPU: 1999, MemMB: 1000}}, {Need: worker.Resources{CPU: 200}}, {Need: worker.Resources{CPU: 200}, RequiredLabel: "a"},
 			{Need: worker.Resources{CPU: 3000, MemMB: 1000}, BestEffort: true},
 		} {
-			Expect(u.Covers(&s)).To(BeFalse(), "%+v", s)
+			Expect(u.Covers(&s, 0)).To(BeFalse(), "%+v", s)
 		}
 	})
 })
--- a/internal/placement/shortage.go
+++ b/internal/placement/shortage.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/worker"
 )
@@ -49,19 +51,23 @@
 type unplaceableNeed struct {
 	required worker.Resources
 	label    string
+	expected time.Duration
 }
 
-// Add adds the need of a step. The step must have no restrictions other than its resources and its label.
-func (u *Unplaceable) Add(s *job.Step) {
-	u.needs = append(u.needs, unplaceableNeed{s.RequiredResources(), s.RequiredLabel})
+// Add adds the need of a step. The step must have no restrictions other than its resources and its label. expected is
+// the expected duration of its tasks where workers have a Reservation, beside which shorter tasks may still be placed,
+// and 0 elsewhere.
+func (u *Unplaceable) Add(s *job.Step, expected time.Duration) {
+	u.needs = append(u.needs, unplaceableNeed{s.RequiredResources(), s.RequiredLabel, expected})
 }
 
-// Covers reports whether no worker qualifies for the step because none did for a smaller need.
-func (u *Unplaceable) Covers(s *job.Step) bool {
+// Covers reports whether no worker qualifies for the step because none did for a smaller need of tasks that are not
+// longer.
+func (u *Unplaceable) Covers(s *job.Step, expected time.Duration) bool {
 	required := s.RequiredResources()
 	for i := range u.needs {
 		n := &u.needs[i]
-		if n.required.Fits(required) && (n.label == "" || n.label == s.RequiredLabel) {
+		if n.expected <= expected && n.required.Fits(required) && (n.label == "" || n.label == s.RequiredLabel) {
 			return true
 		}
 	}
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -318,7 +318,7 @@
 // that have to be looked at for another reason are not covered: the advisor's decisions may be missing,
 // and workers are reserved and hosts requested for long-running tasks.
 func (p *placer) covered(e *jobEntry, s *job.Step) bool {
-	return !e.job.Advised && !s.LongRunning && p.unplaceable.Covers(s)
+	return !e.job.Advised && !s.LongRunning && p.unplaceable.Covers(s, 0)
 }
 
 func (p *placer) placeStep(e *jobEntry, tasks []readyTask) {
@@ -358,7 +358,7 @@
 	}
 	shortage := placement.FindShortage(p.candidates, t.step)
 	if !e.job.Advised && !shortage.Spread {
-		p.unplaceable.Add(t.step)
+		p.unplaceable.Add(t.step, 0)
 	}
 	if !t.step.LongRunning || t.step.Gang {
 		return
