shard: reservations in scheduling passes

Tasks that need most of a worker, and gangs, wait as long as small tasks fill each gap. With look_ahead.enabled, the first waiting steps in the order of internal/share that find no worker get reservations, on at most half of the open workers; a large task that has waited for max_wait_ms comes first, one job in each pass. Reservations are made anew in each pass. A step that is covered is now looked at once for its tasks, with and without the part.

--- a/internal/shard/copies.go
+++ b/internal/shard/copies.go
@@ -58,7 +58,7 @@
 				p.candidates[i].Allowed = false
 			}
 		}
-		i := placement.Choose(p.candidates, placement.Request{Step: r.step, Rack: rack})
+		i := placement.Choose(p.candidates, p.request(r.entry, r.step, rack))
 		if i < 0 {
 			continue
 		}
--- /dev/null
+++ b/internal/shard/lookahead_bound_test.go
@@ -0,0 +1,36 @@
+package shard
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"samphirestile.example/samphirestile/internal/job"
+	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/policy"
+	"samphirestile.example/samphirestile/internal/worker"
+)
+
+// Guards against large tasks, also long-running ones, that keep more than half of the workers from other tasks.
+func TestReservationsAreAtMostHalfOfTheWorkers(t *testing.T) {
+	o := benchOwner(worker.Resources{}, 10, 40, func(i int) job.Step {
+		return job.Step{Need: worker.Resources{CPU: 20000}, LongRunning: i%2 == 0}
+	})
+	o.Policy.LookAhead = policy.LookAhead{Enabled: true, MaxReservations: 64, MaxWaitMS: 1500}
+	attachRuns(o, 6)
+	p := &placer{owner: o, now: monotonic.Now(), index: map[*session]int{}}
+	for _, s := range o.sessions {
+		p.add(s)
+	}
+	p.lookAhead = p.newLookAhead()
+	for _, e := range o.active {
+		p.placeJob(e)
+	}
+	reserved := 0
+	for i := range p.candidates {
+		if p.candidates[i].Reserved || p.candidates[i].Reservation.Held {
+			reserved++
+		}
+	}
+	NewWithT(t).Expect(reserved).To(Equal(5))
+}
--- a/internal/shard/metrics.go
+++ b/internal/shard/metrics.go
@@ -42,6 +42,14 @@
 	o.Scope.Tagged(map[string]string{"shard": o.Shard}).Histogram("record_seconds", latencyBuckets).RecordDuration(took)
 }
 
+func (o *Owner) recordReservation(err time.Duration) {
+	direction := "late"
+	if err < 0 {
+		direction, err = "early", -err
+	}
+	o.Scope.Tagged(map[string]string{"shard": o.Shard, "direction": direction}).Histogram("reservation_error_seconds", latencyBuckets).RecordDuration(err)
+}
+
 func (o *Owner) setGauges() {
 	tagged := o.Scope.Tagged(map[string]string{"shard": o.Shard})
 	tagged.Gauge("jobs_active").Update(float64(len(o.active)))
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -179,6 +179,9 @@
 	unplacedLogged bool
 	// skippingJobs is set while scheduling passes skip jobs.
 	skippingJobs bool
+	// reservationLines counts the log lines about reservations since reservationLinesSince.
+	reservationLines      int
+	reservationLinesSince monotonic.Time
 	// workersWanted is how many of the pool's workers this partition needs, as last computed by
 	// Demand.
 	workersWanted int
@@ -238,6 +241,10 @@
 	skips int
 	// unplaced are the tasks that found no worker when a scheduling pass last looked at the job.
 	unplaced unplacedTasks
+	// blockedSince is since when a large task or gang of the job has found no worker, or 0, and reserved holds the
+	// reservations that were logged, by step. Both are kept only while the look-ahead is enabled.
+	blockedSince monotonic.Time
+	reserved     map[stepKey]loggedReservation
 	// limited is what the job waits for since the limit of its account has kept it from starting tasks.
 	limited limitWait
 	// noReadyTasks is set while no task can start before a run of the job finishes.
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/job"
@@ -29,6 +31,8 @@
 	state    runState
 	placedAt monotonic.Time
 	started  monotonic.Time
+	// expected is the expected duration as of when the look-ahead first saw the run, or 0.
+	expected time.Duration
 	// startInFlight is set while a start command has neither a response nor timed out.
 	startInFlight bool
 	// startUnanswered is set once a start command got no response: that command may take effect later,
@@ -108,6 +112,7 @@
 func (s *session) attach(r *run) {
 	o := s.owner
 	s.runs[r.key()] = r
+	s.endingsAt = 0
 	s.used = s.used.Plus(r.step.RequiredResources())
 	r.entry.runs[r] = true
 	r.entry.job.Task(r.task).Active++
@@ -127,6 +132,7 @@
 		return
 	}
 	delete(s.runs, r.key())
+	s.endingsAt = 0
 	s.used = s.used.Minus(r.step.RequiredResources())
 	delete(r.entry.runs, r)
 	r.entry.noReadyTasks = false
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -145,8 +145,9 @@
 	for _, s := range o.sessions {
 		p.add(s)
 	}
+	p.lookAhead = p.newLookAhead()
 	skipped := 0
-	for _, i := range share.Order(waiting, now) {
+	for _, i := range p.promote(entries, share.Order(waiting, now)) {
 		e := entries[i]
 		if p.exhausted(e.job.LongRunning()) {
 			e.skips++
@@ -154,6 +155,10 @@
 			continue
 		}
 		e.skips = 0
+		if p.lookAhead != nil && e == p.lookAhead.promoted {
+			p.placePromoted(e)
+			continue
+		}
 		p.placeJob(e)
 	}
 	o.logSkippedJobs(skipped, len(entries))
@@ -239,6 +244,8 @@
 	// fruitlessScans is the number of workers examined for tasks that found none: for long-running
 	// jobs and for others.
 	fruitlessScans struct{ longRunning, other int }
+	// lookAhead is nil if the look-ahead is disabled.
+	lookAhead *lookAhead
 }
 
 // scans returns the count of fruitless scans for a kind of jobs.
@@ -299,12 +306,18 @@
 		}
 	}()
 	var tasks []readyTask
+	var covered *job.Step
 	for t, s := range p.owner.readyTasks(e, p.now) {
+		if s == covered {
+			continue
+		}
 		if len(tasks) > 0 && (s != tasks[0].step || t.Occurrence != tasks[0].id.Occurrence) {
 			p.placeStep(e, tasks)
 			tasks = tasks[:0]
 		}
 		if p.covered(e, s) {
+			p.markBlocked(e, s)
+			covered = s
 			continue
 		}
 		tasks = append(tasks, readyTask{t, s})
@@ -318,7 +331,7 @@
 // that have to be looked at for another reason are not covered: the advisor's decisions may be missing,
 // and workers are reserved and hosts requested for long-running tasks.
 func (p *placer) covered(e *jobEntry, s *job.Step) bool {
-	return !e.job.Advised && !s.LongRunning && p.unplaceable.Covers(s, 0)
+	return !e.job.Advised && !s.LongRunning && !p.mayReserve(s) && p.unplaceable.Covers(s, p.expected(e, s))
 }
 
 func (p *placer) placeStep(e *jobEntry, tasks []readyTask) {
@@ -338,7 +351,7 @@
 			p.refuseByLimit(e, t.step, 1)
 			return
 		}
-		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
+		i := placement.Choose(p.candidates, p.request(e, t.step, rack))
 		if i < 0 {
 			p.recordShortage(e, t, rack, len(tasks)-n)
 			return
@@ -353,18 +366,19 @@
 // tasks.
 func (p *placer) recordShortage(e *jobEntry, t readyTask, rack string, remaining int) {
 	*p.scans(e.job.LongRunning()) += len(p.candidates)
+	reserved := p.reserve(e, t, rack, remaining)
 	if p.queueAdviceRequest(e, t, rack, remaining) {
 		return
 	}
 	shortage := placement.FindShortage(p.candidates, t.step)
 	if !e.job.Advised && !shortage.Spread {
-		p.unplaceable.Add(t.step, 0)
+		p.unplaceable.Add(t.step, p.expected(e, t.step))
 	}
 	if !t.step.LongRunning || t.step.Gang {
 		return
 	}
-	if shortage.Room {
-		placement.Reserve(p.candidates, t.step)
+	if shortage.Room && !reserved && placement.Reserve(p.candidates, t.step) && p.lookAhead != nil {
+		p.lookAhead.workers--
 	}
 	// Further hosts of this kind do not help a task that none can run.
 	if shortage.Suitable || !shortage.Open {
@@ -385,13 +399,13 @@
 	saved := append([]placement.Candidate(nil), p.candidates...)
 	chosen := make([]int, 0, len(tasks))
 	for _, t := range tasks {
-		i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
+		i := placement.Choose(p.candidates, p.request(e, t.step, rack))
 		if i < 0 {
 			p.candidates = saved
 			p.recordGangShortage(e, t, rack, len(tasks), len(chosen))
 			return
 		}
-		p.assign(i, t.step)
+		p.assign(e, i, t.step)
 		rack = p.candidates[i].Rack()
 		chosen = append(chosen, i)
 	}
@@ -413,6 +427,7 @@
 		return
 	}
 	*p.scans(e.job.LongRunning()) += len(p.candidates)
+	p.reserve(e, t, rack, members)
 	if !p.queueAdviceRequest(e, t, rack, members) {
 		placement.FindShortage(p.candidates, t.step)
 	}
@@ -439,8 +454,9 @@
 	e.limited.refuse(s.Need.Times(int64(tasks)), p.owner.limit(e.job.Account), p.now)
 }
 
-func (p *placer) assign(i int, s *job.Step) {
+func (p *placer) assign(e *jobEntry, i int, s *job.Step) {
 	c := &p.candidates[i]
+	c.Occupy(p.request(e, s, ""))
 	c.Used = c.Used.Plus(s.RequiredResources())
 	c.StepTasks++
 	if s.LongRunning {
@@ -467,7 +483,7 @@
 // startRun attaches one run and issues its start command; number 0 selects the task's next number.
 func (p *placer) startRun(e *jobEntry, t readyTask, i, number int) {
 	o := p.owner
-	p.assign(i, t.step)
+	p.assign(e, i, t.step)
 	s := p.sessions[i]
 	task := e.job.Task(t.id)
 	if number == 0 {
@@ -487,6 +503,7 @@
 	}
 	s.attach(r)
 	s.start(r)
+	p.reservationMet(r, i)
 	o.Log.WithFields(logrus.Fields{
 		"task": t.id.String(), "run": number, "worker": s.ID, "free": freeResources(s), "suspicion": p.candidates[i].FailureScore,
 	}).Debug("run placed")
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/placement"
 	"samphirestile.example/samphirestile/internal/worker"
 )
 
@@ -42,6 +43,10 @@
 	unansweredToken uint64
 	runs            map[runKey]*run
 	used            worker.Resources
+	// endings are the expected ends of the runs as of endingsAsOf, computed at endingsAt, or 0 if the runs have changed
+	// since.
+	endings                []placement.Ending
+	endingsAt, endingsAsOf monotonic.Time
 
 	clockKnown bool
 	clockMS    int64
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -23,6 +23,7 @@
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/monotonic"
+	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/quota"
 	"samphirestile.example/samphirestile/internal/shard"
 	"samphirestile.example/samphirestile/internal/store"
@@ -102,6 +103,8 @@
 	bindings shard.Bindings
 	// quota is what owners that are started from then on know of the shards that share limits with them.
 	quota quota.Peers
+	// policy is that of owners that are started from then on.
+	policy policy.Policy
 	// log receives the log lines of owners that are started from then on.
 	log io.Writer
 	// simulated is set for specs on simulated time. Their owners must be stopped before the clock is removed.
@@ -268,7 +271,7 @@
 	}
 	o.Owner = shard.New(shard.Config{
 		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, Quota: f.quota, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advice: requests,
-		Bounds: shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute},
+		Policy: f.policy, Bounds: shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute},
 		LatestWorkerLeaseEnd: func() monotonic.Time {
 			o.mu.Lock()
 			defer o.mu.Unlock()
--- a/internal/shard/skipped_test.go
+++ b/internal/shard/skipped_test.go
@@ -13,7 +13,7 @@
 func TestPassesLookAtAllJobsInTurn(t *testing.T) {
 	g := NewWithT(t)
 	const jobs = 300
-	o := benchOwner(worker.Resources{CPU: 16000, MemMB: 64000}, jobs, func(int) job.Step {
+	o := benchOwner(worker.Resources{CPU: 16000, MemMB: 64000}, 60, jobs, func(int) job.Step {
 		return job.Step{Need: worker.Resources{CPU: 17000, MemMB: 1000}, LongRunning: true, MaxPerWorker: 1}
 	})
 	o.schedulingPass()
