shard: end the turn of a job without a large start or a reservation

A job that comes first out of order kept its turn as long as small tasks of it started, also when none of its large tasks waited any more. Its turn now ends unless a large task starts or is reserved. TestTurnEndsWithoutReservation covers a job that no worker can run; it fails without the renewal of the time.

--- a/internal/shard/lookahead.go
+++ b/internal/shard/lookahead.go
@@ -121,12 +121,12 @@
 	return slices.Insert(slices.Delete(order, oldest, oldest+1), 0, i)
 }
 
-// placePromoted places the job that comes first out of order. If it got neither a start nor a reservation, its turn is
-// over, so that a job which cannot run at all does not keep others from theirs.
+// placePromoted places the job that comes first out of order. If no large task or gang of it got a start or a
+// reservation, its turn is over, so that a job which cannot run at all does not keep others from theirs.
 func (p *placer) placePromoted(e *jobEntry) {
-	since, starts := e.blockedSince, e.starts
+	since := e.blockedSince
 	p.placeJob(e)
-	if e.blockedSince == since && e.starts == starts && !p.lookAhead.promotedHeld {
+	if e.blockedSince == since && !p.lookAhead.promotedHeld {
 		e.blockedSince = p.now
 	}
 }
--- a/internal/shard/lookahead_bound_test.go
+++ b/internal/shard/lookahead_bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -34,3 +35,31 @@
 	}
 	NewWithT(t).Expect(reserved).To(Equal(5))
 }
+
+// Guards against a job that no worker can run, which keeps its turn and so lets the others starve.
+func TestTurnEndsWithoutReservation(t *testing.T) {
+	g := NewWithT(t)
+	o := benchOwner(worker.Resources{}, 10, 2, func(i int) job.Step {
+		return job.Step{Need: worker.Resources{CPU: int64(20000 + i*20000)}}
+	})
+	o.Policy.LookAhead = policy.LookAhead{Enabled: true, MaxReservations: 8, MaxWaitMS: 1500}
+	attachRuns(o, 6)
+	since := monotonic.Now().Add(-time.Minute)
+	for _, e := range o.active {
+		e.blockedSince = since
+		if e.job.Steps[0].Need.CPU > 32000 {
+			e.blockedSince--
+		}
+	}
+	o.schedulingPass()
+	o.schedulingPass()
+	for _, e := range o.active {
+		if e.job.Steps[0].Need.CPU > 32000 {
+			g.Expect(e.blockedSince).To(BeNumerically(">", since))
+			g.Expect(e.reserved).To(BeEmpty())
+		} else {
+			g.Expect(e.blockedSince).To(Equal(since))
+			g.Expect(e.reserved).NotTo(BeEmpty())
+		}
+	}
+}
