--- a/internal/shard/evacuation.go
+++ b/internal/shard/evacuation.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		t := readyTask{r.task, r.step}
-		if !p.hold(r.entry, t) {
+		if !p.holdRoom(r.entry, t) {
 			continue
 		}
 		o.Log.WithFields(logrus.Fields{
@@ -139,20 +139,20 @@
 	}
 }
 
-// hold sets free resources of a worker aside for a task, and reports whether one has sufficient resources. The advisor
+// holdRoom sets free resources of a worker aside for a task, and reports whether one has sufficient resources. The advisor
 // is asked about the task only once it waits.
-func (p *placer) hold(e *jobEntry, t readyTask) bool {
+func (p *placer) holdRoom(e *jobEntry, t readyTask) bool {
 	rack := p.prepareCandidates(e, t)
 	if e.job.Advised {
 		for i := range p.candidates {
 			p.candidates[i].Allowed = true
 		}
 	}
-	i := placement.Choose(p.candidates, placement.Request{Step: t.step, Rack: rack})
+	i := placement.Choose(p.candidates, p.request(e, t.step, rack))
 	if i < 0 {
 		return false
 	}
-	p.assign(i, t.step)
+	p.assign(e, i, t.step)
 	return true
 }
 
@@ -162,7 +162,7 @@
 	for _, e := range p.owner.active {
 		for t := range e.moves {
 			if !e.runsElsewhere(t) && !(e.job.Advised && e.job.Task(t).Active == 0) {
-				p.hold(e, readyTask{t, &e.job.Steps[t.Step]})
+				p.holdRoom(e, readyTask{t, &e.job.Steps[t.Step]})
 			}
 		}
 	}
