--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -9,6 +9,8 @@
 	"io"
 	"os"
 	"strings"
+
+	"samphirestile.example/samphirestile/internal/intake"
 )
 
 // Policy switches the decisions under load. The zero value disables all of them.
@@ -19,6 +21,8 @@
 	LookAhead LookAhead `json:"look_ahead"`
 	Forecast  Forecast  `json:"forecast"`
 	Ownership Ownership `json:"ownership"`
+	// Intake replaces limits on the input of clients; 0 is the default, which depends on the machine.
+	Intake intake.Limits `json:"intake"`
 }
 
 // Admission predicts when a job would be completed and refuses one that would be late.
@@ -119,5 +123,8 @@
 	if p.Returns.Enabled && !p.Admission.Enabled {
 		findings = append(findings, Finding{"returns.enabled", "true", "false unless admission.enabled is true, because bookings need its predictions"})
 	}
+	for _, f := range p.Intake.Check() {
+		findings = append(findings, Finding{"intake." + f.Path, f.Value, f.Allowed})
+	}
 	return findings
 }
