jobdaemon: bound the input at all listeners

A body that is too large is now refused with 413 instead of 400, one without progress with 408, and one that finds no budget with 503 and Retry-After.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"samphirestile.example/samphirestile/internal/advice"
+	"samphirestile.example/samphirestile/internal/intake"
 	"samphirestile.example/samphirestile/internal/job"
 	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/shard"
@@ -186,7 +187,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
-		return &StatusError{Status: http.StatusBadRequest, Reason: "body: " + err.Error()}
+		return g.bodyError(c, err)
 	}
 	for range maxBindingChanges {
 		var moved *shard.QueueMovedError
@@ -210,6 +211,24 @@
 	return nil
 }
 
+// bodyError returns the error of a submission whose body did not arrive. Nothing of it was submitted.
+func (g *Gateway) bodyError(c *call, err error) error {
+	var refused *intake.RefusedError
+	status := http.StatusBadRequest
+	switch {
+	case errors.As(err, new(*http.MaxBytesError)):
+		status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &refused):
+		status = refused.Status()
+	}
+	out := &StatusError{Status: status, Reason: "body: " + err.Error()}
+	if status == http.StatusServiceUnavailable {
+		out.RetryAfter = intake.RetryAfter
+		return g.Router.refuse(c.id, out)
+	}
+	return out
+}
+
 // submitBody submits the job in the body of a call under the configuration in force.
 func (g *Gateway) submitBody(ctx context.Context, r *http.Request, c *call, body []byte) error {
 	// The key may have been revoked while the body arrived.
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,7 @@
 	"samphirestile.example/samphirestile/internal/fleetapi"
 	"samphirestile.example/samphirestile/internal/hosts"
 	"samphirestile.example/samphirestile/internal/httpserver"
+	"samphirestile.example/samphirestile/internal/intake"
 	"samphirestile.example/samphirestile/internal/jobapi"
 	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/lease"
@@ -58,6 +61,9 @@
 	shutdownTime      = 1500 * time.Millisecond
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 30 * time.Second
+	// memoryFraction is the part of the machine's memory that the garbage collector aims at. The rest is for the program
+	// itself, which the runtime does not count, and for what is allocated during a collection.
+	memoryFraction = 0.7
 )
 
 // Daemon is one process on the platform.
@@ -402,6 +408,7 @@
 
 // Run serves until ctx is done, and then performs a planned stop.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.limitMemory()
 	servers, failed, err := d.listen()
 	if err != nil {
 		return err
@@ -482,12 +489,14 @@
 		handler http.Handler
 		// peer is the kind of caller in the traffic metrics.
 		peer string
+		// part is the part of the budget for input.
+		part intake.Part
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadinessPath, d.serveReadiness)
 	all := []listener{
-		{d.settings.ClientAddress, gateway, "client"}, {d.settings.ReadyAddress, ready, "readiness"},
-		{d.settings.PeerAddress, peers, "daemon"}, {d.settings.MetricsAddress, d.metrics.Handler(), "metrics"},
+		{d.settings.ClientAddress, gateway, "client", intake.Clients}, {d.settings.ReadyAddress, ready, "readiness", intake.Control},
+		{d.settings.PeerAddress, peers, "daemon", intake.Peers}, {d.settings.MetricsAddress, d.metrics.Handler(), "metrics", intake.Control},
 	}
 	failed := make(chan error, len(all))
 	var servers []*httpserver.Server
@@ -496,8 +505,9 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("create the server of the operator interface: %w", err)
 		}
-		all = append(all, listener{d.settings.OperatorAddress, operators, "operator"})
+		all = append(all, listener{d.settings.OperatorAddress, operators, "operator", intake.Control})
 	}
+	bounds := intake.New(intake.DefaultLimits(d.settings.MemoryBytes, d.settings.FileDescriptors).Override(d.policy.Intake), d.metrics.Scope(), d.log)
 	for _, l := range all {
 		if l.address == "" {
 			continue
@@ -506,10 +516,14 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("open the %s listener: %w", l.peer, err)
 		}
-		s := httpserver.New(&http.Server{Addr: l.address, Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
+		options := intake.Options{Part: l.part}
+		if l.part == intake.Clients {
+			options.Configured = d.configuredLimits
+		}
+		s := httpserver.New(bounds.Wrap(&http.Server{Addr: l.address, Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, options))
 		servers = append(servers, s)
 		go func() {
-			if err := s.Serve(s.Listener(d.metrics.Traffic(l.peer).Listener(tcpListener))); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(bounds.Listener(s.Listener(d.metrics.Traffic(l.peer).Listener(tcpListener)), options)); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s calls on %s: %w", l.peer, l.address, err)
 			}
 		}()
@@ -517,6 +531,24 @@
 	return servers, failed, nil
 }
 
+// configuredLimits returns the limit on heads and the idle time of the configuration in force, 0 for those that it
+// does not set.
+func (d *Daemon) configuredLimits() (headBytes int, idle time.Duration) {
+	c, _ := d.configurations.Current()
+	if c == nil {
+		return 0, 0
+	}
+	return c.Limits.HeaderBytes, c.Limits.IdleTimeout
+}
+
+// limitMemory makes the garbage collector keep the process inside the memory of its machine, unless the environment sets a
+// limit.
+func (d *Daemon) limitMemory() {
+	if d.settings.MemoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryFraction * float64(d.settings.MemoryBytes)))
+	}
+}
+
 // serveReadiness reports to the platform whether to direct clients to this daemon. Without
 // the store a daemon still serves open queues, but other daemons serve clients better.
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
