--- a/internal/emulator/process/cell.go
+++ b/internal/emulator/process/cell.go
@@ -24,8 +24,11 @@
 	Daemons  int
 	Timing   Timing
 	LogLevel string
-	Services []Service
-	Teams    []Team
+	// MemoryMB and FileDescriptors are the limits of the machine in the settings of the daemons; 0 sets none.
+	MemoryMB        int
+	FileDescriptors int
+	Services        []Service
+	Teams           []Team
 	// PeerRelays puts a relay in front of each daemon's peer listener, StoreRelays
 	// puts one between each daemon and the platform.
 	PeerRelays  bool
