daemon: bound the input at the listeners of run

The settings file takes the memory and the descriptors of the machine and overrides of the limits. Bodies of forwarded requests are streamed, so only those that the gateway holds count.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,8 +10,10 @@
 	"net/http/pprof"
 	"time"
 
+	"samphirestile.example/samphirestile/internal/forward"
 	"samphirestile.example/samphirestile/internal/gateway"
 	"samphirestile.example/samphirestile/internal/httpserver"
+	"samphirestile.example/samphirestile/internal/intake"
 	"samphirestile.example/samphirestile/internal/peerapi/oas"
 	"samphirestile.example/samphirestile/internal/settings"
 )
@@ -37,6 +40,7 @@
 // Run serves until ctx is cancelled or a server fails, then performs a planned stop. It
 // returns nil if no server failed and the stop aborted no request.
 func (d *Daemon) Run(ctx context.Context) error {
+	intake.LimitMemory(d.settings.MemoryMB << 20)
 	srv, err := d.listen()
 	if err != nil {
 		return err
@@ -86,10 +90,24 @@
 	if err != nil {
 		return nil, err
 	}
+	bounds := intake.ForMachine(s.MemoryMB<<20, s.FileDescriptors, s.Intake, d.metrics.Scope(), d.log)
+	serviceOptions := intake.Options{
+		Part: intake.Clients, HeadBytes: cmp.Or(s.Intake.HeadBytes, gateway.MaxHeaderBytes), Response: gateway.RefusalResponse,
+		Streams: func(*http.Request) int64 { return forward.MaxBufferedBodyBytes },
+	}
+	// A forwarded request carries the caller's header.
+	controlHeadBytes := max(2*s.Intake.HeadBytes, maxControlHeaderBytes)
+	peerOptions := intake.Options{Part: intake.Peers, HeadBytes: controlHeadBytes, Streams: func(r *http.Request) int64 {
+		if forward.IsForwarded(r) {
+			return forward.MaxBufferedBodyBytes
+		}
+		return 0
+	}}
+	operatorOptions := intake.Options{Part: intake.Control, HeadBytes: controlHeadBytes}
 	srv := &servers{
-		service:     httpserver.New(gateway.NewServer(d.gateway, gateway.ServerOptions{Observer: d.requestRecorder})),
-		peer:        controlServer(d.forwardServer.Wrap(http.MaxBytesHandler(peerAPI, maxControlBodyBytes))),
-		operator:    controlServer(d.operatorMux(operator)),
+		service:     httpserver.New(bounds.Wrap(gateway.NewServer(d.gateway, gateway.ServerOptions{Observer: d.requestRecorder}), serviceOptions)),
+		peer:        httpserver.New(bounds.Wrap(controlServer(d.forwardServer.Wrap(http.MaxBytesHandler(peerAPI, maxControlBodyBytes))), peerOptions)),
+		operator:    httpserver.New(bounds.Wrap(controlServer(d.operatorMux(operator)), operatorOptions)),
 		serveErrors: make(chan error, 3),
 	}
 	var opened []net.Listener
@@ -103,19 +121,14 @@
 		}
 		opened = append(opened, listener)
 	}
-	srv.serve(srv.service, gateway.WrapListener(srv.service.Listener(opened[0])))
-	srv.serve(srv.peer, d.traffic.Listener(srv.peer.Listener(opened[1])))
-	srv.serve(srv.operator, srv.operator.Listener(opened[2]))
+	srv.serve(srv.service, gateway.WrapListener(bounds.Listener(srv.service.Listener(opened[0]), serviceOptions)))
+	srv.serve(srv.peer, bounds.Listener(d.traffic.Listener(srv.peer.Listener(opened[1])), peerOptions))
+	srv.serve(srv.operator, bounds.Listener(srv.operator.Listener(opened[2]), operatorOptions))
 	return srv, nil
 }
 
-func controlServer(h http.Handler) *httpserver.Server {
-	return httpserver.New(&http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       controlIdleTimeout,
-		MaxHeaderBytes:    maxControlHeaderBytes,
-	})
+func controlServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: controlIdleTimeout}
 }
 
 func (srv *servers) serve(s *httpserver.Server, listener net.Listener) {
--- a/internal/emulator/process/daemon.go
+++ b/internal/emulator/process/daemon.go
@@ -106,6 +106,8 @@
 		PlatformAddress:      platform,
 		Peers:                c.peerAddresses(),
 		LogLevel:             c.logLevel(),
+		MemoryMB:             c.MemoryMB,
+		FileDescriptors:      c.FileDescriptors,
 		Timing:               c.Timing,
 	})
 	if err != nil {
--- a/internal/emulator/process/spec.go
+++ b/internal/emulator/process/spec.go
@@ -36,6 +36,8 @@
 	PlatformAddress      string   `json:"platform_address"`
 	Peers                []string `json:"peers"`
 	LogLevel             string   `json:"log_level"`
+	MemoryMB             int      `json:"memory_mb,omitempty"`
+	FileDescriptors      int      `json:"file_descriptors,omitempty"`
 	Timing
 }
 
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"samphirestile.example/samphirestile/internal/intake"
 	"samphirestile.example/samphirestile/internal/problem"
 	"samphirestile.example/samphirestile/internal/upstream"
 )
@@ -91,6 +92,10 @@
 	if errors.As(err, &p) {
 		return p
 	}
+	var refused *intake.RefusedError
+	if errors.As(err, &refused) && refused.Status() == http.StatusServiceUnavailable {
+		return problem.New(problem.CodeOverloaded, http.StatusServiceUnavailable, "the daemon holds too much unfinished input").WithRetryAfter(intake.RetryAfter)
+	}
 	return problem.New(problem.CodeBadRequest, http.StatusBadRequest, "the request body is malformed or incomplete")
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -32,11 +32,14 @@
 // do not send a request on a connection that is about to be closed.
 func (s *Server) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
 
+// IsForwarded reports whether Wrap passes the request to the Server.
+func IsForwarded(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, PathPrefix) }
+
 // Wrap returns a handler that serves forwarded requests and passes all others to next.
 // http.ServeMux is not suitable here, because it redirects unclean paths.
 func (s *Server) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, PathPrefix) {
+		if IsForwarded(r) {
 			s.ServeHTTP(w, r)
 			return
 		}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -143,6 +143,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection that c wraps.
+func (c *serviceConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite is called by net/http to half-close the connection after an error response.
 func (c *serviceConn) CloseWrite() error {
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -160,15 +163,28 @@
 
 func (c *serviceConn) writeRefusal(p *problem.Error) error {
 	observeRefusal(c.observer, "", p)
-	w := &rawResponse{header: make(http.Header)}
-	problem.Write(w, p, "")
 	if err := c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)); err != nil {
 		return err
 	}
-	_, err := c.Conn.Write(w.bytes())
+	_, err := c.Conn.Write(encodeProblem(p))
 	return err
 }
 
+func encodeProblem(p *problem.Error) []byte {
+	w := &rawResponse{header: make(http.Header)}
+	problem.Write(w, p, "")
+	return w.bytes()
+}
+
+// RefusalResponse encodes the response to a request that is refused with the status before a handler runs.
+func RefusalResponse(status int, retryAfter time.Duration) []byte {
+	p := refusalFor(status)
+	if status == http.StatusServiceUnavailable {
+		p = problem.New(problem.CodeOverloaded, status, "the daemon holds too much unfinished input").WithRetryAfter(retryAfter)
+	}
+	return encodeProblem(p)
+}
+
 // statusOf returns the error status of the response that starts with p, or 400 if it has
 // none.
 func statusOf(p []byte) int {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -40,19 +40,13 @@
 
 // limits returns the limits on a head at this connection.
 func (c *Conn) limits() Limits {
-	l := c.intake.limits
 	bytes := c.options.HeadBytes
 	if c.options.Configured != nil {
 		if n, _ := c.options.Configured(); n > 0 {
 			bytes = min(n, maxConfiguredHeadBytes)
 		}
 	}
-	if bytes > 0 {
-		// The lines follow a larger limit, so that they refuse no head that is small enough.
-		l.HeadLines = max(l.HeadLines, l.HeadLines*bytes/l.HeadBytes)
-		l.HeadBytes = bytes
-	}
-	return l
+	return c.intake.limits.ForHead(bytes)
 }
 
 // Read implements net.Conn.
@@ -111,7 +105,7 @@
 
 // boundsResponses reports whether the last bytes of a response must be sent within the idle time of a body: responses to
 // clients of jobs fit into a buffer of net/http, so a client that does not read them would hold its connection for ever.
-func (o Options) boundsResponses() bool { return o.Part == Clients && !o.OwnBodyDeadline }
+func (o Options) boundsResponses() bool { return o.Part == Clients && o.Streams == nil }
 
 type connKey struct{}
 
@@ -180,7 +174,16 @@
 			return
 		}
 		body := &bodyReader{ReadCloser: r.Body, conn: c}
-		if !o.OwnBodyDeadline {
+		if o.Streams != nil {
+			body.held = o.Streams(r)
+		}
+		if body.held > 0 && r.ContentLength > body.held {
+			// Nothing of it is held, and once it is dispatched it must not be shed.
+			in.setState(c, Handling, false)
+			handler.ServeHTTP(w, r)
+			return
+		}
+		if body.held == 0 {
 			body.idle = in.limits.BodyIdle()
 			if o.Configured != nil {
 				_, configured := o.Configured()
@@ -189,7 +192,7 @@
 		}
 		counted := r.WithContext(r.Context())
 		counted.Body = body
-		if o.Part == Clients {
+		if o.Part == Clients || body.held > 0 {
 			// The handlers of clients' requests answer a *RefusedError themselves.
 			handler.ServeHTTP(w, counted)
 			return
@@ -205,6 +208,8 @@
 	io.ReadCloser
 	conn    *Conn
 	idle    time.Duration // 0 is no bound
+	held    int64         // what the handler holds of a stream of unknown length; 0 is all
+	read    int64
 	refused atomic.Pointer[RefusedError]
 	done    bool
 }
@@ -228,8 +233,9 @@
 			return 0, b.refuse(e)
 		}
 	}
+	b.read += int64(n)
 	switch {
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, io.EOF) || b.held > 0 && b.read > b.held:
 		b.done = true
 		b.conn.intake.setState(b.conn, Handling, false)
 		if b.idle > 0 {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -65,6 +67,27 @@
 	}
 }
 
+// ForMachine returns an Intake with the defaults of a machine and the overrides. 0 stands for unknown memory, and for the
+// descriptors of the process.
+func ForMachine(memory int64, descriptors int, overrides Limits, scope tally.Scope, log logrus.FieldLogger) *Intake {
+	if descriptors == 0 {
+		descriptors = Descriptors()
+	}
+	return New(DefaultLimits(memory, descriptors).Override(overrides), scope, log)
+}
+
+// memoryFraction is the part of the machine's memory that the garbage collector aims at. The rest is for the program
+// itself, which the runtime does not count, and for what is allocated during a collection.
+const memoryFraction = 0.7
+
+// LimitMemory makes the garbage collector keep the process inside the memory of its machine, unless it is unknown or the
+// environment sets a limit.
+func LimitMemory(memory int64) {
+	if memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryFraction * float64(memory)))
+	}
+}
+
 func (in *Intake) now() time.Duration { return time.Since(in.began) }
 
 // open admits a connection or returns why it is refused.
@@ -203,8 +226,9 @@
 	// Configured returns the limit on heads and the idle time of bodies that are in force, 0 for those that are not
 	// configured. It may be nil.
 	Configured func() (headBytes int, idle time.Duration)
-	// OwnBodyDeadline says that the handler bounds the progress of bodies itself.
-	OwnBodyDeadline bool
+	// Streams returns for a request whose body the handler streams the size up to which it is held instead, and 0 for
+	// others. The handler bounds the progress of such a body itself and answers a *RefusedError. It may be nil.
+	Streams func(*http.Request) int64
 	// Response encodes a refusal of a head; nil is a response without a body.
 	Response func(status int, retryAfter time.Duration) []byte
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -18,7 +18,7 @@
 }
 
 // smallest are the limits on the smallest machine of the fleets.
-var smallest = intake.DefaultLimits(184<<20, 4100)
+var smallest = intake.DefaultLimits(184<<20, 4100).ForHead(0)
 
 func scan(l intake.Limits, parts ...string) (reason intake.Reason, done bool) {
 	var s intake.HeadScanner
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -6,13 +6,16 @@
 import (
 	"fmt"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits bound the input of clients over all listeners of a process.
 type Limits struct {
 	// BufferBytes is the budget for heads and bodies in flight, each counted at what it costs in memory.
 	BufferBytes int64 `json:"buffer_bytes"`
-	// HeadBytes, HeadLines and EmptyLines bound the head of one request and the empty lines before it.
+	// HeadBytes, HeadLines and EmptyLines bound the head of one request and the empty lines before it. HeadLines 0 is as
+	// many as fit.
 	HeadBytes  int `json:"head_bytes"`
 	HeadLines  int `json:"head_lines"`
 	EmptyLines int `json:"empty_lines"`
@@ -41,11 +44,21 @@
 
 	minMemory      = 16 << 20
 	minDescriptors = 64
+	maxDescriptors = 1 << 20
 	minHeadBytes   = 1 << 10
 	maxHeadBytes   = 1 << 20
 	maxBodyIdleMS  = 3_600_000
 )
 
+// Descriptors returns the limit on the descriptors of the process, or 0 if it is unknown.
+func Descriptors() int {
+	var l unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &l) != nil {
+		return 0
+	}
+	return int(min(l.Cur, maxDescriptors))
+}
+
 // DefaultLimits derives the limits from the memory and the descriptors of the machine; 0 stands for unknown.
 func DefaultLimits(memory int64, descriptors int) Limits {
 	if memory <= 0 {
@@ -58,7 +71,7 @@
 	connections := max(descriptors, minDescriptors) / 2
 	return Limits{
 		BufferBytes: max(memory, minMemory) / bufferFraction,
-		HeadBytes:   DefaultHeadBytes, HeadLines: (DefaultHeadBytes + headSlack) / minLineBytes, EmptyLines: defaultEmptyLines,
+		HeadBytes:   DefaultHeadBytes, EmptyLines: defaultEmptyLines,
 		// A balancer may hold the connections of all clients, so one address may have most of them.
 		Connections: connections, ConnectionsPerAddress: connections * 3 / 4,
 		BodyIdleMS: defaultBodyIdle.Milliseconds(),
@@ -75,7 +88,14 @@
 	pick(&l.ConnectionsPerAddress, o.ConnectionsPerAddress)
 	pick(&l.BodyIdleMS, o.BodyIdleMS)
 	l.ConnectionsPerAddress = min(l.ConnectionsPerAddress, l.Connections)
-	if o.HeadLines == 0 {
+	return l
+}
+
+// ForHead returns the limits for heads of at most n bytes, 0 for HeadBytes. Unless HeadLines is set, the lines refuse no
+// head of that size, whatever its form.
+func (l Limits) ForHead(n int) Limits {
+	pick(&l.HeadBytes, n)
+	if l.HeadLines == 0 {
 		l.HeadLines = (l.HeadBytes + headSlack) / minLineBytes
 	}
 	return l
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -9,8 +9,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,9 +59,6 @@
 	shutdownTime      = 1500 * time.Millisecond
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 30 * time.Second
-	// memoryFraction is the part of the machine's memory that the garbage collector aims at. The rest is for the program
-	// itself, which the runtime does not count, and for what is allocated during a collection.
-	memoryFraction = 0.7
 )
 
 // Daemon is one process on the platform.
@@ -408,7 +403,7 @@
 
 // Run serves until ctx is done, and then performs a planned stop.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.limitMemory()
+	intake.LimitMemory(d.settings.MemoryBytes)
 	servers, failed, err := d.listen()
 	if err != nil {
 		return err
@@ -507,7 +502,7 @@
 		}
 		all = append(all, listener{d.settings.OperatorAddress, operators, "operator", intake.Control})
 	}
-	bounds := intake.New(intake.DefaultLimits(d.settings.MemoryBytes, d.settings.FileDescriptors).Override(d.policy.Intake), d.metrics.Scope(), d.log)
+	bounds := intake.ForMachine(d.settings.MemoryBytes, d.settings.FileDescriptors, d.policy.Intake, d.metrics.Scope(), d.log)
 	for _, l := range all {
 		if l.address == "" {
 			continue
@@ -541,14 +536,6 @@
 	return c.Limits.HeaderBytes, c.Limits.IdleTimeout
 }
 
-// limitMemory makes the garbage collector keep the process inside the memory of its machine, unless the environment sets a
-// limit.
-func (d *Daemon) limitMemory() {
-	if d.settings.MemoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(memoryFraction * float64(d.settings.MemoryBytes)))
-	}
-}
-
 // serveReadiness reports to the platform whether to direct clients to this daemon. Without
 // the store a daemon still serves open queues, but other daemons serve clients better.
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"samphirestile.example/samphirestile/internal/intake"
 )
 
 // Settings configures one daemon. Fields with the suffix _ms are in milliseconds.
@@ -49,6 +51,12 @@
 	MarginMS    int64 `json:"margin_ms,omitempty"`
 	HeartbeatMS int64 `json:"heartbeat_ms,omitempty"`
 	FailureMS   int64 `json:"failure_ms,omitempty"`
+
+	// MemoryMB and FileDescriptors are the limits of the machine; 0 is unknown.
+	MemoryMB        int64 `json:"memory_mb,omitempty"`
+	FileDescriptors int   `json:"file_descriptors,omitempty"`
+	// Intake replaces limits on the input of clients; 0 is the default, which depends on the machine.
+	Intake intake.Limits `json:"intake,omitzero"`
 }
 
 // Defaults for durations, in milliseconds. The grace time covers two checks of a load
@@ -64,6 +72,9 @@
 	defaultFailureMS   = 3_000
 	maxDurationMS      = 3_600_000
 	minSecretLength    = 16
+	// maxMemoryMB is 64 TB, and maxFileDescriptors is the largest fs.nr_open of Linux.
+	maxMemoryMB        = 64 << 20
+	maxFileDescriptors = 1 << 30
 )
 
 // Finding describes an invalid value in a settings file.
@@ -219,6 +230,15 @@
 			add(d.path, fmt.Sprint(*d.value), fmt.Sprintf("1 to %d ms", maxDurationMS))
 		}
 	}
+	if s.MemoryMB < 0 || s.MemoryMB > maxMemoryMB {
+		add("memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("0 to %d", maxMemoryMB))
+	}
+	if s.FileDescriptors < 0 || s.FileDescriptors > maxFileDescriptors {
+		add("file_descriptors", fmt.Sprint(s.FileDescriptors), fmt.Sprintf("0 to %d", maxFileDescriptors))
+	}
+	for _, f := range s.Intake.Check() {
+		add("intake."+f.Path, f.Value, f.Allowed)
+	}
 	if s.HeartbeatMS >= s.VouchMS {
 		add("heartbeat_ms", fmt.Sprint(s.HeartbeatMS), "less than vouch_ms, because otherwise vouches expire before the next heartbeat")
 	}
