--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -22,6 +22,7 @@
 	"samphirestile.example/samphirestile/internal/fleetapi"
 	"samphirestile.example/samphirestile/internal/hosts"
 	"samphirestile.example/samphirestile/internal/httpserver"
+	"samphirestile.example/samphirestile/internal/intake"
 	"samphirestile.example/samphirestile/internal/jobapi"
 	"samphirestile.example/samphirestile/internal/jobconfig"
 	"samphirestile.example/samphirestile/internal/lease"
@@ -426,6 +427,7 @@
 
 // Run serves until ctx is done, and then performs a planned stop.
 func (d *Daemon) Run(ctx context.Context) error {
+	intake.LimitMemory(d.settings.MemoryBytes)
 	servers, failed, err := d.listen()
 	if err != nil {
 		return err
@@ -506,12 +508,14 @@
 		handler http.Handler
 		// peer is the kind of caller in the traffic metrics.
 		peer string
+		// part is the part of the budget for input.
+		part intake.Part
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadinessPath, d.serveReadiness)
 	all := []listener{
-		{d.settings.ClientAddress, gateway, "client"}, {d.settings.ReadyAddress, ready, "readiness"},
-		{d.settings.PeerAddress, peers, "daemon"}, {d.settings.MetricsAddress, d.metrics.Handler(), "metrics"},
+		{d.settings.ClientAddress, gateway, "client", intake.Clients}, {d.settings.ReadyAddress, ready, "readiness", intake.Control},
+		{d.settings.PeerAddress, peers, "daemon", intake.Peers}, {d.settings.MetricsAddress, d.metrics.Handler(), "metrics", intake.Control},
 	}
 	failed := make(chan error, len(all))
 	var servers []*httpserver.Server
@@ -520,8 +524,9 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("create the server of the operator interface: %w", err)
 		}
-		all = append(all, listener{d.settings.OperatorAddress, operators, "operator"})
+		all = append(all, listener{d.settings.OperatorAddress, operators, "operator", intake.Control})
 	}
+	bounds := intake.ForMachine(d.settings.MemoryBytes, d.settings.FileDescriptors, d.policy.Intake, d.metrics.Scope(), d.log)
 	for _, l := range all {
 		if l.address == "" {
 			continue
@@ -530,10 +535,14 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("open the %s listener: %w", l.peer, err)
 		}
-		s := httpserver.New(&http.Server{Addr: l.address, Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
+		options := intake.Options{Part: l.part}
+		if l.part == intake.Clients {
+			options.Configured = d.configuredLimits
+		}
+		s := httpserver.New(bounds.Wrap(&http.Server{Addr: l.address, Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}, options))
 		servers = append(servers, s)
 		go func() {
-			if err := s.Serve(s.Listener(d.metrics.Traffic(l.peer).Listener(tcpListener))); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(bounds.Listener(s.Listener(d.metrics.Traffic(l.peer).Listener(tcpListener)), options)); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("serve %s calls on %s: %w", l.peer, l.address, err)
 			}
 		}()
@@ -541,6 +550,16 @@
 	return servers, failed, nil
 }
 
+// configuredLimits returns the limit on heads and the idle time of the configuration in force, 0 for those that it
+// does not set.
+func (d *Daemon) configuredLimits() (headBytes int, idle time.Duration) {
+	c, _ := d.configurations.Current()
+	if c == nil {
+		return 0, 0
+	}
+	return c.Limits.HeaderBytes, c.Limits.IdleTimeout
+}
+
 // serveReadiness reports to the platform whether to direct clients to this daemon. Without
 // the store a daemon still serves open queues, but other daemons serve clients better.
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -10,6 +10,8 @@
 	"os"
 	"strconv"
 	"strings"
+
+	"samphirestile.example/samphirestile/internal/intake"
 )
 
 // Policy switches the decisions under load. The zero value disables all of them.
@@ -26,6 +28,8 @@
 	Packing Packing `json:"packing"`
 	// Draining lets short tasks end on workers whose hosts are moved or maintained.
 	Draining Draining `json:"draining"`
+	// Intake replaces limits on the input of clients; 0 is the default, which depends on the machine.
+	Intake intake.Limits `json:"intake"`
 }
 
 // Draining lets tasks that will end soon end on workers that are emptied, instead of starting them again elsewhere.
@@ -157,6 +161,9 @@
 	if p.Returns.Enabled && !p.Admission.Enabled {
 		findings = append(findings, Finding{"returns.enabled", "true", "false unless admission.enabled is true, because bookings need its predictions"})
 	}
+	for _, f := range p.Intake.Check() {
+		findings = append(findings, Finding{"intake." + f.Path, f.Value, f.Allowed})
+	}
 	return append(findings, p.LookAhead.check()...)
 }
 
