--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -17,11 +17,8 @@
 // Policy switches the decisions under load. The zero value disables all of them.
 type Policy struct {
 	Admission Admission `json:"admission"`
-	Returns   Returns   `json:"returns"`
 	Fairness  Fairness  `json:"fairness"`
 	LookAhead LookAhead `json:"look_ahead"`
-	Forecast  Forecast  `json:"forecast"`
-	Ownership Ownership `json:"ownership"`
 	// Heartbeats finds lost answers of workers before the calls time out.
 	Heartbeats Heartbeats `json:"heartbeats"`
 	// Packing orders the workers for short tasks.
@@ -52,11 +49,6 @@
 	Enabled bool `json:"enabled"`
 }
 
-// Returns schedules the retries of refused jobs.
-type Returns struct {
-	Enabled bool `json:"enabled"`
-}
-
 // Fairness divides a contended pool among client accounts by weight.
 type Fairness struct {
 	Enabled bool `json:"enabled"`
@@ -81,16 +73,6 @@
 	defaultMaxWaitMS       = 1500
 )
 
-// Forecast requests hosts ahead of recurring demand peaks.
-type Forecast struct {
-	Enabled bool `json:"enabled"`
-}
-
-// Ownership distributes shards by the capacity of the daemons.
-type Ownership struct {
-	Enabled bool `json:"enabled"`
-}
-
 // Finding describes an invalid value in a policy file.
 type Finding struct {
 	Path    string
@@ -158,8 +140,8 @@
 
 func (p *Policy) check() []Finding {
 	var findings []Finding
-	if p.Returns.Enabled && !p.Admission.Enabled {
-		findings = append(findings, Finding{"returns.enabled", "true", "false unless admission.enabled is true, because bookings need its predictions"})
+	if p.Fairness.Enabled && !p.Admission.Enabled {
+		findings = append(findings, Finding{"fairness.enabled", "true", "false unless admission.enabled is true, because only its decisions know shares"})
 	}
 	for _, f := range p.Intake.Check() {
 		findings = append(findings, Finding{"intake." + f.Path, f.Value, f.Allowed})
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -23,7 +23,7 @@
 	})
 	// Guards against a misspelled field that leaves a part switched off without notice.
 	It("is refused with a typed error if it is not valid", func() {
-		for _, text := range []string{`{"admision": {"enabled": true}}`, `{"admission": {"enabled": 1}}`, `{} {}`, `[`, `{"returns": {"enabled": true}}`,
+		for _, text := range []string{`{"admision": {"enabled": true}}`, `{"admission": {"enabled": 1}}`, `{} {}`, `[`, `{"returns": {"enabled": true}}`, `{"fairness": {"enabled": true}}`,
 			`{"intake": {"head_bytes": 1}}`, `{"intake": {"buffer_bytes": -1}}`, `{"intake": {"connections": 16, "connections_per_address": 17}}`} {
 			_, err := policy.Parse("f", []byte(text))
 			Expect(errors.As(err, new(*policy.Error))).To(BeTrue(), text)
