shard: repeat a start without an answer only after a heartbeat sent for it

Callers saw: a task runs on two workers, both started by one daemon without a change of the owner (TWICE).

Cause: a start was repeated at once after its connection had broken, by the clock of an incarnation that may have ended. A restarted worker takes that for the longest lease. If it is cut off before it answers, the owner goes by the usual lease and starts the task elsewhere while the first run goes on.

Change: a start without an answer leads to a heartbeat at once, which does not wait at the worker, beside the one that may be waiting there. The start is repeated when a complete status that was requested after the start was known to have no answer does not list the run. A status of another incarnation leads to a stop of the run and a new start by the new clock, as before. Without a status within a second the run is stopped. Statuses may overtake each other now, so one of an earlier heartbeat than the last one handled is ignored except for its lease.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -205,7 +205,8 @@
 		r.state, r.startUnanswered = runUnknown, true
 		s.closedUntil = now.Add(capacityBackoff)
 		if attempt < startAttempts && !r.stopping {
-			if enqueue(s.commands, func(ctx context.Context) { s.sendStart(ctx, r, attempt+1) }) {
+			if enqueue(s.commands, func(ctx context.Context) { s.requestStatus(ctx, r) }) {
+				r.repeatWaits = now
 				return
 			}
 		}
@@ -213,6 +214,73 @@
 	}
 }
 
+// requestStatus sends heartbeats until a status has decided whether the start of a run is repeated. They are sent beside those
+// of heartbeatLoop, of which one may be waiting at the worker, grant no lease and acknowledge nothing. Without a status the run
+// is stopped after maxRepeatWait.
+func (s *session) requestStatus(ctx context.Context, r *run) {
+	o := s.owner
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		sent := monotonic.Now()
+		if !s.waitsForRepeat(r) {
+			r.repeatWaits = 0
+			o.mu.Unlock()
+			return
+		}
+		if sent.Sub(r.repeatWaits) > maxRepeatWait {
+			r.repeatWaits = 0
+			s.stopUnanswered(r)
+			o.mu.Unlock()
+			return
+		}
+		command, incarnation, conn := worker.HeartbeatCommand{Token: s.token}, s.incarnation, s.conn.conn()
+		o.mu.Unlock()
+		status, err := conn.Heartbeat(ctx, command)
+		if ctx.Err() != nil {
+			return
+		}
+		received := monotonic.Now()
+		o.mu.Lock()
+		switch {
+		case sent <= s.dialedAt:
+		case err == nil:
+			s.handleStatus(status, command, incarnation, sent, received)
+		case !isDefinite(err):
+			s.incarnationKnown = false
+		}
+		waits := s.waitsForRepeat(r)
+		if !waits {
+			r.repeatWaits = 0
+		}
+		o.mu.Unlock()
+		if !waits {
+			return
+		}
+		monotonic.Sleep(ctx, lateStartRetryDelay)
+	}
+}
+
+// waitsForRepeat reports whether a status decides if the start of a run is repeated. The caller holds mu.
+func (s *session) waitsForRepeat(r *run) bool {
+	return r.repeatWaits != 0 && s.attached(r) && !r.stopping && r.state == runUnknown
+}
+
+// repeatStarts repeats the starts without an answer whose runs a complete status does not list, if the heartbeat was sent after
+// the start was known to have no answer. Without that status the worker may have restarted: by the clock of its former
+// incarnation the start would grant the longest lease, which the owner does not know of if the worker falls silent before it
+// answers. The caller holds mu.
+func (s *session) repeatStarts(listed map[runKey]bool, sent monotonic.Time) {
+	for key, r := range s.runs {
+		if !s.waitsForRepeat(r) || listed[key] || sent < r.repeatWaits {
+			continue
+		}
+		r.repeatWaits = 0
+		if !enqueue(s.commands, func(ctx context.Context) { s.sendStart(ctx, r, startAttempts) }) {
+			s.stopUnanswered(r)
+		}
+	}
+}
+
 // delayAfterStale delays further starts of a job after one was refused as old. Refusals of starts that were sent together
 // count as one. The caller holds mu.
 func (e *jobEntry) delayAfterStale(now monotonic.Time) {
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -129,7 +129,7 @@
 
 func (s *session) anyWaitsForStatus() bool {
 	for _, r := range s.runs {
-		if r.waitsForStatus() {
+		if r.waitsForStatus() || s.waitsForRepeat(r) {
 			return true
 		}
 	}
--- a/internal/shard/repeat_test.go
+++ b/internal/shard/repeat_test.go
@@ -87,6 +87,23 @@
 		Expect(cluster.Check(f.workers.History.Events(), cluster.Expectation{})).To(BeEmpty())
 	})
 
+	// Guards against a start that is repeated only after the heartbeat that waits at its worker.
+	simulatedIt("is repeated without delay beside a heartbeat that waits at the worker", func(f *fixture) {
+		const startTimeout = 300 * time.Millisecond
+		f.workers.Remove("w1")
+		o, w := f.startOwner(), f.worker("w0")
+		long, j := testJob(1, job.Step{}), testJob(2, job.Step{})
+		f.setBehaviour(string(long.ID)+".0.0.0", cluster.Behaviour{Duration: time.Minute})
+		f.setBehaviour(string(j.ID)+".0.0.0", cluster.Behaviour{Duration: time.Minute})
+		o.submit(long)
+		time.Sleep(5 * time.Second)
+		w.SetFaults(cluster.WorkerFaults{DelayedStarts: 1, StartDelay: time.Hour, StartTimeout: startTimeout})
+		o.submit(j)
+		time.Sleep(startTimeout + 100*time.Millisecond)
+		Expect(w.Running()).To(Equal(2))
+		Expect(w.StartsReceived()).To(Equal(3))
+	})
+
 	// Guards against a start that is not repeated at all.
 	simulatedIt("is repeated once the worker answers", func(f *fixture) {
 		d := &breakingDialer{Dialer: f.workers, id: "w0"}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -16,7 +16,7 @@
 	runStarting
 	// runConfirmed is a run that the worker has confirmed.
 	runConfirmed
-	// runUnknown is a run whose start command got no response; it must be stopped.
+	// runUnknown is a run whose start command got no response; it must be repeated or stopped.
 	runUnknown
 )
 
@@ -34,6 +34,8 @@
 	// startUnanswered is set once a start command got no response: that command may take effect later,
 	// whatever became of its repetition.
 	startUnanswered bool
+	// repeatWaits is since when a start without an answer waits for the status that decides whether it is repeated, or 0.
+	repeatWaits monotonic.Time
 	// startExpiry is when the lease in the last start command has ended on the worker's clock for certain;
 	// the worker refuses the command from then on.
 	startExpiry monotonic.Time
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -21,6 +21,8 @@
 	commandQueueSize = 512
 	// startAttempts is how often a start command is sent before the run is abandoned and stopped.
 	startAttempts = 2
+	// maxRepeatWait is how long a start without an answer waits for a status before its run is stopped instead.
+	maxRepeatWait = time.Second
 	// capacityBackoff keeps tasks off a worker that has refused one for insufficient capacity.
 	capacityBackoff = 400 * time.Millisecond
 	// maxMissingContactAge is how recent a response must be to show that a worker missing from the
@@ -78,6 +80,8 @@
 	// once, as the first one does not show the runs that were accepted after its request.
 	restarted bool
 	reachable bool
+	// statusSent is when the heartbeat was sent whose status was handled last. Statuses of earlier heartbeats are ignored.
+	statusSent monotonic.Time
 	// contact is when the worker last responded to a heartbeat.
 	contact monotonic.Time
 	listed  bool
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -22,6 +22,12 @@
 		}).Info("status of a former incarnation ignored")
 		return
 	}
+	if sent < s.statusSent {
+		// It may be of a former incarnation, or list runs that a later one showed as ended.
+		s.confirmLease(command.LeaseEndMS, status.ClockMS, received)
+		return
+	}
+	s.statusSent = sent
 	if !s.reachable {
 		o.Log.WithFields(logrus.Fields{"worker": s.ID, "shard": o.Shard}).Info("worker answers again")
 		s.stops.restart(received)
@@ -82,6 +88,7 @@
 	if len(status.Finished) < worker.MaxFinishedPerStatus {
 		s.detachUnlisted(listed, sent, received)
 		s.stopUnlisted(listed, sent)
+		s.repeatStarts(listed, sent)
 	}
 	s.stopLateStarts()
 	o.completePendingJobs()
