shard: send no queued start while its worker does not answer

Cause: starts wait while two calls to their worker are on their way. If the worker restarts meanwhile and heartbeats get no answer, a queued start was sent by the clock of the former incarnation and may grant the new one the longest lease, as a repeated start did.

Change: sendStart gives up a start, first or repeated, while heartbeats get no answer. A first start is detached and its task placed again.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -55,8 +55,9 @@
 	now := monotonic.Now()
 	leaseEnd := s.grantLease(now)
 	approvalValue, allowed := r.entry.approvalFor(r.task, s, now)
-	// The worker may have begun to drain, or its address may have changed, since the run was placed.
-	if leaseEnd == 0 || s.Draining || !s.recorded() || !o.ownershipCertain(now) || attempt == 1 && !allowed {
+	// The worker may have begun to drain, its address may have changed, or it may have fallen silent, since the start was queued. A
+	// silent worker may have restarted, so its clock is not known.
+	if leaseEnd == 0 || s.Draining || !s.reachable || !s.recorded() || !o.ownershipCertain(now) || attempt == 1 && !allowed {
 		s.abandonStart(r)
 		o.mu.Unlock()
 		return
--- a/internal/shard/repeat_test.go
+++ b/internal/shard/repeat_test.go
@@ -87,6 +87,31 @@
 		Expect(cluster.Check(f.workers.History.Events(), cluster.Expectation{})).To(BeEmpty())
 	})
 
+	// Guards against a queued start by the clock of an incarnation that may have ended: as above, with the first command of a run.
+	simulatedIt("is followed by no queued start while the worker does not answer", func(f *fixture) {
+		f.workers.Remove("w1")
+		faults := &commandFaults{startTimeout: 900 * time.Millisecond, paces: map[string]int{}}
+		f.wrapDialer = func(d worker.Dialer) worker.Dialer {
+			faults.Dialer = d
+			return faults
+		}
+		o, w := f.startOwner(), f.worker("w0")
+		long := testJob(1, job.Step{})
+		f.setBehaviour(string(long.ID)+".0.0.0", cluster.Behaviour{Duration: time.Minute})
+		o.submit(long)
+		time.Sleep(time.Second)
+		Expect(w.StartsReceived()).To(Equal(1))
+		// Two calls at a time are sent to a worker, so the third start waits for them.
+		faults.set(func(d *commandFaults) { d.heldStarts = 2 })
+		o.submit(testJob(2, job.Step{Count: 3}))
+		time.Sleep(300 * time.Millisecond)
+		Expect(faults.count()).To(Equal(2))
+		w.SetFaults(cluster.WorkerFaults{LoseHeartbeatReplies: 1 << 20, LoseStartReplies: 1 << 20, LoseStopReplies: 1 << 20})
+		w.Crash()
+		time.Sleep(2 * time.Second)
+		Expect(w.StartsReceived()).To(Equal(1))
+	})
+
 	// Guards against a start that is repeated only after the heartbeat that waits at its worker.
 	simulatedIt("is repeated without delay beside a heartbeat that waits at the worker", func(f *fixture) {
 		const startTimeout = 300 * time.Millisecond
