shard, share: mend what the review of the new decisions found

- A heartbeat that was given up for a query counted as unanswered at the time of the query; it may arrive later and grant a restarted worker the longest lease.
Shown by a spec with two runs at once, which fails before.
- A query that is lost delayed the answer of the heartbeat by up to 0.9 s; the calls run side by side now (spec).
- A job could yield for as long as an overload lasts; one in half a second is promoted (spec, which fails without).

--- a/internal/shard/admission.go
+++ b/internal/shard/admission.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,11 +58,16 @@
 		},
 		FirstAttempt: first, Objective: l.Objective, AdvisorBacklog: l.AdvisorBacklog,
 	}
-	_, accepted := o.acceptedJobs(now)
-	all := append(accepted, n.AcceptedJob)
+	accepted := o.recentlyAccepted(now)
+	all := append(slices.Clone(accepted), n.AcceptedJob)
 	o.markOverShare(all)
 	n.OverShare = all[len(accepted)].OverShare
-	return admission.DecideByDeadline(accepted, n, now)
+	d := admission.DecideByDeadline(all[:len(accepted)], n, now)
+	if d.Accept {
+		n.Unpromised = d.Unpromised
+		o.accepted = append(accepted, n.AcceptedJob)
+	}
+	return d
 }
 
 // queueLoad describes the queue for the admission decision on one job.
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -63,11 +63,11 @@
 		// The lease and the acknowledgement are for the worker at the current address.
 		conn := s.conn.conn()
 		o.mu.Unlock()
-		status, answered, err := s.heartbeat(ctx, conn, call, overdue)
+		answer := s.heartbeat(ctx, conn, call, overdue)
+		err, received := answer.err, answer.received
 		if ctx.Err() != nil {
 			return
 		}
-		received := monotonic.Now()
 		o.mu.Lock()
 		var pause time.Duration
 		switch {
@@ -89,10 +89,10 @@
 			}
 			pause = s.heartbeatFailed(err, command.Token, sent, received)
 		default:
-			if answered.sent != sent && command.LeaseEndMS != 0 {
-				s.leaseNotAnswered(call.incarnation, sent, received)
+			if answer.call.sent != sent && command.LeaseEndMS != 0 {
+				s.leaseNotAnswered(call.incarnation, sent, max(received, sent.Add(command.Wait+heartbeatTransit)))
 			}
-			s.handleStatus(status, answered.command, answered.incarnation, answered.sent, received)
+			s.handleStatus(answer.status, answer.call.command, answer.call.incarnation, answer.call.sent, received)
 			pause = heartbeatDelay
 		}
 		o.mu.Unlock()
--- a/internal/shard/overdue.go
+++ b/internal/shard/overdue.go
@@ -19,8 +19,10 @@
 }
 
 type heartbeatResult struct {
-	status worker.Status
-	err    error
+	call     heartbeatCall
+	status   worker.Status
+	err      error
+	received monotonic.Time
 }
 
 const (
@@ -30,47 +32,57 @@
 	// overdueIntervals is the number of expected intervals between the completions on a worker after which a heartbeat
 	// that waits for one counts as overdue. One heartbeat in twenty waits that long without a fault.
 	overdueIntervals = 3
+	// heartbeatTransit is how long after its wait a heartbeat that is given up may still arrive at its worker: connections
+	// to workers keep their bytes no longer.
+	heartbeatTransit = 900 * time.Millisecond
 )
 
-// heartbeat sends a heartbeat and returns the answer with the call that it answers: the heartbeat itself, or a query for
-// the status that was sent because the answer was overdue and that shows what it should have reported.
+// heartbeat sends a heartbeat and returns its answer, or that of a query for the status that was sent because the answer
+// was overdue and that shows what it should have reported.
 //
 // Fault: the answer to a call is lost while the worker is well. Until the call times out, all completions on the
 // worker are unknown, and their jobs stand still.
-func (s *session) heartbeat(ctx context.Context, conn worker.Conn, call heartbeatCall, overdue time.Duration) (worker.Status, heartbeatCall, error) {
+func (s *session) heartbeat(ctx context.Context, conn worker.Conn, call heartbeatCall, overdue time.Duration) heartbeatResult {
 	if overdue == 0 {
 		status, err := conn.Heartbeat(ctx, call.command)
-		return status, call, err
+		return heartbeatResult{call, status, err, monotonic.Now()}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answered := make(chan heartbeatResult, 1)
-	go func() {
-		status, err := conn.Heartbeat(ctx, call.command)
-		answered <- heartbeatResult{status, err}
-	}()
+	const maxCalls = 3
+	answers := make(chan heartbeatResult, maxCalls)
+	send := func(c heartbeatCall) {
+		go func() {
+			status, err := conn.Heartbeat(ctx, c.command)
+			answers <- heartbeatResult{c, status, err, monotonic.Now()}
+		}()
+	}
+	send(call)
+	// From then on the worker has no reason to wait.
 	late := call.command.Wait + minOverdue
-	for _, after := range []time.Duration{min(overdue, late), late} {
-		timer := time.NewTimer(max(0, after-monotonic.Now().Sub(call.sent)))
+	timer := time.NewTimer(min(overdue, late))
+	defer timer.Stop()
+	var known heartbeatResult // the last answer to a query
+	for calls := 1; ; {
 		select {
-		case r := <-answered:
-			timer.Stop()
-			return r.status, call, r.err
+		case r := <-answers:
+			switch {
+			case r.call.sent == call.sent && r.err != nil && !isDefinite(r.err) && known.received != 0:
+				return known
+			case r.call.sent == call.sent:
+				return r
+			case r.err == nil && s.answerLost(r, call, r.call.sent.Sub(call.sent) >= late):
+				return r
+			case r.err == nil:
+				known = r
+			}
 		case <-timer.C:
-		}
-		query := s.newStatusQuery()
-		status, err := conn.Heartbeat(ctx, query.command)
-		select {
-		case r := <-answered:
-			return r.status, call, r.err
-		default:
-		}
-		if err == nil && s.answerLost(status, call, after == late) {
-			return status, query, nil
+			send(s.newStatusQuery())
+			if calls++; calls < maxCalls {
+				timer.Reset(max(minOverdue, late-monotonic.Now().Sub(call.sent)))
+			}
 		}
 	}
-	r := <-answered
-	return r.status, call, r.err
 }
 
 // newStatusQuery returns a heartbeat that grants no lease, acknowledges nothing and does not wait.
@@ -80,20 +92,20 @@
 	return heartbeatCall{command: worker.HeartbeatCommand{Token: s.token}, sent: monotonic.Now(), incarnation: s.incarnation}
 }
 
-// answerLost reports whether a status shows that the answer to a call is lost: the worker has completions to report, or
-// had no reason to wait any longer.
-func (s *session) answerLost(status worker.Status, call heartbeatCall, late bool) bool {
+// answerLost reports whether the answer to a query shows that the answer to a call is lost: the worker has completions to
+// report, or had no reason to wait any longer.
+func (s *session) answerLost(query heartbeatResult, call heartbeatCall, late bool) bool {
 	o := s.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	lost := late
-	for _, finished := range status.Finished {
+	for _, finished := range query.status.Finished {
 		lost = lost || finished.Sequence > s.processed
 	}
 	if lost {
 		o.Scope.Tagged(map[string]string{"shard": o.Shard}).Counter("heartbeats_overdue").Inc(1)
 		o.Log.WithFields(logrus.Fields{
-			"worker": s.ID, "shard": o.Shard, "runs": len(s.runs), "finished": len(status.Finished), "waited_ms": monotonic.Now().Sub(call.sent).Milliseconds(),
+			"worker": s.ID, "shard": o.Shard, "runs": len(s.runs), "finished": len(query.status.Finished), "waited_ms": query.received.Sub(call.sent).Milliseconds(),
 		}).Info("answer to a heartbeat is overdue; the status was queried")
 	}
 	return lost
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -26,6 +26,7 @@
 	"samphirestile.example/samphirestile/internal/partition"
 	"samphirestile.example/samphirestile/internal/policy"
 	"samphirestile.example/samphirestile/internal/quota"
+	"samphirestile.example/samphirestile/internal/share"
 	"samphirestile.example/samphirestile/internal/store"
 	"samphirestile.example/samphirestile/internal/worker"
 )
@@ -185,6 +186,15 @@
 	unplacedLogged bool
 	// skippingJobs is set while scheduling passes skip jobs.
 	skippingJobs bool
+	// promoted is the job that was last promoted because it had yielded for long, until it starts a task; promotedAt is
+	// when.
+	promoted   *jobEntry
+	promotedAt monotonic.Time
+	// yieldingAt is when the jobs that yield were last determined.
+	yieldingAt monotonic.Time
+	// accepted describes the accepted jobs as of acceptedAt, with those accepted since.
+	accepted   []share.AcceptedJob
+	acceptedAt monotonic.Time
 	// startsWithheld is set while no task is started for lack of a confirmation of the zones under evacuation.
 	startsWithheld bool
 	// reservationLines counts the log lines about reservations since reservationLinesSince.
@@ -244,7 +254,9 @@
 	numberBase int
 	// firstStart is when this owner first started a task of the job; starts, failures and losses
 	// count the runs since then.
-	firstStart               monotonic.Time
+	firstStart monotonic.Time
+	// lastStart is when this owner last started a task of the job.
+	lastStart                monotonic.Time
 	starts, failures, losses int
 	// retryAt is the earliest time of the next start after a failed run, after any ended run of a
 	// long-running task, or after a start that was refused as old.
@@ -495,7 +507,8 @@
 	}
 }
 
-// setTimes computes the job's objective.
+// setTimes computes the job's objective. The users count it from the longest chain of tasks as they really take, so a step
+// counts with its longest task where the durations are learned.
 func (o *Owner) setTimes(e *jobEntry) {
 	stretch := e.job.Stretch
 	if stretch <= 0 {
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -128,9 +128,7 @@
 	}
 	o.adviceRequests = o.adviceRequests[:0]
 	o.adviceBacklog(now)
-	o.findYielding(now)
 	var entries []*jobEntry
-	var waiting []share.WaitingJob
 	for _, e := range o.active {
 		if !o.hasReadyTask(e, now) {
 			e.noReadyTasks = e.stored && now >= e.retryAt && !e.job.Scheduled() && !e.recovered
@@ -141,13 +139,19 @@
 			continue
 		}
 		entries = append(entries, e)
-		waiting = append(waiting, o.newWaitingJob(e, now))
 	}
 	slow := o.runsToCopy(now)
 	defer o.countUnplaced(now)
 	if len(entries) == 0 && len(slow) == 0 {
 		return
 	}
+	if len(entries) > 0 {
+		o.findYielding(now)
+	}
+	waiting := make([]share.WaitingJob, len(entries))
+	for i, e := range entries {
+		waiting[i] = o.newWaitingJob(e, now)
+	}
 	o.findLimited(now)
 	p := o.newPlacer(now)
 	p.placeMoves()
@@ -188,7 +192,7 @@
 func (o *Owner) newWaitingJob(e *jobEntry, now monotonic.Time) share.WaitingJob {
 	return share.WaitingJob{
 		LongRunning: e.job.LongRunning(), Skips: e.skips, Priority: e.job.Priority, Deadline: e.deadline(),
-		Remaining: o.remainingPath(e, now), Accepted: e.accepted, Yields: e.yields, Usage: o.weightedUsage(e.job.Account),
+		Remaining: o.remainingPath(e, now), Accepted: e.accepted, Yields: e.yields, Promoted: e == o.promoted, Usage: o.weightedUsage(e.job.Account),
 	}
 }
 
@@ -506,6 +510,10 @@
 	}
 	task.LastRun = number
 	e.starts++
+	e.lastStart = p.now
+	if e == o.promoted {
+		o.promoted = nil
+	}
 	if e.firstStart == 0 {
 		e.firstStart = p.now
 	}
--- a/internal/shard/yielding.go
+++ b/internal/shard/yielding.go
@@ -24,17 +24,47 @@
 // that end by themselves.
 func (e *jobEntry) timed() bool { return !e.job.LongRunning() && !e.job.Scheduled() }
 
+const (
+	// yieldingInterval is the minimum time between two decisions on the jobs that yield. They look at all accepted jobs.
+	yieldingInterval = maxBacklogAge
+	// maxYield times its objective is how long a job without a running task yields before it is promoted, and
+	// promotionInterval the time between two promotions: more would make the jobs late that can be in time.
+	maxYield          = 3
+	promotionInterval = 500 * time.Millisecond
+)
+
 // findYielding decides which jobs yield to jobs that can be in time. The caller holds mu.
 func (o *Owner) findYielding(now monotonic.Time) {
-	if !o.Policy.Admission.Enabled {
+	if !o.Policy.Admission.Enabled || o.yieldingAt != 0 && now.Sub(o.yieldingAt) < yieldingInterval {
 		return
 	}
+	o.yieldingAt = now
 	entries, jobs := o.acceptedJobs(now)
 	for i, yields := range share.Yielding(jobs, now) {
 		entries[i].yields = yields
 	}
+	o.promoteYielding(entries, now)
+}
+
+// promoteYielding promotes the job that has yielded for the longest time beyond the bound. The caller holds mu.
+func (o *Owner) promoteYielding(entries []*jobEntry, now monotonic.Time) {
+	if o.promoted != nil && o.active[o.promoted.job.ID] != o.promoted {
+		o.promoted = nil
+	}
+	if o.promoted != nil || o.promotedAt != 0 && now.Sub(o.promotedAt) < promotionInterval {
+		return
+	}
+	for _, e := range entries {
+		waits := now.Sub(max(e.accepted, e.lastStart))
+		if e.late(now) && len(e.runs) == 0 && waits > time.Duration(maxYield*float64(e.objective)) && (o.promoted == nil || e.accepted < o.promoted.accepted) {
+			o.promoted, o.promotedAt = e, now
+		}
+	}
 }
 
+// late reports whether the job yields to others.
+func (e *jobEntry) late(now monotonic.Time) bool { return e.yields || now > e.deadline() }
+
 // acceptedJobs describes the jobs that compete for the pool by their deadlines. The caller holds mu.
 func (o *Owner) acceptedJobs(now monotonic.Time) ([]*jobEntry, []share.AcceptedJob) {
 	pool := o.backlogAt(now).capacity
@@ -51,9 +81,19 @@
 		})
 	}
 	o.markOverShare(jobs)
+	o.accepted, o.acceptedAt = jobs, now
 	return entries, jobs
 }
 
+// recentlyAccepted describes the accepted jobs for an admission decision. Like the backlog it is not recomputed for each
+// job. The caller holds mu.
+func (o *Owner) recentlyAccepted(now monotonic.Time) []share.AcceptedJob {
+	if o.acceptedAt == 0 || now.Sub(o.acceptedAt) > maxBacklogAge {
+		o.acceptedJobs(now)
+	}
+	return o.accepted
+}
+
 // poolTime is the time that a pool needs for work in resource-milliseconds.
 func poolTime(work, pool worker.Resources) time.Duration {
 	return time.Duration(float64(drainTime(work, pool)) / packingEfficiency)
@@ -93,6 +133,9 @@
 
 // firstAttempt returns when the job was first submitted, as far as this owner knows. The caller holds mu.
 func (o *Owner) firstAttempt(id job.ID, now monotonic.Time) monotonic.Time {
+	if !o.Policy.Admission.Enabled {
+		return now
+	}
 	if first := o.countedArrivals[id]; first != 0 {
 		return first
 	}
--- a/internal/share/feasible.go
+++ b/internal/share/feasible.go
@@ -29,14 +29,14 @@
 	Started bool
 }
 
-// Yielding marks the jobs that yield to the others: those that cannot be in time any more, and as few others as possible,
-// so that the rest can all be in time.
+// Yielding marks the jobs that yield to the others: those that cannot be in time any more, and of the others so many that
+// the rest can all be in time.
 //
 // Load pattern: the demand of a queue exceeds the capacity of its pool for some seconds. In order of increasing slack,
 // every job would then be served a little too late; if some jobs yield, the rest are in time. Jobs that were expected to be
 // late yield first, then those of accounts above their share, then those that have not started, and among equals those
-// with the most remaining work, which make room for several others. This is the algorithm of Moore and Hodgson, which
-// leaves the fewest jobs late.
+// with the most remaining work, which make room for several others. Among equals this is the algorithm of Moore and
+// Hodgson, which leaves the fewest jobs late.
 func Yielding(jobs []AcceptedJob, now monotonic.Time) []bool {
 	yields := make([]bool, len(jobs))
 	order := make([]int, 0, len(jobs))
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -25,6 +25,8 @@
 	Usage float64
 	// Yields is set if the job yields to jobs that can be in time; see Yielding.
 	Yields bool
+	// Promoted is set for a job that comes first among those of its priority, because it has yielded for long.
+	Promoted bool
 	// Accepted is when the job was accepted; it orders late jobs.
 	Accepted monotonic.Time
 }
@@ -36,7 +38,7 @@
 // by a stream of short ones. Within each kind, jobs that scheduling passes have skipped come first,
 // so that jobs without a worker cannot hide the others. Jobs that can still meet their objective come before those that
 // cannot and those that yield, in order of increasing slack. The latter follow in the order of their
-// acceptance, so that none starves.
+// acceptance, and one that has waited for long is promoted from time to time, so that none starves.
 func Order(jobs []WaitingJob, now monotonic.Time) []int {
 	order := make([]int, len(jobs))
 	for i := range order {
@@ -53,6 +55,9 @@
 		if a.Priority != b.Priority {
 			return a.Priority < b.Priority
 		}
+		if a.Promoted != b.Promoted {
+			return a.Promoted
+		}
 		slackA, slackB := a.slack(now), b.slack(now)
 		lateA, lateB := slackA < 0 || a.Yields, slackB < 0 || b.Yields
 		if lateA != lateB {
