--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -21,7 +21,7 @@
 	"samphirestile.example/samphirestile/internal/store"
 )
 
-// evacuationStore counts listings below op/evacuate/, and may fail them or delay their answers.
+// evacuationStore counts listings below op/zone/, and may fail them or delay their answers.
 type evacuationStore struct {
 	*cluster.Store
 	failLists atomic.Bool
@@ -31,7 +31,7 @@
 }
 
 func (s *evacuationStore) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
-	if prefix != "op/evacuate/" {
+	if prefix != "op/zone/" {
 		return s.Store.List(ctx, prefix)
 	}
 	s.lists.Add(1)
@@ -106,9 +106,9 @@
 	}
 	format := func() *entry.EvacuationFormat {
 		return &entry.EvacuationFormat{
-			Prefix: "op/evacuate/", Zones: []fleet.AvailabilityZone{"a", "b"}, Bound: bound,
+			Prefix: "op/zone/", Zones: []fleet.AvailabilityZone{"a", "b"}, Bound: bound,
 			Zone: func(key string) (fleet.AvailabilityZone, error) {
-				zone := strings.TrimPrefix(key, "op/evacuate/")
+				zone := strings.TrimPrefix(key, "op/zone/")
 				if zone == "" {
 					return "", errors.New("empty")
 				}
@@ -125,7 +125,7 @@
 	})
 
 	It("has none confirmed before it has read them, and knows them then", func() {
-		put("op/evacuate/a")
+		put("op/zone/a")
 		s.SetFaults(cluster.StoreFaults{Down: true})
 		start(format())
 		Consistently(age, "300ms").Should(BeNumerically(">", time.Hour))
@@ -136,9 +136,9 @@
 	It("follows the creation and the removal of a key by its watch", func() {
 		start(format())
 		ready()
-		put("op/evacuate/other")
+		put("op/zone/other")
 		Eventually(zones, "500ms", "5ms").Should(ConsistOf("other"))
-		remove("op/evacuate/other")
+		remove("op/zone/other")
 		Eventually(zones, "500ms", "5ms").Should(BeEmpty())
 		Expect(output.count("zone evacuated")).To(Equal(1))
 		Expect(output.count("zone open again")).To(Equal(1))
@@ -147,12 +147,12 @@
 		start(format())
 		ready()
 		s.SetFaults(cluster.StoreFaults{StallWatches: true})
-		put("op/evacuate/b")
+		put("op/zone/b")
 		Eventually(zones, "1800ms", "5ms").Should(ConsistOf("b"))
-		put("op/evacuate/b")
-		put("op/evacuate/a")
+		put("op/zone/b")
+		put("op/zone/a")
 		Eventually(zones, "1800ms", "5ms").Should(ConsistOf("a", "b"))
-		remove("op/evacuate/b")
+		remove("op/zone/b")
 		Eventually(zones, "1800ms", "5ms").Should(ConsistOf("a"))
 		Consistently(age, "1500ms", "50ms").Should(BeNumerically("<", 1500*time.Millisecond))
 		Expect(output.count("zone evacuated")).To(Equal(2))
@@ -160,11 +160,11 @@
 	It("counts no confirmation that shows a removal before a listing has settled it", func() {
 		start(format())
 		ready()
-		put("op/evacuate/a")
+		put("op/zone/a")
 		Eventually(zones, "1800ms", "5ms").Should(ConsistOf("a"))
 		s.SetFaults(cluster.StoreFaults{StallWatches: true})
 		s.failLists.Store(true)
-		remove("op/evacuate/a")
+		remove("op/zone/a")
 		Eventually(age, "4s", "50ms").Should(BeNumerically(">", 2*time.Second))
 		Expect(zones()).To(ConsistOf("a"))
 		s.failLists.Store(false)
@@ -174,11 +174,11 @@
 	It("follows the keys of other zones by listings while its watch is silent", func() {
 		start(format())
 		ready()
-		put("op/evacuate/first")
+		put("op/zone/first")
 		Eventually(zones, "500ms", "5ms").Should(ConsistOf("first"))
 		s.SetFaults(cluster.StoreFaults{StallWatches: true})
-		remove("op/evacuate/first")
-		put("op/evacuate/other")
+		remove("op/zone/first")
+		put("op/zone/other")
 		Eventually(zones, "7s", "50ms").Should(ConsistOf("other"))
 	})
 	It("keeps a key that was written after a listing without it", func() {
@@ -186,7 +186,7 @@
 		ready()
 		written := func() {
 			if s.lists.Load() == 1 {
-				put("op/evacuate/other")
+				put("op/zone/other")
 				Eventually(zones, "1s", "5ms").Should(ConsistOf("other"))
 			}
 		}
@@ -197,16 +197,16 @@
 	It("knows the keys again after the store has compacted its history", func() {
 		start(format())
 		ready()
-		put("op/evacuate/first")
+		put("op/zone/first")
 		Eventually(zones, "500ms", "5ms").Should(ConsistOf("first"))
 		s.SetFaults(cluster.StoreFaults{StallWatches: true})
-		remove("op/evacuate/first")
+		remove("op/zone/first")
 		s.DropHistory()
 		s.SetFaults(cluster.StoreFaults{})
 		Eventually(zones, "12s", "50ms").Should(BeEmpty())
 	})
 	It("reports an invalid key once and ignores it", func() {
-		put("op/evacuate/")
+		put("op/zone/")
 		start(format())
 		ready()
 		time.Sleep(5500 * time.Millisecond) // until the keys have been listed again
@@ -223,7 +223,7 @@
 		Consistently(age, "2s", "10ms").Should(BeNumerically("<", 600*time.Millisecond))
 	})
 	It("reads nothing where zones are not evacuated", func() {
-		put("op/evacuate/a")
+		put("op/zone/a")
 		start(nil)
 		ready()
 		time.Sleep(5500 * time.Millisecond)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -9,9 +9,9 @@
 	"io"
 	"os"
 	"strconv"
-	"strings"
 
 	"samphirestile.example/samphirestile/internal/intake"
+	"samphirestile.example/samphirestile/internal/settings"
 )
 
 // Policy switches the decisions under load. The zero value disables all of them.
@@ -74,11 +74,7 @@
 )
 
 // Finding describes an invalid value in a policy file.
-type Finding struct {
-	Path    string
-	Value   string
-	Allowed string
-}
+type Finding = settings.Finding
 
 // Error reports all findings in a policy file, or the cause if it cannot be read.
 type Error struct {
@@ -92,11 +88,7 @@
 	if e.Cause != nil {
 		return fmt.Sprintf("policy %s: %v", e.File, e.Cause)
 	}
-	lines := make([]string, 0, len(e.Findings))
-	for _, f := range e.Findings {
-		lines = append(lines, fmt.Sprintf("%s: %s is %s; allowed: %s", e.File, f.Path, f.Value, f.Allowed))
-	}
-	return strings.Join(lines, "\n")
+	return settings.FormatFindings(e.File, e.Findings)
 }
 
 // Unwrap returns the cause.
@@ -141,10 +133,10 @@
 func (p *Policy) check() []Finding {
 	var findings []Finding
 	if p.Fairness.Enabled && !p.Admission.Enabled {
-		findings = append(findings, Finding{"fairness.enabled", "true", "false unless admission.enabled is true, because only its decisions know shares"})
+		findings = append(findings, Finding{Path: "fairness.enabled", Value: "true", Allowed: "false unless admission.enabled is true, because only its decisions know shares"})
 	}
 	for _, f := range p.Intake.Check() {
-		findings = append(findings, Finding{"intake." + f.Path, f.Value, f.Allowed})
+		findings = append(findings, Finding{Path: "intake." + f.Path, Value: f.Value, Allowed: f.Allowed})
 	}
 	return append(findings, p.LookAhead.check()...)
 }
@@ -153,7 +145,7 @@
 	var findings []Finding
 	inRange := func(field string, value, low, high int) {
 		if value < low || value > high {
-			findings = append(findings, Finding{"look_ahead." + field, strconv.Itoa(value), fmt.Sprintf("%d to %d", low, high)})
+			findings = append(findings, Finding{Path: "look_ahead." + field, Value: strconv.Itoa(value), Allowed: fmt.Sprintf("%d to %d", low, high)})
 		}
 	}
 	inRange("max_reservations", l.MaxReservations, 1, maxReservations)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,9 +96,14 @@
 	if e.Cause != nil {
 		return fmt.Sprintf("settings %s: %v", e.File, e.Cause)
 	}
-	lines := make([]string, 0, len(e.Findings))
-	for _, f := range e.Findings {
-		lines = append(lines, fmt.Sprintf("%s: %s is %s; allowed: %s", e.File, f.Path, f.Value, f.Allowed))
+	return FormatFindings(e.File, e.Findings)
+}
+
+// FormatFindings returns a message with a line for each finding in a file.
+func FormatFindings(file string, findings []Finding) string {
+	lines := make([]string, 0, len(findings))
+	for _, f := range findings {
+		lines = append(lines, fmt.Sprintf("%s: %s is %s; allowed: %s", file, f.Path, f.Value, f.Allowed))
 	}
 	return strings.Join(lines, "\n")
 }
