--- a/internal/shard/overdue.go
+++ b/internal/shard/overdue.go
@@ -32,8 +32,8 @@
 	// overdueIntervals is the number of expected intervals between the completions on a worker after which a heartbeat
 	// that waits for one counts as overdue. One heartbeat in twenty waits that long without a fault.
 	overdueIntervals = 3
-	// heartbeatTransit is how long after its wait a heartbeat that is given up may still arrive at its worker: connections
-	// to workers keep their bytes no longer.
+	// heartbeatTransit is how long after its wait a heartbeat without an answer times out. One that is given up for a query
+	// counts as on its way until then.
 	heartbeatTransit = 900 * time.Millisecond
 )
 
