--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -71,6 +71,7 @@
 	return ended, open, unknown, silent
 }
 
+// finish is finish_s of the settings.
 const finish = 14 * time.Second
 
 // ackBound is ackMs of the settings.
@@ -273,7 +274,7 @@
 	ended := make(chan struct{})
 	go w.ordinary(250*time.Millisecond, stop, func(all []string) { ids = all; close(ended) })
 	time.Sleep(3 * time.Second)
-	// Both bodies have the same size, and both are refused: one has too many steps, the other one too long a spec.
+	// Both bodies have nearly the same size, and both are refused: one has too many steps, the other one too long a spec.
 	body := []byte(`{"spec":"` + strings.Repeat("x", bodyBytes-100) + `","steps":[{"count":1}]}`)
 	if trouble {
 		body = []byte(`{"spec":"x","steps":[{}` + strings.Repeat(",{}", (bodyBytes-100)/3) + `]}`)
--- a/review/standin-3/daemon.go
+++ b/review/standin-3/daemon.go
@@ -20,7 +20,7 @@
 	restartDelay = 500 * time.Millisecond
 )
 
-// command is the run line of the role in deploy/system.toml.
+// runLine is the run line of the role in deploy/system.toml.
 var runLine = strings.Fields("target/samphirestiled serve --policy deploy/policy.json")
 
 // daemon is one machine that runs the role of the deploy file.
