--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -135,16 +135,19 @@
 	go w.ordinary(250*time.Millisecond, stop, func(all []string) { ids = all; close(ended) })
 	time.Sleep(5 * time.Second)
 	if trouble {
-		w.record.line("client: the large jobs begin: 90 jobs, three a second, each of ten steps of one task, to run hourly for a year (8,760 times), first in an hour")
+		w.record.line("client: the large jobs begin: three bursts of 4 s, 12 s apart, of 32 jobs each, of ten steps of one task, to run hourly for a year (8,760 times), first in an hour")
 		var accepted counter
 		var group sync.WaitGroup
-		for range 90 {
+		for i := range 3 * 32 {
+			if i > 0 && i%32 == 0 {
+				time.Sleep(8 * time.Second)
+			}
 			unit := work{MS: 640, CPU: 1800, MemMB: 5100}
 			steps := []any{}
-			for i := range 10 {
+			for j := range 10 {
 				step := map[string]any{"count": 1, "cpu": unit.CPU, "memMb": unit.MemMB, "estimatedMs": unit.MS}
-				if i > 0 {
-					step["after"] = []int{i - 1}
+				if j > 0 {
+					step["after"] = []int{j - 1}
 				}
 				steps = append(steps, step)
 			}
@@ -156,12 +159,12 @@
 					accepted.add(1)
 				}
 			})
-			time.Sleep(333 * time.Millisecond)
+			time.Sleep(125 * time.Millisecond)
 		}
 		group.Wait()
 		w.record.line("client: %d of the large jobs were accepted", accepted.get())
 	} else {
-		time.Sleep(30 * time.Second)
+		time.Sleep(28 * time.Second)
 	}
 	time.Sleep(20 * time.Second)
 	w.record.line("so far: %s", w.client.statuses())
@@ -180,6 +183,10 @@
 	if err := w.start(dir, 3, 8); err != nil {
 		return false, err
 	}
+	// Of the jobs handed in, a share below that of the site is cancelled.
+	for range 8 {
+		w.client.submit(queueURL, newID(), simpleJob(work{MS: 300, CPU: 100, MemMB: 100}, map[string]any{"count": 2}))
+	}
 	var cancelled []string
 	for range 4 {
 		id := newID()
