shard: grant leases by the lower bound of a worker's clock

Cause: the clock of a worker is estimated from its last answer as if it ran exactly. Workers without runs get no heartbeats, so the answer may be of any age, and the lease in the next start is longer by 2% of that age. The owner allows for 0.4 s, a successor of a killed owner for no more.

A lease is now granted by the lower bound of the clock, so no lease is longer than what its owner and any successor believe. A start whose worker's clock is older than 20 s waits for one heartbeat, which goes out at that moment anyway; without it the lease of a worker that was idle for 225 s would have no time left. Two bounds on the same path are exact now: the end of a lease after the first heartbeat of a successor, and that by the clock in an answer.

The clocks of emulated workers run at their own rates from 0.98 to 1 in the schedules of reordered_test.go and in the worker processes of the soak.

--- a/cmd/samphirestile-emulator/worker.go
+++ b/cmd/samphirestile-emulator/worker.go
@@ -39,7 +39,7 @@
 	if c.ClockStart != 0 {
 		clockStart = func(worker.ID, int) time.Duration { return c.ClockStart }
 	}
-	w := &cluster.Workers{ClockStart: clockStart, SpecBehaviour: func(spec string) cluster.Behaviour {
+	w := &cluster.Workers{ClockStart: clockStart, ClockRate: cluster.AnyClockRate, SpecBehaviour: func(spec string) cluster.Behaviour {
 		var p cluster.Profile
 		if err := json.Unmarshal([]byte(spec), &p); err != nil {
 			logrus.WithError(err).Warn("spec is not a profile; the run fails")
--- a/internal/emulator/cluster/worker.go
+++ b/internal/emulator/cluster/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -141,6 +142,8 @@
 	behaviour func(cmd worker.StartCommand) Behaviour
 	// clockStart returns the beginning of the incarnation's clock.
 	clockStart func() time.Duration
+	// clockRate returns the rate of the incarnation's clock.
+	clockRate func() float64
 	// admits checks the approval of a start.
 	admits func(cmd worker.StartCommand, incarnation int) bool
 
@@ -185,6 +188,9 @@
 	// ClockStart returns the beginning of the clock of an incarnation, at least a millisecond, which is the default. It must
 	// not change while calls are made.
 	ClockStart func(id worker.ID, incarnation int) time.Duration
+	// ClockRate returns how fast the clock of an incarnation runs, between MinClockRate and 1, which is the default. It must
+	// not change while calls are made.
+	ClockRate func(id worker.ID, incarnation int) float64
 	// ListsStarts adds the starts of the incarnations to the list.
 	ListsStarts bool
 
@@ -216,6 +222,12 @@
 		}
 		return w.ClockStart(n.ID, n.incarnation)
 	}
+	n.clockRate = func() float64 {
+		if w.ClockRate == nil {
+			return 1
+		}
+		return w.ClockRate(n.ID, n.incarnation)
+	}
 	n.admits = func(cmd worker.StartCommand, incarnation int) bool {
 		return w.NeedsApproval == nil || !w.NeedsApproval(cmd.Task) || w.Advisor.approves(cmd.Approval, cmd.Task, n.ID, incarnation)
 	}
@@ -361,9 +373,14 @@
 	return n.incarnation
 }
 
-// clock returns the incarnation's clock in milliseconds, which runs from its own beginning.
+// clock returns the incarnation's clock in milliseconds, which runs from its own beginning at its own rate.
 func (n *Worker) clock() int64 {
-	return time.Since(n.started).Milliseconds() + n.clockStart().Milliseconds()
+	return time.Duration(n.clockRate()*float64(time.Since(n.started))).Milliseconds() + n.clockStart().Milliseconds()
+}
+
+// untilClock returns how long the incarnation's clock takes to show a time in milliseconds.
+func (n *Worker) untilClock(ms int64) time.Duration {
+	return time.Duration(math.Ceil(float64(ms-n.clock())/n.clockRate())) * time.Millisecond
 }
 
 // maxClockStart bounds AnyClockStart.
@@ -376,6 +393,16 @@
 	return time.Duration(h.Sum64()%uint64(maxClockStart)).Truncate(time.Millisecond) + time.Millisecond
 }
 
+// MinClockRate is the rate of the slowest clock that workers may have.
+const MinClockRate = 0.98
+
+// AnyClockRate returns a rate of the clock of an incarnation.
+func AnyClockRate(id worker.ID, incarnation int) float64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "rate %s %d", id, incarnation) // a hash returns no error
+	return MinClockRate + (1-MinClockRate)*float64(h.Sum64()%1000)/1000
+}
+
 // rejectsToken reports whether a fencing token is stale, and records it otherwise. The
 // caller holds mu.
 func (n *Worker) rejectsToken(token uint64) bool {
@@ -397,7 +424,7 @@
 	if n.leaseTimer != nil {
 		n.leaseTimer.Stop()
 	}
-	n.leaseTimer = time.AfterFunc(time.Duration(end-n.clock())*time.Millisecond, n.expireLease)
+	n.leaseTimer = time.AfterFunc(n.untilClock(end), n.expireLease)
 }
 
 // expireLease ends all runs, unless the lease was extended meanwhile.
@@ -427,7 +454,7 @@
 	e := Event{Kind: Finished, Worker: n.ID, Task: key.task, Number: key.number, Incarnation: n.incarnation}
 	switch cause {
 	case worker.FinishDone:
-		e.Kind, e.LeaseEnd = Completed, n.started.Add(time.Duration(n.leaseEnd)*time.Millisecond-n.clockStart())
+		e.Kind, e.LeaseEnd = Completed, n.started.Add(time.Duration(float64(time.Duration(n.leaseEnd)*time.Millisecond-n.clockStart())/n.clockRate()))
 	case worker.FinishFailed:
 		e.Kind = Failed
 	}
@@ -588,7 +615,7 @@
 	if e.Outlived {
 		// The other runs keep the lease that their owner granted.
 		r.leaseEnd = cmd.LeaseEndMS
-		time.AfterFunc(time.Duration(cmd.LeaseEndMS-n.clock())*time.Millisecond, n.expireLease)
+		time.AfterFunc(n.untilClock(cmd.LeaseEndMS), n.expireLease)
 	}
 	e.Kind, e.Worker, e.Task, e.Number, e.Token, e.Incarnation = Started, n.ID, cmd.Task, cmd.Number, cmd.Token, n.incarnation
 	n.history.add(e)
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -44,7 +44,7 @@
 
 func (s *session) sendStart(ctx context.Context, r *run, attempt int) {
 	o := s.owner
-	if !s.waitForAcknowledgement(ctx) {
+	if !s.waitForAcknowledgement(ctx) || !s.waitForClock(ctx, r) {
 		return
 	}
 	o.mu.Lock()
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -95,6 +95,7 @@
 			s.handleStatus(answer.status, answer.call.command, answer.call.incarnation, answer.call.sent, received)
 			pause = heartbeatDelay
 		}
+		s.resumeStarts()
 		o.mu.Unlock()
 		monotonic.Sleep(ctx, pause)
 	}
@@ -113,7 +114,7 @@
 
 func (s *session) heartbeatWait() time.Duration {
 	switch {
-	case !s.fenced || !s.reachable || s.restarted || s.startsResumed != nil || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
+	case !s.fenced || !s.reachable || s.restarted || s.clockOutdated(monotonic.Now()) || s.startsResumed != nil || !s.answeredAtAddress() || s.processed > s.durable || s.anyWaitsForStatus() || (len(s.runs) == 0 && len(s.lateStarts) == 0):
 		return 0
 	case s.needsPacing():
 		return pacedHeartbeatWait
@@ -147,7 +148,7 @@
 		s.owner.mu.Lock()
 		now := monotonic.Now()
 		need := !s.fenced || !s.clockKnown || len(s.runs) > 0 || len(s.lateStarts) > 0 || s.processed > s.acknowledged || !s.reachable || s.restartListed != 0 ||
-			(s.Missing && now.Sub(s.contact) > maxMissingContactAge) || (s.emptied && now >= s.cordonUntil)
+			(s.Missing && now.Sub(s.contact) > maxMissingContactAge) || (s.emptied && now >= s.cordonUntil) || s.clockRequested != nil
 		s.owner.mu.Unlock()
 		if need {
 			return true
--- a/internal/shard/reordered_test.go
+++ b/internal/shard/reordered_test.go
@@ -559,7 +559,7 @@
 			Expect(runReorderedSchedule(f, uint64(i), m.mix)).To(BeEmpty())
 		})
 		simulatedIt(fmt.Sprintf("%s, clocks that begin anywhere, seed %d", m.title, i), func(f *fixture) {
-			f.workers.ClockStart = cluster.AnyClockStart
+			f.workers.ClockStart, f.workers.ClockRate = cluster.AnyClockStart, cluster.AnyClockRate
 			Expect(runReorderedSchedule(f, uint64(i), m.mix)).To(BeEmpty())
 		})
 		for n := range uint64(max(0, extraSeeds)) {
@@ -567,7 +567,7 @@
 				Expect(runReorderedSchedule(f, firstSeed+n, m.mix)).To(BeEmpty())
 			})
 			simulatedIt(fmt.Sprintf("%s, clocks that begin anywhere, additional seed %d", m.title, firstSeed+n), func(f *fixture) {
-				f.workers.ClockStart = cluster.AnyClockStart
+				f.workers.ClockStart, f.workers.ClockRate = cluster.AnyClockStart, cluster.AnyClockRate
 				Expect(runReorderedSchedule(f, firstSeed+n, m.mix)).To(BeEmpty())
 			})
 		}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -55,6 +55,8 @@
 	clockAt    monotonic.Time
 	// clockSent is when the call was sent whose answer contained the clock.
 	clockSent monotonic.Time
+	// clockRequested is set while starts wait for a heartbeat that reads the clock, and closed by its outcome.
+	clockRequested chan struct{}
 	// incarnationStartMS is the Unix time at which the worker's incarnation started; 0 if unknown.
 	incarnationStartMS int64
 	// fenced is set once the worker has received this owner's token.
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -54,7 +54,8 @@
 		s.inheritLease(status.IncarnationStartMS, received)
 		delete(o.uncontacted, s.ID)
 		o.recordReturn(s)
-		s.leaseEnd = max(s.leaseEnd, o.acquired.Add(o.lease()))
+		// A former owner may have granted a lease until the change of the owner.
+		s.leaseEnd = max(s.leaseEnd, o.acquired.Add(atMost(o.lease())))
 		o.schedule()
 	}
 	if s.emptied && sent >= s.cordonUntil {
--- a/internal/shard/workerlease.go
+++ b/internal/shard/workerlease.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,11 +13,52 @@
 const (
 	// clockRounding is the error of the difference of two clock readings in whole milliseconds.
 	clockRounding = 2
+	// maxClockAge is the age from which on a clock is read again before a lease is granted by it. The clock of an idle worker
+	// may be of any age, and a lease by the lower bound of its clock is shorter by the possible error.
+	maxClockAge = 20 * time.Second
 )
 
-// clockEstimate returns a lower bound of the worker's clock in milliseconds.
-func (s *session) clockEstimate(now monotonic.Time) int64 {
-	return s.clockMS + now.Sub(s.clockAt).Milliseconds()
+// earliestClock returns a lower bound of the worker's clock in milliseconds: the clock may be slow.
+func (s *session) earliestClock(now monotonic.Time) int64 {
+	return s.clockMS + time.Duration((1-maxClockDrift)*float64(now.Sub(s.clockAt))).Milliseconds()
+}
+
+// clockOutdated reports whether the worker's clock has to be read again before a lease is granted by it. The caller holds mu.
+func (s *session) clockOutdated(now monotonic.Time) bool {
+	return s.clockKnown && now.Sub(s.clockAt) > maxClockAge
+}
+
+// waitForClock waits for the outcome of one heartbeat if the worker's clock is outdated. It returns false if ctx ends first.
+func (s *session) waitForClock(ctx context.Context, r *run) bool {
+	s.owner.mu.Lock()
+	now := monotonic.Now()
+	if !s.clockOutdated(now) || !s.reachable || !s.attached(r) {
+		s.owner.mu.Unlock()
+		return true
+	}
+	if s.clockRequested == nil {
+		s.clockRequested = make(chan struct{})
+		s.owner.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "shard": s.owner.Shard, "task": r.task.String(), "run": r.number, "clock_age_ms": now.Sub(s.clockAt).Milliseconds(),
+		}).Info("start waits for the clock of an idle worker")
+	}
+	answered := s.clockRequested
+	s.owner.mu.Unlock()
+	s.notify()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-answered:
+		return true
+	}
+}
+
+// resumeStarts lets the starts go on that wait for the outcome of a heartbeat. The caller holds mu.
+func (s *session) resumeStarts() {
+	if s.clockRequested != nil {
+		close(s.clockRequested)
+		s.clockRequested = nil
+	}
 }
 
 // isFormerClock reports whether a clock is that of a former incarnation, in the answer to a call that overlapped the one
@@ -74,8 +116,8 @@
 	if grantedMS == 0 || clockMS == 0 {
 		return
 	}
-	left := min(time.Duration(grantedMS-clockMS)*time.Millisecond, s.owner.Bounds.MaxLease)
-	s.leaseEnd = max(s.leaseEnd, now.Add(time.Duration((1+maxClockDrift)*float64(left))))
+	left := min(time.Duration(grantedMS-clockMS+clockRounding)*time.Millisecond, s.owner.Bounds.MaxLease)
+	s.leaseEnd = max(s.leaseEnd, now.Add(time.Duration(float64(left)/(1-maxClockDrift))))
 }
 
 // leaseNotAnswered handles a command without an answer that granted a lease while an incarnation was known. A new one may
@@ -179,12 +221,15 @@
 
 // grantLease returns the end of the lease to send with a command, in milliseconds of the worker's
 // clock, or 0 if none may be granted.
+//
+// The lease is granted by the lower bound of the clock, so no lease is longer than what the owner believes. A successor
+// knows nothing else of the leases that a killed owner has granted.
 func (s *session) grantLease(now monotonic.Time) int64 {
 	end := min(now.Add(s.owner.lease()), s.owner.LatestWorkerLeaseEnd())
-	if end.Sub(now) < minWorkerLease || !s.clockKnown {
+	if end.Sub(now) < minWorkerLease || !s.clockKnown || s.clockOutdated(now) {
 		return 0
 	}
 	latest := end.Add(time.Duration(maxClockDrift*float64(end.Sub(now))) + leaseSlack)
 	s.leaseEnd = max(s.leaseEnd, latest)
-	return s.clockEstimate(now) + end.Sub(now).Milliseconds()
+	return s.earliestClock(now) + end.Sub(now).Milliseconds()
 }
