shard: count a job as begun once a worker has shown that

Cause: a job counted as started when a task of it was placed on a worker. Nothing took that back when the start was refused, withheld or had no answer.

A job has begun now once a worker has answered a start, listed a run or reported the end of one. The time that a job waited and the time since its last start, after which a yielding job is promoted, are taken from there as well. Counts of commands stay and say so.

--- a/internal/job/invalid_test.go
+++ b/internal/job/invalid_test.go
@@ -134,7 +134,7 @@
 			tracked := job.NewTrackedJob(job.Job{ID: validID, Steps: []job.Step{{Count: 2}}})
 			Expect(errors.As(tracked.DecodeProgress([]byte(value)), new(*job.RecordError))).To(BeTrue(), value)
 			Expect(tracked.FinalState).To(BeEmpty(), value)
-			Expect(tracked.Started).To(BeFalse(), value)
+			Expect(tracked.Begun).To(BeFalse(), value)
 			Expect(*tracked.Task(job.TaskID{Job: validID})).To(Equal(job.Task{}), value)
 		}
 	})
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -45,7 +45,7 @@
 	})
 	It("restores its progress from its record", func() {
 		l := job.NewTrackedJob(valid())
-		l.Started = true
+		l.Begun = true
 		for i, n := range []int{3, 5} {
 			l.Task(taskID(0, i)).LastRun = n
 		}
@@ -71,7 +71,7 @@
 	It("shows its final state only after it is recorded", func() {
 		l := job.NewTrackedJob(valid())
 		Expect(l.VisibleState(false)).To(Equal(job.Pending))
-		l.Started, l.FinalState = true, job.Completed
+		l.Begun, l.FinalState = true, job.Completed
 		Expect(l.VisibleState(false)).To(Equal(job.Running))
 		Expect(l.VisibleState(true)).To(Equal(job.Completed))
 	})
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -52,8 +52,9 @@
 // TrackedJob is a job with its progress.
 type TrackedJob struct {
 	Job
-	// Started is set once the start of any task has been commanded.
-	Started bool
+	// Begun is set once a worker has shown that a run of any task began there. A command to start a task may be refused or
+	// have no effect.
+	Begun bool
 	// FinalState is Completed, Failed or Cancelled once the job has finished, else "".
 	FinalState State
 	// EndedMS is the Unix time in milliseconds at which FinalState was set.
@@ -186,7 +187,7 @@
 // EncodeProgress encodes the job's progress for the store. A finished job is stored without
 // its tasks.
 func (j *TrackedJob) EncodeProgress() ([]byte, error) {
-	r := progressRecord{Final: j.FinalState, EndedMS: j.EndedMS, Started: j.Started}
+	r := progressRecord{Final: j.FinalState, EndedMS: j.EndedMS, Started: j.Begun}
 	if !j.FinalState.IsFinal() {
 		r.Tasks = map[string]taskState{}
 		if j.Occurrences()*j.tasksPerOccurrence() > maxPlainTasks {
@@ -259,7 +260,7 @@
 		}
 		tasks[t] = stored
 	}
-	j.FinalState, j.EndedMS, j.Started = r.Final, min(max(r.EndedMS, 0), maxDueMS), r.Started
+	j.FinalState, j.EndedMS, j.Begun = r.Final, min(max(r.EndedMS, 0), maxDueMS), r.Started
 	for _, done := range r.Done {
 		for k := done[0]; k <= done[1]; k++ {
 			j.Occurrence(k)
@@ -286,7 +287,7 @@
 	switch {
 	case j.FinalState.IsFinal() && finalRecorded:
 		return j.FinalState
-	case j.Started:
+	case j.Begun:
 		return Running
 	}
 	return Pending
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -127,7 +127,7 @@
 		r.entry.approvalUsed(r.task)
 		r.shown = shown
 		if r.state != runConfirmed {
-			r.state, r.started = runConfirmed, now
+			r.confirm(now)
 		}
 		return
 	}
@@ -408,6 +408,7 @@
 	if finished.Checkpoint != "" {
 		o.setCheckpoint(e, t, finished.Checkpoint)
 	}
+	e.job.Begun = true
 	e.dirty = true
 	step := &e.job.Steps[t.Step]
 	switch finished.Cause {
--- a/internal/shard/metrics.go
+++ b/internal/shard/metrics.go
@@ -37,15 +37,19 @@
 	o.Scope.Tagged(map[string]string{"shard": o.Shard}).Histogram("prediction_error", predictionBuckets).RecordValue(float64(took) / float64(predicted))
 }
 
-func (o *Owner) countJob(final job.State, took, waited time.Duration) {
+func (o *Owner) countJob(final job.State, took time.Duration) {
 	tagged := o.Scope.Tagged(map[string]string{"shard": o.Shard, "state": string(final)})
 	tagged.Counter("jobs_ended").Inc(1)
 	if final == job.Completed {
 		tagged.Histogram("job_seconds", latencyBuckets).RecordDuration(took)
-		tagged.Histogram("job_wait_seconds", latencyBuckets).RecordDuration(waited)
 	}
 }
 
+// countWait records the time from the acceptance of a completed job until its first task began.
+func (o *Owner) countWait(waited time.Duration) {
+	o.Scope.Tagged(map[string]string{"shard": o.Shard, "state": string(job.Completed)}).Histogram("job_wait_seconds", latencyBuckets).RecordDuration(waited)
+}
+
 func (o *Owner) recordCommit(took time.Duration) {
 	o.Scope.Tagged(map[string]string{"shard": o.Shard}).Histogram("record_seconds", latencyBuckets).RecordDuration(took)
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -252,11 +252,11 @@
 	// numberBase is a lower bound of the numbers of this owner's runs. It exceeds those that an
 	// earlier owner used after its last record of the task.
 	numberBase int
-	// firstStart is when this owner first started a task of the job; starts, failures and losses
-	// count the runs since then.
-	firstStart monotonic.Time
-	// lastStart is when this owner last started a task of the job.
-	lastStart                monotonic.Time
+	// firstBegin and lastBegin are when a worker first and last confirmed a start of this owner. firstBegin is 0 if the job had
+	// begun before.
+	firstBegin, lastBegin monotonic.Time
+	// starts counts the runs that this owner has placed, whether or not they began, failures and losses those that
+	// failed and were lost.
 	starts, failures, losses int
 	// retryAt is the earliest time of the next start after a failed run, after any ended run of a
 	// long-running task, or after a start that was refused as old.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -83,7 +83,7 @@
 	now := monotonic.Now()
 	r := Report{Token: o.Token, HostsWanted: o.hostsWanted, ActiveJobs: len(o.active)}
 	for _, e := range o.active {
-		if !e.job.Started {
+		if !e.job.Begun {
 			r.WaitingJobs++
 		}
 	}
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -150,11 +150,14 @@
 		"took_ms": now.Sub(e.accepted).Milliseconds(), "objective_ms": e.objective.Milliseconds(), "recovered": e.recovered,
 		"starts": e.starts, "failures": e.failures, "losses": e.losses, "predicted_ms": e.predicted.Milliseconds(), "unpromised": e.unpromised,
 	}
-	if e.firstStart != 0 {
-		fields["waited_ms"] = e.firstStart.Sub(e.accepted).Milliseconds()
+	if e.firstBegin != 0 {
+		fields["waited_ms"] = e.firstBegin.Sub(e.accepted).Milliseconds()
 	}
 	o.Log.WithFields(fields).Info("job ended")
-	o.countJob(final, now.Sub(e.accepted), max(0, e.firstStart.Sub(e.accepted)))
+	o.countJob(final, now.Sub(e.accepted))
+	if final == job.Completed && e.firstBegin != 0 {
+		o.countWait(e.firstBegin.Sub(e.accepted))
+	}
 	if final == job.Completed && e.predicted > 0 {
 		o.countPrediction(e.predicted, now.Sub(e.accepted))
 	}
@@ -203,7 +206,7 @@
 	return j.QueueAddress == q.Address
 }
 
-// Waiting returns how many jobs of a queue have no started task.
+// Waiting returns how many jobs of a queue have no task that has begun.
 func (o *Owner) Waiting(_ context.Context, queue Queue) (int, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -212,7 +215,7 @@
 	}
 	n := 0
 	for _, e := range o.active {
-		if queue.has(&e.job.Job) && !e.job.Started {
+		if queue.has(&e.job.Job) && !e.job.Begun {
 			n++
 		}
 	}
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -81,6 +81,16 @@
 	overdueLogged bool
 }
 
+// confirm records that the worker has shown the run. The caller holds mu.
+func (r *run) confirm(now monotonic.Time) {
+	r.state, r.started = runConfirmed, now
+	e := r.entry
+	if !e.job.Begun {
+		e.job.Begun, e.firstBegin = true, now
+	}
+	e.lastBegin = now
+}
+
 // waitsForStatus reports whether the next status decides if the run is stopped.
 func (r *run) waitsForStatus() bool {
 	return r.stopUnlistedAfter != 0 && r.state == runUnknown && !r.stopping
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -510,14 +510,9 @@
 	}
 	task.LastRun = number
 	e.starts++
-	e.lastStart = p.now
 	if e == o.promoted {
 		o.promoted = nil
 	}
-	if e.firstStart == 0 {
-		e.firstStart = p.now
-	}
-	e.job.Started = true
 	r := &run{
 		task: t.id, number: number, entry: e, step: t.step, session: s, placedAt: p.now, commandedPace: fullPace,
 	}
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -143,8 +143,7 @@
 		}
 	}
 	if r.state != runConfirmed {
-		r.state = runConfirmed
-		r.started = now
+		r.confirm(now)
 	}
 	r.missingSince = 0
 	if !s.holds(r.shown) || r.shown.precedes(sent) {
@@ -194,7 +193,7 @@
 	}
 	s.attach(r)
 	task.LastRun = max(task.LastRun, key.number)
-	e.job.Started = true
+	e.job.Begun = true
 	o.Log.WithFields(logrus.Fields{
 		"worker": s.ID, "task": key.task.String(), "run": key.number, "token": s.token, "incarnation": s.incarnation,
 		"requested_ms": now.Sub(sent).Milliseconds(), "late": late != nil, "done": task.Done, "active": task.Active,
--- a/internal/shard/yielding.go
+++ b/internal/shard/yielding.go
@@ -55,7 +55,7 @@
 		return
 	}
 	for _, e := range entries {
-		waits := now.Sub(max(e.accepted, e.lastStart))
+		waits := now.Sub(max(e.accepted, e.lastBegin))
 		if e.late(now) && len(e.runs) == 0 && waits > time.Duration(maxYield*float64(e.objective)) && (o.promoted == nil || e.accepted < o.promoted.accepted) {
 			o.promoted, o.promotedAt = e, now
 		}
@@ -77,7 +77,7 @@
 		entries = append(entries, e)
 		jobs = append(jobs, share.AcceptedJob{
 			Account: e.job.Account, Priority: e.job.Priority, Deadline: e.deadline(), Remaining: o.remainingPath(e, now),
-			Work: poolTime(o.remainingWork(e, now), pool), Unpromised: e.unpromised, Started: e.job.Started,
+			Work: poolTime(o.remainingWork(e, now), pool), Unpromised: e.unpromised, Started: e.job.Begun,
 		})
 	}
 	o.markOverShare(jobs)
