shard: log why a placed run is not started

A run that is given up before its start is sent left no line, so a trace could not tell a worker that got no start from one that took it without an answer. One line for each, with the inputs of the decision.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -65,6 +65,11 @@
 	// The worker may have begun to drain, its address may have changed, or it may have fallen silent, since the start was queued. A
 	// silent worker may have restarted, so its clock is not known.
 	if leaseEnd == 0 || s.Draining || !s.reachable || !s.recorded() || !o.ownershipCertain(now) || attempt == 1 && !allowed {
+		o.Log.WithFields(logrus.Fields{
+			"worker": s.ID, "task": r.task.String(), "run": r.number, "attempt": attempt, "lease_granted": leaseEnd != 0, "draining": s.Draining,
+			"reachable": s.reachable, "recorded": s.recorded(), "ownership_certain": o.ownershipCertain(now), "approved": allowed,
+			"clock_known": s.clockKnown, "clock_age_ms": now.Sub(s.clockAt).Milliseconds(),
+		}).Info("start given up")
 		s.abandonStart(r)
 		o.mu.Unlock()
 		return
