job, shard: hold and walk only what is under way of scheduled jobs

Cause: an owner allocated and walked all occurrences of each job, several times a second and under its lock: for the backlog, the critical path, ready tasks, requests to the advisor, records and reports. Nothing bounded their sum, and each successor read the same jobs.

Large jobs that have ended are dropped. Work that is not due does not count for admission.

A unit test that used a removed iterator sets the same tasks by their IDs.

--- a/internal/job/invalid_test.go
+++ b/internal/job/invalid_test.go
@@ -101,13 +101,16 @@
 	Expect(j.Validate()).To(Succeed())
 	tracked := job.NewTrackedJob(j)
 	for k := range j.MaxRuns {
-		tracked.Occurrence(k)
-		tracked.ForTasks(k, func(t job.TaskID, task *job.Task) {
-			task.LastRun, task.Checkpoint = 123, "x"
-			if k%100 != 7 {
-				tracked.MarkDone(t)
+		for s, step := range j.Steps {
+			for i := range step.Count {
+				t := job.TaskID{Job: validID, Occurrence: k, Step: s, Index: i}
+				task := tracked.Task(t)
+				task.LastRun, task.Checkpoint = 123, "x"
+				if k%100 != 7 {
+					tracked.MarkDone(t)
+				}
 			}
-		})
+		}
 	}
 	record, err := tracked.EncodeProgress()
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -265,6 +265,39 @@
 // Occurrences returns how often the whole job runs.
 func (j *Job) Occurrences() int { return max(1, j.MaxRuns) }
 
+// DescriptionBytes returns how much memory the description of the job needs, about.
+func (j *Job) DescriptionBytes() int64 {
+	const entryBytes, stepBytes, dependencyBytes = 1024, 256, 8
+	n := entryBytes + len(j.Spec) + len(j.Steps)*stepBytes
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		n += len(s.After)*dependencyBytes + len(s.RequiredLabel) + len(s.DataRack) + len(s.Image)
+	}
+	return int64(n)
+}
+
+// TasksPerOccurrence returns the number of tasks of all steps.
+func (j *Job) TasksPerOccurrence() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// DueOccurrences returns how many occurrences are due at a Unix time in milliseconds, done or not.
+func (j *Job) DueOccurrences(unixMS int64) int {
+	switch {
+	case !j.Scheduled():
+		return 1
+	case unixMS < j.FirstDueMS:
+		return 0
+	case j.Interval.Milliseconds() == 0:
+		return j.MaxRuns
+	}
+	return int(min(int64(j.MaxRuns), (unixMS-j.FirstDueMS)/j.Interval.Milliseconds()+1))
+}
+
 // DueMS returns the Unix time in milliseconds from which occurrence k may start; 0 means immediately.
 func (j *Job) DueMS(k int) int64 {
 	if !j.Scheduled() {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"iter"
 	"slices"
 
 	"samphirestile.example/samphirestile/internal/worker"
@@ -58,42 +59,174 @@
 	// FinalState is Completed, Failed or Cancelled once the job has finished, else "".
 	FinalState State
 	// EndedMS is the Unix time in milliseconds at which FinalState was set.
-	EndedMS     int64
+	EndedMS int64
+	// occurrences holds the progress of the occurrences of which any task was changed. That of a done occurrence of a
+	// scheduled job is not kept, so that the memory of a job follows what is under way, not what was described.
 	occurrences map[int]*Occurrence
-	doneCount   int
+	// done holds the occurrences that are done.
+	done      ranges
+	doneCount int
+	// doneTasks counts the tasks that are done, heldTasks those whose state is held in occurrences.
+	doneTasks, heldTasks int
+	tasksPerOccurrence   int
 }
 
 // NewTrackedJob returns the job with no task started.
-func NewTrackedJob(j Job) *TrackedJob { return &TrackedJob{Job: j, occurrences: map[int]*Occurrence{}} }
+func NewTrackedJob(j Job) *TrackedJob {
+	return &TrackedJob{Job: j, occurrences: map[int]*Occurrence{}, tasksPerOccurrence: j.TasksPerOccurrence()}
+}
 
-// Occurrence returns the progress of occurrence k.
-func (j *TrackedJob) Occurrence(k int) *Occurrence {
+// occurrence returns the progress of occurrence k to change it.
+func (j *TrackedJob) occurrence(k int) *Occurrence {
 	o := j.occurrences[k]
 	if o == nil {
 		o = &Occurrence{Steps: make([]StepProgress, len(j.Steps))}
 		for i := range j.Steps {
 			o.Steps[i].Tasks = make([]Task, j.Steps[i].Count)
+			j.heldTasks += j.Steps[i].Count
 		}
 		j.occurrences[k] = o
 	}
 	return o
 }
 
+// HeldTasks returns how many tasks have a state in memory.
+func (j *TrackedJob) HeldTasks() int { return j.heldTasks }
+
+// DoneTasks returns how many tasks of all occurrences are done.
+func (j *TrackedJob) DoneTasks() int { return j.doneTasks }
+
+// DoneInStep returns how many tasks of a step of occurrence k are done.
+func (j *TrackedJob) DoneInStep(k, step int) int {
+	if o := j.occurrences[k]; o != nil {
+		return o.Steps[step].Done
+	}
+	if j.OccurrenceDone(k) {
+		return j.Steps[step].Count
+	}
+	return 0
+}
+
+// FailedRuns returns how many runs of the tasks of a step of occurrence k have failed, as far as their states are held.
+func (j *TrackedJob) FailedRuns(k, step int) int {
+	n := 0
+	if o := j.occurrences[k]; o != nil {
+		for i := range o.Steps[step].Tasks {
+			n += len(o.Steps[step].Tasks[i].FailedRuns)
+		}
+	}
+	return n
+}
+
+// Idle iterates over the tasks of a step of occurrence k that are neither done nor have a run.
+func (j *TrackedJob) Idle(k, step int) iter.Seq[TaskID] {
+	return func(yield func(TaskID) bool) {
+		o := j.occurrences[k]
+		if o == nil && j.OccurrenceDone(k) {
+			return
+		}
+		for index := range j.Steps[step].Count {
+			if o != nil && (o.Steps[step].Tasks[index].Done || o.Steps[step].Tasks[index].Active != 0) {
+				continue
+			}
+			if !yield(TaskID{j.ID, k, step, index}) {
+				return
+			}
+		}
+	}
+}
+
+// Ready iterates over the steps of occurrence k that are not done and depend on no step that is not done.
+func (j *TrackedJob) Ready(k int) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		o := j.occurrences[k]
+		if o == nil && j.OccurrenceDone(k) {
+			return
+		}
+		for step := range j.Steps {
+			ready := o == nil && len(j.Steps[step].After) == 0 || o != nil && o.Steps[step].Done < j.Steps[step].Count && j.StepReady(k, step)
+			if ready && !yield(step) {
+				return
+			}
+		}
+	}
+}
+
+// Unfinished iterates over the occurrences below limit that are not done.
+func (j *TrackedJob) Unfinished(limit int) iter.Seq[int] {
+	return func(yield func(int) bool) { j.done.missing(limit, yield) }
+}
+
+// MaxTasksInProgress bounds the tasks of a scheduled job that may have a state in memory, like those of a job without
+// occurrences.
+const MaxTasksInProgress = maxTasks
+
+// Startable iterates over the occurrences whose tasks may start at a Unix time in milliseconds: the first ones that are due and
+// not done, as many as have the given number of tasks, and at least one.
+func (j *TrackedJob) Startable(unixMS int64, tasks int) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		left := max(1, tasks/max(1, j.tasksPerOccurrence))
+		for k := range j.Unfinished(j.DueOccurrences(unixMS)) {
+			if left == 0 || !yield(k) {
+				return
+			}
+			left--
+		}
+	}
+}
+
+// MemoryBytes returns how much memory the job needs at a Unix time in milliseconds, about: for its description, and for the
+// states of the tasks that are in progress or may start.
+func (j *TrackedJob) MemoryBytes(unixMS int64) int64 {
+	due := max(1, j.DueOccurrences(unixMS)-j.doneCount) * j.tasksPerOccurrence
+	tasks := max(j.heldTasks, min(due, max(MaxTasksInProgress, j.tasksPerOccurrence)))
+	return j.DescriptionBytes() + int64(tasks)*taskBytes
+}
+
+// UnfinishedTasks returns the number of tasks of a step that are not done in the first occurrences.
+func (j *TrackedJob) UnfinishedTasks(step, occurrences int) int {
+	n := occurrences
+	for _, r := range j.done {
+		n -= max(0, min(r[1]+1, occurrences)-r[0])
+	}
+	n *= j.Steps[step].Count
+	for k, o := range j.occurrences {
+		if k < occurrences && !j.OccurrenceDone(k) {
+			n -= o.Steps[step].Done
+		}
+	}
+	return n
+}
+
 // Valid reports whether t is a task of the job.
 func (j *TrackedJob) Valid(t TaskID) bool {
 	return t.Job == j.ID && t.Occurrence < j.Occurrences() && t.Step < len(j.Steps) && t.Index < j.Steps[t.Step].Count
 }
 
-// Task returns the state of one task.
+// Release drops the description of the tasks and their states. A job that has ended needs neither.
+func (j *TrackedJob) Release() {
+	j.Spec, j.Steps, j.occurrences, j.heldTasks = "", nil, nil, 0
+}
+
+// Tasks returns the number of tasks of all occurrences.
+func (j *TrackedJob) Tasks() int { return j.Occurrences() * j.tasksPerOccurrence }
+
+// Task returns the state of one task to change it. That of a task of a done occurrence, and of a released job, may be a copy
+// without effect.
 func (j *TrackedJob) Task(t TaskID) *Task {
-	return &j.Occurrence(t.Occurrence).Steps[t.Step].Tasks[t.Index]
+	if !j.Valid(t) {
+		return &Task{}
+	}
+	if j.OccurrenceDone(t.Occurrence) && j.occurrences[t.Occurrence] == nil {
+		return &Task{Done: true, LastRun: 1}
+	}
+	return &j.occurrence(t.Occurrence).Steps[t.Step].Tasks[t.Index]
 }
 
 // StepReady reports whether all steps that the step depends on are done.
 func (j *TrackedJob) StepReady(k, step int) bool {
-	o := j.Occurrence(k)
 	for _, a := range j.Steps[step].After {
-		if o.Steps[a].Done < j.Steps[a].Count {
+		if j.DoneInStep(k, a) < j.Steps[a].Count {
 			return false
 		}
 	}
@@ -107,12 +240,18 @@
 		return
 	}
 	task.Done = true
-	o := j.Occurrence(t.Occurrence)
+	j.doneTasks++
+	o := j.occurrence(t.Occurrence)
 	o.Steps[t.Step].Done++
 	if o.Steps[t.Step].Done == j.Steps[t.Step].Count {
 		o.DoneSteps++
 		if o.DoneSteps == len(j.Steps) {
+			j.done = j.done.add(t.Occurrence)
 			j.doneCount++
+			if j.Scheduled() {
+				delete(j.occurrences, t.Occurrence)
+				j.heldTasks -= j.tasksPerOccurrence
+			}
 		}
 	}
 }
@@ -133,10 +272,10 @@
 func (j *TrackedJob) AllDone() bool { return j.doneCount >= j.Occurrences() }
 
 // OccurrenceDone reports whether all steps of occurrence k are done.
-func (j *TrackedJob) OccurrenceDone(k int) bool {
-	o := j.occurrences[k]
-	return o != nil && o.DoneSteps == len(j.Steps)
-}
+func (j *TrackedJob) OccurrenceDone(k int) bool { return j.done.contains(k) }
+
+// taskBytes is the memory of the state of a task with its run.
+const taskBytes = 128
 
 // progressRecord is the stored form of a job's progress.
 type progressRecord struct {
@@ -149,9 +288,9 @@
 	Done [][2]int `json:"done,omitempty"`
 }
 
-// maxPlainTasks is the number of tasks up to which each task is recorded. Some 40 bytes for each
-// leave room in a value of the store, which has 1 MiB.
-const maxPlainTasks = maxTasks
+// maxPlainTasks is the number of tasks up to which each task of a done occurrence is recorded. The record is written with each
+// batch of completions of the job.
+const maxPlainTasks = 1000
 
 // taskState is the stored state of a task; its key is OCCURRENCE.STEP.INDEX.
 type taskState struct {
@@ -161,37 +300,25 @@
 	Checkpoint string `json:"c,omitempty"`
 }
 
-func (j *TrackedJob) tasksPerOccurrence() int {
-	n := 0
-	for i := range j.Steps {
-		n += j.Steps[i].Count
-	}
-	return n
-}
-
-// doneOccurrences returns the ranges of occurrences that are done, both ends included.
-func (j *TrackedJob) doneOccurrences() [][2]int {
-	var ranges [][2]int
-	for k := range j.Occurrences() {
-		switch last := len(ranges) - 1; {
-		case !j.OccurrenceDone(k):
-		case last >= 0 && ranges[last][1] == k-1:
-			ranges[last][1] = k
-		default:
-			ranges = append(ranges, [2]int{k, k})
-		}
-	}
-	return ranges
-}
-
 // EncodeProgress encodes the job's progress for the store. A finished job is stored without
 // its tasks.
 func (j *TrackedJob) EncodeProgress() ([]byte, error) {
 	r := progressRecord{Final: j.FinalState, EndedMS: j.EndedMS, Started: j.Begun}
 	if !j.FinalState.IsFinal() {
 		r.Tasks = map[string]taskState{}
-		if j.Occurrences()*j.tasksPerOccurrence() > maxPlainTasks {
-			r.Done = j.doneOccurrences()
+		if j.Occurrences()*j.tasksPerOccurrence > maxPlainTasks {
+			r.Done = j.done
+		} else {
+			for k := range j.doneOccurrences() {
+				if j.occurrences[k] != nil {
+					continue
+				}
+				for s := range j.Steps {
+					for i := range j.Steps[s].Count {
+						r.Tasks[fmt.Sprintf("%d.%d.%d", k, s, i)] = taskState{Done: true, LastRun: 1}
+					}
+				}
+			}
 		}
 		for k, o := range j.occurrences {
 			if r.Done != nil && j.OccurrenceDone(k) {
@@ -263,14 +390,11 @@
 	j.FinalState, j.EndedMS, j.Begun = r.Final, min(max(r.EndedMS, 0), maxDueMS), r.Started
 	for _, done := range r.Done {
 		for k := done[0]; k <= done[1]; k++ {
-			j.Occurrence(k)
-			j.ForTasks(k, func(t TaskID, task *Task) {
-				// The number that ended the task is not recorded, and no other run follows.
-				task.LastRun = max(task.LastRun, 1)
-				j.MarkDone(t)
-			})
+			j.done = j.done.add(k)
 		}
 	}
+	j.doneCount = j.done.count()
+	j.doneTasks = j.doneCount * j.tasksPerOccurrence
 	for t, stored := range tasks {
 		task := j.Task(t)
 		task.FailedRuns, task.LastRun, task.Checkpoint = stored.FailedRuns, stored.LastRun, stored.Checkpoint
@@ -293,16 +417,15 @@
 	return Pending
 }
 
-// ForTasks calls f for each task of occurrence k; it does nothing if the occurrence has no
-// progress yet.
-func (j *TrackedJob) ForTasks(k int, f func(TaskID, *Task)) {
-	o := j.occurrences[k]
-	if o == nil {
-		return
-	}
-	for s := range o.Steps {
-		for i := range o.Steps[s].Tasks {
-			f(TaskID{j.ID, k, s, i}, &o.Steps[s].Tasks[i])
+// doneOccurrences iterates over the occurrences that are done.
+func (j *TrackedJob) doneOccurrences() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for _, r := range j.done {
+			for k := r[0]; k <= r[1]; k++ {
+				if !yield(k) {
+					return
+				}
+			}
 		}
 	}
 }
--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -77,6 +77,7 @@
 	roster         *roster.Roster
 	claims         *claim.Table
 	quotaRequests  *quota.Requests
+	shardCount     atomic.Int64
 	timeOfDay      *monotonic.TimeOfDay
 	clients        *jobapi.Clients
 	advice         *advice.Queue // nil without an advisor
@@ -165,6 +166,7 @@
 			names = append(names, p.Shard())
 		}
 	}
+	d.shardCount.Store(int64(len(names) - 2))
 	return names
 }
 
@@ -316,6 +318,7 @@
 		Dialer: d.workers, Advice: d.advice, Log: d.log, Scope: d.metrics.Scope(), Changes: changes,
 		Bounds:               shard.Bounds{MaxLease: b.MaxLease, StopGrace: b.StopGrace, StatusRetention: b.StatusRetention, Evacuation: b.Evacuation},
 		Policy:               d.policy,
+		JobMemory:            func() int64 { return jobMemory(d.settings.MemoryBytes, int(d.shardCount.Load())) },
 		UnixMS:               d.timeOfDay.UnixMS,
 		LatestWorkerLeaseEnd: func() monotonic.Time { return d.renewer.ValidUntil(id).Add(workerLease) },
 		Workers:              func() map[worker.ID]worker.Worker { return d.workersOf(name, service) },
--- a/internal/shard/admission.go
+++ b/internal/shard/admission.go
@@ -24,6 +24,9 @@
 	if failing || pending > maxStoreStall || !o.ownershipCertain(monotonic.Now()) {
 		return admission.Decision{}, &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryAfter}
 	}
+	if err := o.checkMemory(j); err != nil {
+		return admission.Decision{}, &RejectedError{Reason: err.Error(), RetryAfter: memoryRetryAfter, Overload: true, Cause: err}
+	}
 	if j.LongRunning() || j.Scheduled() {
 		return admission.Decision{Accept: true}, nil
 	}
@@ -107,6 +110,8 @@
 type backlog struct {
 	at               monotonic.Time
 	workMS, capacity worker.Resources
+	// memoryBytes is the memory that the accepted jobs need, and maxMemoryBytes what they may need.
+	memoryBytes, maxMemoryBytes int64
 }
 
 // maxBacklogAge is how old the backlog may be for an admission decision. It is not recomputed for
@@ -115,7 +120,7 @@
 const maxBacklogAge = 40 * time.Millisecond
 
 func (o *Owner) currentBacklog(now monotonic.Time) backlog {
-	b := backlog{at: now}
+	b := backlog{at: now, maxMemoryBytes: o.maxJobMemory()}
 	for _, s := range o.sessions {
 		// Workers that have not responded to a new owner yet count: they respond soon.
 		if s.listed && !s.Missing && !s.Draining && s.reachable && !s.evacuated() {
@@ -123,6 +128,7 @@
 		}
 	}
 	for _, e := range o.active {
+		b.memoryBytes += e.job.MemoryBytes(o.dueAt(e, now))
 		if e.job.LongRunning() {
 			for r := range e.runs {
 				if r.session.evacuated() {
@@ -173,18 +179,20 @@
 	return time.Duration(work.DominantShare(pool) * float64(time.Millisecond))
 }
 
-// remainingWork returns the work of a job's unfinished tasks in resource-milliseconds.
+// remainingWork returns the work of a job's unfinished tasks in resource-milliseconds. Occurrences that are not due do not
+// compete for the pool yet.
 func (o *Owner) remainingWork(e *jobEntry, now monotonic.Time) worker.Resources {
 	var sum worker.Resources
-	for k := range e.job.Occurrences() {
-		occurrence := e.job.Occurrence(k)
-		for i := range e.job.Steps {
-			remaining := e.job.Steps[i].Count - occurrence.Steps[i].Done
-			if remaining == 0 {
-				continue
-			}
-			sum = sum.Plus(resourceMilliseconds(e.job.Steps[i].RequiredResources(), remaining, o.estimate(e.job.Queue, &e.job.Steps[i])))
+	due := e.job.DueOccurrences(o.dueAt(e, now))
+	if due == 0 {
+		return sum
+	}
+	for i := range e.job.Steps {
+		remaining := e.job.UnfinishedTasks(i, due)
+		if remaining == 0 {
+			continue
 		}
+		sum = sum.Plus(resourceMilliseconds(e.job.Steps[i].RequiredResources(), remaining, o.estimate(e.job.Queue, &e.job.Steps[i])))
 	}
 	for r := range e.runs {
 		if r.state == runConfirmed {
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -215,18 +215,13 @@
 	for _, s := range o.sessions {
 		largest = worker.Resources{CPU: max(largest.CPU, s.Capacity.CPU), MemMB: max(largest.MemMB, s.Capacity.MemMB), GPU: max(largest.GPU, s.Capacity.GPU)}
 	}
-	unixMS := o.unixMS(now)
 	for _, e := range o.active {
 		if !e.job.Advised {
 			continue
 		}
-		for k := range e.job.Occurrences() {
-			if e.job.Scheduled() && unixMS < e.job.DueMS(k) {
-				break
-			}
-			occurrence := e.job.Occurrence(k)
+		for k := range o.startable(e, o.dueAt(e, now)) {
 			for i := range e.job.Steps {
-				if occurrence.Steps[i].Done < e.job.Steps[i].Count && e.lacksApprovals(stepKey{k, i}, now) {
+				if e.job.DoneInStep(k, i) < e.job.Steps[i].Count && e.lacksApprovals(stepKey{k, i}, now) {
 					backlog += o.expectedCall(e, &e.job.Steps[i], largest)
 				}
 			}
@@ -250,11 +245,8 @@
 
 // hasIdleTask reports whether a task of a step is neither done nor has a run of this owner.
 func (e *jobEntry) hasIdleTask(key stepKey) bool {
-	tasks := e.job.Occurrence(key.occurrence).Steps[key.step].Tasks
-	for i := range tasks {
-		if !tasks[i].Done && tasks[i].Active == 0 {
-			return true
-		}
+	for range e.job.Idle(key.occurrence, key.step) {
+		return true
 	}
 	return false
 }
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -438,6 +438,7 @@
 				close(e.storedChan)
 			}
 		}
+		e.releaseIfEnded()
 	}
 	for _, e := range b.repaired {
 		e.recordLeft = false
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -89,6 +89,9 @@
 	Bounds Bounds
 	// Policy switches the decisions under load.
 	Policy policy.Policy
+	// JobMemory returns how much memory in bytes the jobs of the shard may need; nil means that it is not bounded. The bounds of
+	// all shards together are what one daemon can hold, since it may come to own all of them.
+	JobMemory func() int64
 	// UnixMS returns the Unix time in milliseconds by which occurrences of jobs are due; nil means the time of day.
 	UnixMS func(monotonic.Time) int64
 	// LatestWorkerLeaseEnd returns the latest end of a lease that may be granted to a worker.
--- a/internal/shard/report.go
+++ b/internal/shard/report.go
@@ -28,7 +28,8 @@
 	Workers     []WorkerReport `json:"workers"`
 }
 
-// JobReport describes one job. Times are in milliseconds.
+// JobReport describes one job. Times are in milliseconds. Steps are those of the first occurrences that are not done, and
+// none for a large job that has ended.
 type JobReport struct {
 	ID          job.ID       `json:"id"`
 	Queue       string       `json:"queue"`
@@ -120,25 +121,28 @@
 	r := JobReport{
 		ID: e.job.ID, Queue: e.job.Queue, Account: e.job.Account, State: e.job.VisibleState(e.finalStored),
 		AgeMS: now.Sub(e.accepted).Milliseconds(), ObjectiveMS: e.objective.Milliseconds(),
-	}
-	for k := range e.job.Occurrences() {
-		for i, s := range e.job.Occurrence(k).Steps {
-			r.Tasks += e.job.Steps[i].Count
-			r.Done += s.Done
-		}
+		Tasks: e.job.Tasks(), Done: e.job.DoneTasks(),
 	}
 	return r
 }
 
+// maxReportedSteps bounds the steps in the report of a job with many occurrences.
+const maxReportedSteps = 1000
+
 func (e *jobEntry) detail(now monotonic.Time) JobReport {
 	r := e.report(now)
-	for k := range e.job.Occurrences() {
-		for i, s := range e.job.Occurrence(k).Steps {
-			step := StepReport{Occurrence: k, Step: i, Tasks: e.job.Steps[i].Count, Done: s.Done, Ready: e.job.StepReady(k, i)}
-			for t := range s.Tasks {
-				step.FailedRuns += len(s.Tasks[t].FailedRuns)
-			}
-			r.Steps = append(r.Steps, step)
+	occurrences := e.job.Unfinished(e.job.Occurrences())
+	if !e.job.Scheduled() {
+		occurrences = func(yield func(int) bool) { yield(0) }
+	}
+	for k := range occurrences {
+		if len(r.Steps)+len(e.job.Steps) > max(maxReportedSteps, len(e.job.Steps)) {
+			break
+		}
+		for i := range e.job.Steps {
+			r.Steps = append(r.Steps, StepReport{
+				Occurrence: k, Step: i, Tasks: e.job.Steps[i].Count, Done: e.job.DoneInStep(k, i), FailedRuns: e.job.FailedRuns(k, i), Ready: e.job.StepReady(k, i),
+			})
 		}
 	}
 	for run := range e.runs {
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -30,10 +30,15 @@
 	RetryAfter time.Duration
 	// Overload distinguishes a full queue from an unavailable service.
 	Overload bool
+	// Cause is the error behind the reason, or nil. It is known to the owner only.
+	Cause error
 }
 
 func (e *RejectedError) Error() string { return "job not accepted: " + e.Reason }
 
+// Unwrap returns the cause.
+func (e *RejectedError) Unwrap() error { return e.Cause }
+
 // NotOwnerError reports a call to a daemon that does not serve the shard.
 type NotOwnerError struct{ Shard string }
 
@@ -77,12 +82,14 @@
 		o.setTimes(e)
 		e.predicted, e.unpromised, e.firstAttempt = decision.Predicted, decision.Unpromised, o.firstAttempt(j.ID, e.accepted)
 		o.jobs[j.ID], o.active[j.ID] = e, e
+		now := monotonic.Now()
+		o.acceptedBacklog.memoryBytes += e.job.MemoryBytes(o.dueAt(e, now))
 		if !j.LongRunning() {
-			o.acceptedBacklog.workMS = o.acceptedBacklog.workMS.Plus(o.remainingWork(e, monotonic.Now()))
+			o.acceptedBacklog.workMS = o.acceptedBacklog.workMS.Plus(o.remainingWork(e, now))
 		}
 		if j.Advised {
 			// The other shards of the daemon decide on jobs that arrive at the same time.
-			o.adviceBacklog(monotonic.Now())
+			o.adviceBacklog(now)
 		}
 		o.urgent = true
 		o.mu.Unlock()
--- a/internal/shard/run.go
+++ b/internal/shard/run.go
@@ -155,6 +155,7 @@
 	if r.startInFlight || r.startUnanswered {
 		s.addLateStart(r.key(), monotonic.Now()).inheritStop(r)
 	}
+	r.entry.releaseIfEnded()
 	o.schedule()
 }
 
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -78,27 +78,14 @@
 // run of this owner. The caller holds mu.
 func (o *Owner) idleTasks(e *jobEntry, now monotonic.Time) iter.Seq2[job.TaskID, *job.Step] {
 	return func(yield func(job.TaskID, *job.Step) bool) {
-		unixMS := int64(0)
-		for k := range e.job.Occurrences() {
-			if e.job.Scheduled() {
-				if unixMS == 0 {
-					unixMS = o.unixMS(now)
-				}
-				if unixMS < e.job.DueMS(k) {
-					return
-				}
-			}
-			if e.job.OccurrenceDone(k) {
-				continue
-			}
-			occurrence := e.job.Occurrence(k)
-			for i := range e.job.Steps {
-				if occurrence.Steps[i].Done == e.job.Steps[i].Count || !e.job.StepReady(k, i) {
-					continue
-				}
-				for index := range occurrence.Steps[i].Tasks {
-					task := &occurrence.Steps[i].Tasks[index]
-					if !task.Done && task.Active == 0 && !yield(job.TaskID{Job: e.job.ID, Occurrence: k, Step: i, Index: index}, &e.job.Steps[i]) {
+		due := o.dueAt(e, now)
+		if e.job.Scheduled() && due < e.job.FirstDueMS {
+			return
+		}
+		for k := range o.startable(e, due) {
+			for i := range e.job.Ready(k) {
+				for t := range e.job.Idle(k, i) {
+					if !yield(t, &e.job.Steps[i]) {
 						return
 					}
 				}
@@ -107,6 +94,24 @@
 	}
 }
 
+// startable iterates over the occurrences of a job whose tasks may start at a Unix time in milliseconds. While the jobs of the shard need more memory than
+// they may, it is one of each job. The caller holds mu.
+func (o *Owner) startable(e *jobEntry, due int64) iter.Seq[int] {
+	tasks := job.MaxTasksInProgress
+	if b := &o.acceptedBacklog; b.memoryBytes > b.maxMemoryBytes {
+		tasks = 0
+	}
+	return e.job.Startable(due, tasks)
+}
+
+// dueAt returns the Unix time in milliseconds by which the occurrences of a job are due, or 0 if it has no schedule.
+func (o *Owner) dueAt(e *jobEntry, now monotonic.Time) int64 {
+	if !e.job.Scheduled() {
+		return 0
+	}
+	return o.unixMS(now)
+}
+
 // readyTask is one task that waits for capacity.
 type readyTask struct {
 	id   job.TaskID
@@ -221,16 +226,12 @@
 // nextOccurrencePath returns the critical path through the unfinished steps of the first unfinished
 // occurrence.
 func (o *Owner) nextOccurrencePath(e *jobEntry) time.Duration {
-	for k := range e.job.Occurrences() {
-		if e.job.OccurrenceDone(k) {
-			continue
-		}
-		occurrence := e.job.Occurrence(k)
+	for k := range e.job.Unfinished(e.job.Occurrences()) {
+		step := -1
 		return e.job.CriticalPath(func(s *job.Step) time.Duration {
-			for i := range e.job.Steps {
-				if s == &e.job.Steps[i] && occurrence.Steps[i].Done == s.Count {
-					return 0
-				}
+			// The steps come in order.
+			if step++; e.job.DoneInStep(k, step) == s.Count {
+				return 0
 			}
 			return o.stepTime(&e.job.Job, s)
 		})
--- a/internal/shard/shard_suite_test.go
+++ b/internal/shard/shard_suite_test.go
@@ -103,6 +103,8 @@
 	bindings shard.Bindings
 	// quota is what owners that are started from then on know of the shards that share limits with them.
 	quota quota.Peers
+	// jobMemory bounds the memory of the jobs of owners that are started from then on; nil means no bound.
+	jobMemory func() int64
 	// policy is that of owners that are started from then on.
 	policy policy.Policy
 	// evacuations are the zones under evacuation for owners that are started from then on; nil where the part is off.
@@ -275,6 +277,7 @@
 		Shard: name, Service: f.service, Token: token, Bindings: f.bindings, Quota: f.quota, OwnerKey: ownerKey, PartitionKey: "test/part/" + name, Store: records, Dialer: dialer, Advice: requests,
 		Bounds:      shard.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StatusRetention: time.Minute, Evacuation: evacuationBound},
 		Policy:      f.policy,
+		JobMemory:   f.jobMemory,
 		Evacuations: f.evacuations,
 		LatestWorkerLeaseEnd: func() monotonic.Time {
 			o.mu.Lock()
