--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -19,8 +19,8 @@
 const (
 	idLength     = 16
 	maxSpecBytes = 4000
-	// maxSteps and maxTasks bound the memory that one job uses in a daemon.
-	maxSteps = 256
+	// MaxSteps and maxTasks bound the memory that one job uses in a daemon.
+	MaxSteps = 256
 	maxTasks = 20_000
 	// maxRuns bounds the occurrences of a scheduled job, and maxScheduledTasks the tasks of
 	// all occurrences together: those that are overdue on submission are all due at once.
@@ -33,11 +33,11 @@
 	MaxStretch  = 100
 	// maxDueMS is the largest integer that JSON carries exactly everywhere.
 	maxDueMS = 1 << 53
-	// maxTextBytes bounds the labels, racks and images of all steps together, and maxAfter the
+	// maxTextBytes bounds the labels, racks and images of all steps together, and MaxAfter the
 	// dependencies of one step, so that the record of a job fits into a value of the store. JSON may
 	// encode a byte in six.
 	maxTextBytes = 64 << 10
-	maxAfter     = maxSteps
+	MaxAfter     = MaxSteps
 	// shownBytes is how much of an invalid value an error shows.
 	shownBytes = 64
 )
@@ -150,8 +150,8 @@
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		text += len(s.RequiredLabel) + len(s.DataRack) + len(s.Image)
-		if text > maxTextBytes || len(s.After) > maxAfter {
-			return &InvalidError{fmt.Sprintf("step %d has %d dependencies, and the steps have %d bytes of text, at most %d and %d", i, len(s.After), text, maxAfter, maxTextBytes)}
+		if text > maxTextBytes || len(s.After) > MaxAfter {
+			return &InvalidError{fmt.Sprintf("step %d has %d dependencies, and the steps have %d bytes of text, at most %d and %d", i, len(s.After), text, MaxAfter, maxTextBytes)}
 		}
 		if !s.Need.InRange() {
 			return &InvalidError{fmt.Sprintf("step %d needs %+v, at most %d of each", i, s.Need, worker.MaxResource)}
@@ -190,7 +190,7 @@
 	}
 	if decoded.CriticalPath(func(s *Step) time.Duration { return s.Estimate }) > maxDuration {
 		for i := range decoded.Steps {
-			decoded.Steps[i].Estimate = min(decoded.Steps[i].Estimate, maxDuration/maxSteps)
+			decoded.Steps[i].Estimate = min(decoded.Steps[i].Estimate, maxDuration/MaxSteps)
 		}
 	}
 	decoded.Stretch = min(max(decoded.Stretch, 0), MaxStretch)
@@ -211,8 +211,8 @@
 	if len(j.Spec) > maxSpecBytes {
 		return &InvalidError{fmt.Sprintf("spec has %d bytes, at most %d", len(j.Spec), maxSpecBytes)}
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return &InvalidError{fmt.Sprintf("%d steps, want 1 to %d", len(j.Steps), maxSteps)}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return &InvalidError{fmt.Sprintf("%d steps, want 1 to %d", len(j.Steps), MaxSteps)}
 	}
 	tasks := 0
 	for i := range j.Steps {
