shard: queue the commands for members of a gang without a bound

Cause: at most 512 commands wait for one worker, and a start beyond that was given up although the other members were started.

Commands for members of a gang wait in any number; the tasks of a job bound it. Single tasks go to other workers as before.

--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -37,7 +37,7 @@
 
 // start issues the start command of a run. The caller holds mu and has attached the run.
 func (s *session) start(r *run) {
-	if !enqueue(s.commands, func(ctx context.Context) { s.sendStart(ctx, r, 1) }) {
+	if !s.commands.add(func(ctx context.Context) { s.sendStart(ctx, r, 1) }, r.step.Gang) {
 		s.detach(r)
 	}
 }
@@ -218,7 +218,7 @@
 		r.state, r.startUnanswered = runUnknown, true
 		s.closedUntil = now.Add(capacityBackoff)
 		if attempt < startAttempts && !r.stopping {
-			if enqueue(s.commands, func(ctx context.Context) { s.requestStatus(ctx, r) }) {
+			if s.commands.add(func(ctx context.Context) { s.requestStatus(ctx, r) }, r.step.Gang) {
 				r.repeatWaits = now
 				return
 			}
@@ -288,7 +288,7 @@
 			continue
 		}
 		r.repeatWaits = 0
-		if !enqueue(s.commands, func(ctx context.Context) { s.sendStart(ctx, r, startAttempts) }) {
+		if !s.commands.add(func(ctx context.Context) { s.sendStart(ctx, r, startAttempts) }, r.step.Gang) {
 			s.stopUnanswered(r)
 		}
 	}
@@ -558,7 +558,7 @@
 // waited together may overtake each other. The caller holds mu.
 func (s *session) sendPace(r *run) {
 	o := s.owner
-	queued := enqueue(s.commands, func(ctx context.Context) {
+	queued := s.commands.add(func(ctx context.Context) {
 		o.mu.Lock()
 		if !s.attached(r) || r.stopping {
 			// A later status triggers the command again if the stop is withdrawn.
@@ -579,7 +579,7 @@
 		r.commandedPace = unknownPace
 		err = fmt.Errorf("set the pace of run %d to %d percent: %w", r.number, percent, err)
 		o.Log.WithError(err).WithFields(logrus.Fields{"worker": s.ID, "task": r.task.String()}).Info("pace command failed")
-	})
+	}, false)
 	if queued {
 		r.commandedPace = s.pace
 	}
--- a/internal/shard/schedule_bench_test.go
+++ b/internal/shard/schedule_bench_test.go
@@ -30,6 +30,7 @@
 		o.sessions[id] = &session{
 			Worker: worker.Worker{ID: id, Capacity: worker.Resources{CPU: 32000, MemMB: 128000}, Labels: []string{"a", fmt.Sprint("r", i/20)}},
 			owner:  o, used: used, fenced: true, listed: true, reachable: true, runs: map[runKey]*run{}, lateStarts: map[runKey]*lateStart{},
+			commands: newCommandQueue(),
 		}
 		o.recordedWorkers[id] = recordedWorker{}
 	}
--- a/internal/shard/session.go
+++ b/internal/shard/session.go
@@ -17,9 +17,6 @@
 	// do not use them, because a start without a response occupies a sender for the whole timeout of
 	// the call.
 	commandSenders = 2
-	// commandQueueSize is how many of these commands may wait for one worker; beyond it, tasks go to
-	// other workers.
-	commandQueueSize = 512
 	// startAttempts is how often a start command is sent before the run is abandoned and stopped.
 	startAttempts = 2
 	// maxRepeatWait is how long a start without an answer waits for a status before its run is stopped instead.
@@ -111,7 +108,7 @@
 	// sendStops.
 	stops    stopQueue
 	stopWake chan struct{}
-	commands chan func(context.Context)
+	commands *commandQueue
 	wake     chan struct{}
 	cancel   context.CancelFunc
 }
@@ -180,7 +177,7 @@
 	s := &session{
 		Worker: w, owner: o, conn: &connection{}, runs: map[runKey]*run{}, listed: listed, reachable: true,
 		lateStarts: o.takeLateStarts(w.ID), pace: fullPace,
-		commands: make(chan func(context.Context), commandQueueSize), stops: newStopQueue(),
+		commands: newCommandQueue(), stops: newStopQueue(),
 		stopWake: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: cancel,
 	}
 	s.conn.redial(o.Dialer.Dial(w))
@@ -190,7 +187,7 @@
 	o.group.Go(func() { s.heartbeatLoop(ctx) })
 	o.group.Go(func() { s.sendStops(ctx) })
 	for range commandSenders {
-		o.group.Go(func() { sendCommands(ctx, s.commands) })
+		o.group.Go(func() { s.commands.send(ctx) })
 	}
 }
 
@@ -266,27 +263,6 @@
 	o.schedule()
 }
 
-func sendCommands(ctx context.Context, queue <-chan func(context.Context)) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case command := <-queue:
-			command(ctx)
-		}
-	}
-}
-
-// enqueue queues a call to the worker. It returns false if the queue is full. The caller holds mu.
-func enqueue(queue chan<- func(context.Context), f func(context.Context)) bool {
-	select {
-	case queue <- f:
-		return true
-	default:
-		return false
-	}
-}
-
 func (s *session) notify() {
 	select {
 	case s.wake <- struct{}{}:
