shard: count inherited usage of all occurrences in progress

While the memory of the jobs is exceeded, an owner starts one occurrence of each job at a time, but its predecessor may have started more. What runs on workers that do not answer counts for all of them. Found by reading.

--- a/internal/jobdaemon/daemon.go
+++ b/internal/jobdaemon/daemon.go
@@ -161,12 +161,13 @@
 		return nil
 	}
 	names := []string{hostsShard, workersShard}
+	roles := len(names)
 	for _, pool := range poolsInUse(c, bound) {
 		for _, p := range depths.Partitions(pool) {
 			names = append(names, p.Shard())
 		}
 	}
-	d.shardCount.Store(int64(len(names) - 2))
+	d.shardCount.Store(int64(len(names) - roles))
 	return names
 }
 
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -219,7 +219,7 @@
 		if !e.job.Advised {
 			continue
 		}
-		for k := range o.startable(e, o.dueAt(e, now)) {
+		for k := range e.job.Startable(o.dueAt(e, now), o.tasksInProgress()) {
 			for i := range e.job.Steps {
 				if e.job.DoneInStep(k, i) < e.job.Steps[i].Count && e.lacksApprovals(stepKey{k, i}, now) {
 					backlog += o.expectedCall(e, &e.job.Steps[i], largest)
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -582,7 +582,7 @@
 		if !e.recovered || e.job.Account == "" {
 			continue
 		}
-		for t, s := range o.idleTasks(e, now) {
+		for t, s := range o.idleTasks(e, now, job.MaxTasksInProgress) {
 			if u.mayInclude(t) {
 				usage[e.job.Account] = usage[e.job.Account].Plus(s.Need)
 			}
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -58,7 +58,7 @@
 		if e.recovered {
 			uncontacted = o.uncontactedRuns(now)
 		}
-		for t, s := range o.idleTasks(e, now) {
+		for t, s := range o.idleTasks(e, now, o.tasksInProgress()) {
 			if (s.Copyable() || !uncontacted.mayInclude(t) && !o.mayBeStopping(t, now)) && !yield(t, s) {
 				return
 			}
@@ -75,14 +75,14 @@
 }
 
 // idleTasks iterates over the tasks of the steps whose turn has come that are neither done nor have a
-// run of this owner. The caller holds mu.
-func (o *Owner) idleTasks(e *jobEntry, now monotonic.Time) iter.Seq2[job.TaskID, *job.Step] {
+// run of this owner, of the first due occurrences with the given number of tasks. The caller holds mu.
+func (o *Owner) idleTasks(e *jobEntry, now monotonic.Time, inProgress int) iter.Seq2[job.TaskID, *job.Step] {
 	return func(yield func(job.TaskID, *job.Step) bool) {
 		due := o.dueAt(e, now)
 		if e.job.Scheduled() && due < e.job.FirstDueMS {
 			return
 		}
-		for k := range o.startable(e, due) {
+		for k := range e.job.Startable(due, inProgress) {
 			for i := range e.job.Ready(k) {
 				for t := range e.job.Idle(k, i) {
 					if !yield(t, &e.job.Steps[i]) {
@@ -94,14 +94,13 @@
 	}
 }
 
-// startable iterates over the occurrences of a job whose tasks may start at a Unix time in milliseconds. While the jobs of the shard need more memory than
-// they may, it is one of each job. The caller holds mu.
-func (o *Owner) startable(e *jobEntry, due int64) iter.Seq[int] {
-	tasks := job.MaxTasksInProgress
+// tasksInProgress returns how many tasks of one job may be in progress. While the jobs of the shard need more memory than they
+// may, only one occurrence of each is. The caller holds mu.
+func (o *Owner) tasksInProgress() int {
 	if b := &o.acceptedBacklog; b.memoryBytes > b.maxMemoryBytes {
-		tasks = 0
+		return 0
 	}
-	return e.job.Startable(due, tasks)
+	return job.MaxTasksInProgress
 }
 
 // dueAt returns the Unix time in milliseconds by which the occurrences of a job are due, or 0 if it has no schedule.
